--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Front door of the project. Each target creates what it needs.
+
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SOURCES := yuccarelay tests
+
+all: help  ## Same as help
+
+help:  ## List the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | sort
+
+install: $(STAMP)  ## Create the virtual environment with the pinned dependencies
+
+$(STAMP): requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $(STAMP)
+
+test: install  ## Run all tests
+	$(BIN)/python -m tests
+
+lint: install  ## Check format and lint
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+
+format: install  ## Rewrite the sources in the project's format
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+demo: install  ## Run the whole path in one process on embedded stand-ins
+	$(BIN)/yuccarelay local --demo
+
+clean:  ## Remove what the other targets create
+	rm -rf $(VENV) build dist *.egg-info .ruff_cache .hypothesis
+
+.PHONY: all help install test lint format demo clean
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of yuccarelay."""
--- /dev/null
+++ b/yuccarelay/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports on top of libraries."""
--- /dev/null
+++ b/yuccarelay/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions only: no clock, socket, codec, random source or log."""
--- /dev/null
+++ b/yuccarelay/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces between the decisions and the outside."""
--- /dev/null
+++ b/yuccarelay/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, for tests and demonstrations."""
