--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -10,6 +10,7 @@
 
     def test_each_outcome_survives_the_flat_form(self):
         part = models.AnswerPart(
+            attempt_id='17-4.1',
             member=0,
             address='127.0.0.1:1',
             incarnation=7,
--- a/yuccarelay/core/events.py
+++ b/yuccarelay/core/events.py
@@ -394,6 +394,14 @@
     response: Response
 
 
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """A manifest came into force here; callers are checked against it from now on."""
+
+    generation: int
+    manifest: Manifest
+
+
 @dataclass(frozen=True, slots=True)
 class CreateRecord:
     """Write a new job record, and bind its key if it has one, in one transaction."""
@@ -480,5 +488,6 @@
     | ServeAnswer
     | DropAnswer
     | Respond
+    | Publish
     | StoreEffect
 )
--- a/yuccarelay/core/models.py
+++ b/yuccarelay/core/models.py
@@ -68,6 +68,7 @@
 class AnswerPart(NamedTuple):
     """Where the answer of one member is kept, with its length in bytes."""
 
+    attempt_id: str
     member: int
     address: str
     incarnation: int
