--- /dev/null
+++ b/yuccarelay/core/adoption.py
@@ -0,0 +1,163 @@
+"""Jobs of entries that are gone: find their records, take them over, settle them."""
+
+from yuccarelay.core.dispatch import Dispatcher
+from yuccarelay.core.events import (
+    Loaded,
+    LoadedMany,
+    LoadOpenRecords,
+    ReplaceRecord,
+    Stored,
+    StoreResult,
+)
+from yuccarelay.core.jobs import Job
+from yuccarelay.core.models import (
+    Claim,
+    EntryRef,
+    JobRecord,
+    JobSpec,
+    JobState,
+    MemberRef,
+)
+from yuccarelay.core.state import EntryState
+
+# The entries that are left do not all read the records at once.
+ADOPTION_JITTER_MS = 1_500
+ADOPTION_RETRY_MS = 5_000
+
+
+class Adopter:
+    """
+    Takes over the open jobs of entries whose registration has ended.
+
+    Ownership changes by compare-and-swap on the record, so a paused owner cannot
+    write an attempt afterwards. An attempt that was recorded is settled with its
+    leader before the job is queued again.
+    """
+
+    def __init__(self, state: EntryState, dispatcher: Dispatcher):
+        self.state = state
+        self.dispatcher = dispatcher
+        self.scan_at_ms: int | None = None
+        self.taking: dict[str, JobRecord] = {}
+
+    def take_entries(self, entries: tuple[EntryRef, ...], now_ms: int) -> None:
+        """Note the live entries; look for orphaned jobs when one is gone."""
+        known = {entry.incarnation for entry in self.state.entries}
+        live = {entry.incarnation for entry in entries}
+        first = not self.state.entries
+        self.state.entries = entries
+        if first or known - live:
+            self._scan_soon(now_ms, ADOPTION_JITTER_MS)
+
+    def tick(self, now_ms: int) -> None:
+        """Read the open records when that is due."""
+        state = self.state
+        if self.scan_at_ms is None or now_ms < self.scan_at_ms:
+            return
+        if not state.is_serving or not state.store_up or state.fenced:
+            return
+        self.scan_at_ms = None
+        state.outbox.add(LoadOpenRecords('scan:'))
+
+    def take_scan(self, result: StoreResult, now_ms: int) -> None:
+        """Take over the records whose owner is gone."""
+        match result:
+            case LoadedMany(records):
+                for loaded in records:
+                    self._consider(loaded)
+            case _:
+                self._scan_soon(now_ms, ADOPTION_RETRY_MS)
+
+    def _consider(self, loaded: Loaded) -> None:
+        record = loaded.record
+        state = self.state
+        owner_lives = any(one.incarnation == record.owner for one in state.entries)
+        mine = record.owner == state.entry.incarnation
+        if owner_lives or mine or record.job_id in state.jobs:
+            return
+        taken = record._replace(
+            owner=state.entry.incarnation,
+            adoptions=record.adoptions + 1,
+        )
+        self.taking[record.job_id] = taken
+        tag = f'adopt:{record.job_id}'
+        state.outbox.add(ReplaceRecord(tag, taken, loaded.revision))
+
+    def take_result(self, job_id: str, result: StoreResult, now_ms: int) -> None:
+        """Take the end of a change of ownership."""
+        record = self.taking.pop(job_id, None)
+        if record is None:
+            return
+        match result:
+            case Stored(revision):
+                self._adopt(record, revision, now_ms)
+            case _:
+                # Another entry was first, or the store did not answer.
+                self._scan_soon(now_ms, ADOPTION_RETRY_MS)
+
+    def _adopt(self, record: JobRecord, revision: int, now_ms: int) -> None:
+        state = self.state
+        spec = self._find_spec(record)
+        state.jobs[record.job_id] = Job(
+            job_id=record.job_id,
+            spec=spec,
+            payload=record.payload,
+            key=record.key,
+            state=JobState.QUEUED,
+            submitted_ms=now_ms,
+            start_deadline_ms=now_ms + spec.start_limit_ms,
+            revision=revision,
+            attempt=record.attempt,
+            adoptions=record.adoptions,
+            members=record.members,
+        )
+        state.outbox.log('job_adopted', job_id=record.job_id, attempt=record.attempt)
+        state.outbox.count('jobs.adopted')
+        if record.attempt and record.members:
+            state.view.add_pending(
+                state.jobs[record.job_id].attempt_id,
+                record.members,
+            )
+            self.dispatcher.settle(record.job_id, now_ms)
+        elif not self._settle_announced(record.job_id, now_ms):
+            state.enqueue(record.job_id)
+
+    def _settle_announced(self, job_id: str, now_ms: int) -> bool:
+        # The attempts of a repeatable job are not recorded. One that an agent
+        # announces is followed, so the work is not done again.
+        for worker in self.state.view.workers.values():
+            names = [grant.attempt_id for grant in worker.state.grants]
+            names.extend(worker.state.unreported)
+            for attempt_id in names:
+                head, _, number = attempt_id.rpartition('.')
+                if head != job_id:
+                    continue
+                claim = Claim('', '', (), 0, False, True)
+                ref = MemberRef(
+                    worker_id=worker.state.worker_id,
+                    address=worker.state.address,
+                    incarnation=worker.state.incarnation,
+                    claim=claim,
+                )
+                self.state.update(job_id, attempt=int(number), members=(ref,))
+                self.dispatcher.settle(job_id, now_ms)
+                return True
+        return False
+
+    def _find_spec(self, record: JobRecord) -> JobSpec:
+        manifest = self.state.manifest
+        organisation = manifest.organisations.get(record.organisation)
+        if organisation and record.job_name in organisation.jobs:
+            return organisation.jobs[record.job_name]
+        # The job has left the manifest since. What ran is still settled; with no
+        # worker of this service it is not started again.
+        return JobSpec(
+            organisation=record.organisation,
+            name=record.job_name,
+            service='',
+            repeatable=False,
+            start_limit_ms=0,
+        )
+
+    def _scan_soon(self, now_ms: int, jitter_ms: int) -> None:
+        self.scan_at_ms = now_ms + int(jitter_ms * self.state.rng.random())
--- /dev/null
+++ b/yuccarelay/core/agent.py
@@ -0,0 +1,401 @@
+"""
+The agent's state machine.
+
+It owns its worker's capacity, runs members under leases, and leads the attempts
+whose first member it is. An agent proves that an attempt did not start by leaving
+a tombstone before it says so.
+"""
+
+from typing import NamedTuple
+
+from yuccarelay.core.announcer import Announcer
+from yuccarelay.core.events import (
+    AgentEvent,
+    DrainRequested,
+    Effect,
+    Exit,
+    MessageReceived,
+    ReplyArrived,
+    ServeAnswer,
+    TaskEnded,
+    TaskStarted,
+    Tick,
+)
+from yuccarelay.core.gang import Gang, GangPhase, Outgoing
+from yuccarelay.core.member import MemberBook
+from yuccarelay.core.messages import (
+    Abort,
+    Ack,
+    AttemptReport,
+    ConfigChanged,
+    EvictionNotice,
+    Fate,
+    FateState,
+    FetchAnswer,
+    Launch,
+    Launched,
+    Malformed,
+    MemberReport,
+    Message,
+    Prepare,
+    Reclaiming,
+    Refusal,
+    Refused,
+    Renew,
+    Settle,
+    Start,
+    StopAttempt,
+    StopMember,
+)
+from yuccarelay.core.models import Grant, WorkerState
+from yuccarelay.core.outbox import Outbox
+from yuccarelay.core.reservation import Capacity, Phase
+from yuccarelay.core.timing import (
+    HOLD_MS,
+    KEEP_ENDED_MS,
+    REPEAT_INTERVAL_MS,
+    TOMBSTONE_LIMIT,
+)
+from yuccarelay.ports.randomness import RandomSource
+
+
+class Ended(NamedTuple):
+    """The end of an attempt that this agent led, until its owner knows it."""
+
+    report: AttemptReport
+    owner_address: str
+    acknowledged: bool
+    next_report_ms: int
+    drop_deadline_ms: int
+
+
+class AgentCore:
+    """
+    Decisions of one agent, driven by `step`.
+
+        core = AgentCore(state, seeds=('127.0.0.1:7000',), rng=random.Random(1))
+        effects = core.step(Tick(), now_ms=0)
+    """
+
+    def __init__(
+        self,
+        state: WorkerState,
+        seeds: tuple[str, ...],
+        rng: RandomSource,
+    ):
+        self.outbox = Outbox(state.address)
+        self.incarnation = state.incarnation
+        self.members = MemberBook(
+            worker_id=state.worker_id,
+            incarnation=state.incarnation,
+            address=state.address,
+            capacity=Capacity(state.accelerators, state.slots),
+            outbox=self.outbox,
+        )
+        self.announcer = Announcer(state, seeds, rng, self.outbox)
+        self.gangs: dict[str, Gang] = {}
+        self.ended: dict[str, Ended] = {}
+        self.tombstones: dict[str, None] = {}
+        self.drain_deadline_ms: int | None = None
+        self.exited = False
+
+    def step(self, event: AgentEvent, now_ms: int) -> list[Effect]:
+        """
+        Take one event and return what to do.
+
+        Deadlines are checked first, so an agent that was suspended acts on lapsed
+        leases before it handles the messages that arrived meanwhile.
+        """
+        self._expire(now_ms)
+        self._handle(event, now_ms)
+        while (local := self.outbox.take_local()) is not None:
+            self._handle(local, now_ms)
+        self._publish(now_ms)
+        return self.outbox.take_effects()
+
+    def _handle(self, event: AgentEvent, now_ms: int) -> None:
+        match event:
+            case Tick():
+                self.announcer.tick(now_ms)
+                self._check_drained(now_ms)
+            case MessageReceived(message, reply_to):
+                self._take_message(message, reply_to, now_ms)
+            case ReplyArrived(tag, reply):
+                self._take_reply(tag, reply, now_ms)
+            case TaskStarted():
+                self.members.take_started(event)
+            case TaskEnded():
+                self.members.take_ended(event, now_ms)
+            case DrainRequested(deadline_ms):
+                self._drain(deadline_ms, now_ms)
+
+    def _take_message(self, message: Message, reply_to: int, now_ms: int) -> None:
+        match message:
+            case Prepare():
+                self._reply(reply_to, self._prepare(message, now_ms))
+            case Launch():
+                self._reply(reply_to, self._launch(message, now_ms))
+            case Start():
+                refusal = self._check(message.attempt_id, message.incarnation)
+                if refusal is None:
+                    self.members.start(message, reply_to, now_ms)
+                else:
+                    self._reply(reply_to, Refused(message.attempt_id, refusal))
+            case Renew():
+                self._reply(reply_to, self.members.renew(message, now_ms))
+            case Abort(attempt_id) | StopMember(attempt_id):
+                self._reply(reply_to, self._stop_member(message, now_ms))
+            case MemberReport(attempt_id):
+                if attempt_id in self.gangs:
+                    gang = self.gangs[attempt_id]
+                    self._send_all(gang, gang.take_report(message, now_ms))
+                self._reply(reply_to, Ack())
+            case EvictionNotice(attempt_id, worker_id):
+                if attempt_id in self.gangs:
+                    gang = self.gangs[attempt_id]
+                    self._send_all(gang, gang.evict(worker_id, now_ms))
+                self._reply(reply_to, Ack())
+            case StopAttempt():
+                self._reply(reply_to, self._stop_attempt(message, now_ms))
+            case Settle():
+                self._reply(reply_to, self._settle(message))
+            case FetchAnswer(attempt_id, member, offset, limit):
+                self.outbox.add(
+                    ServeAnswer(reply_to, attempt_id, member, offset, limit),
+                )
+            case ConfigChanged(welcome):
+                self._take_config(self.announcer.take_welcome(welcome))
+                self._reply(reply_to, Ack())
+            case _:
+                reason = f'an agent does not take {type(message).__name__}'
+                self._reply(reply_to, Malformed(reason))
+        self._collect_ended(now_ms)
+
+    def _take_reply(self, tag: str, reply: Message | None, now_ms: int) -> None:
+        kind, _, rest = tag.partition(':')
+        match kind:
+            case 'gang':
+                attempt_id, _, member = rest.partition('#')
+                gang = self.gangs.get(attempt_id)
+                if gang is not None:
+                    messages = gang.take_reply(int(member), reply, now_ms)
+                    self._send_all(gang, messages)
+                    self._collect_ended(now_ms)
+            case 'member_report':
+                if isinstance(reply, Ack):
+                    self.members.take_report_reply(rest)
+            case 'report':
+                if isinstance(reply, Ack) and rest in self.ended:
+                    self.ended[rest] = self.ended[rest]._replace(acknowledged=True)
+            case 'home':
+                changed = self.announcer.take_reply(rest, reply, now_ms)
+                self._take_config(changed)
+
+    def _prepare(self, message: Prepare, now_ms: int) -> Message:
+        attempt_id = message.attempt_id
+        refusal = self._check(attempt_id, message.incarnation, message.generation)
+        if refusal is not None:
+            return Refused(attempt_id, refusal)
+        reply = self.members.answer_prepare(message, now_ms)
+        if isinstance(reply, Refused):
+            self._bury(attempt_id)
+        return reply
+
+    def _launch(self, message: Launch, now_ms: int) -> Message:
+        attempt_id = message.attempt_id
+        if attempt_id in self.gangs or attempt_id in self.ended:
+            return Launched(attempt_id)
+        refusal = self._check(attempt_id, message.incarnation, message.generation)
+        if refusal is None:
+            wait = self._hold_for_launch(message, now_ms)
+            match wait:
+                case Refusal():
+                    refusal = wait
+                case int():
+                    return Reclaiming(attempt_id, wait)
+        if refusal is not None:
+            self.members.release(attempt_id)
+            self._bury(attempt_id)
+            return Refused(attempt_id, refusal)
+        gang = Gang(message, self.outbox.own_address, now_ms)
+        self.gangs[attempt_id] = gang
+        self.outbox.log('launch', attempt_id=attempt_id, members=len(gang.members))
+        self._send_all(gang, gang.begin(now_ms))
+        return Launched(attempt_id)
+
+    def _hold_for_launch(self, message: Launch, now_ms: int) -> Refusal | int | None:
+        held = message.attempt_id in self.members.reservations
+        if len(message.members) > 1 and not held:
+            return Refusal.NO_RESERVATION
+        return self.members.prepare(
+            attempt_id=message.attempt_id,
+            claim=message.members[0].claim,
+            hold_deadline_ms=now_ms + HOLD_MS,
+            now_ms=now_ms,
+        )
+
+    def _check(
+        self,
+        attempt_id: str,
+        incarnation: int,
+        generation: int | None = None,
+    ) -> Refusal | None:
+        if incarnation != self.incarnation:
+            return Refusal.WRONG_INCARNATION
+        if attempt_id in self.tombstones:
+            return Refusal.TOMBSTONED
+        if generation is None:
+            return None
+        if generation < self.announcer.generation:
+            return Refusal.STALE_GENERATION
+        if (
+            self.drain_deadline_ms is not None
+            and attempt_id not in self.members.reservations
+        ):
+            self._bury(attempt_id)
+            return Refusal.DRAINING
+        return None
+
+    def _stop_member(self, message: Abort | StopMember, now_ms: int) -> Message:
+        if message.incarnation != self.incarnation:
+            return Fate(message.attempt_id, FateState.UNKNOWN)
+        if isinstance(message, Abort):
+            message = StopMember(message.attempt_id, message.incarnation, False)
+        reply = self.members.stop(message, now_ms)
+        if isinstance(reply, Fate) and reply.state is FateState.NOT_STARTED:
+            self._bury(message.attempt_id)
+        return reply
+
+    def _stop_attempt(self, message: StopAttempt, now_ms: int) -> Message:
+        gang = self.gangs.get(message.attempt_id)
+        if gang is not None and message.incarnation == self.incarnation:
+            self._send_all(gang, gang.cancel(now_ms))
+        return self._find_fate(message.attempt_id, message.incarnation)
+
+    def _settle(self, message: Settle) -> Message:
+        attempt_id = message.attempt_id
+        if attempt_id in self.gangs:
+            self.gangs[attempt_id].owner_address = message.owner_address
+        if attempt_id in self.ended:
+            self.ended[attempt_id] = self.ended[attempt_id]._replace(
+                owner_address=message.owner_address,
+            )
+        return self._find_fate(attempt_id, message.incarnation)
+
+    def _find_fate(self, attempt_id: str, incarnation: int) -> Fate:
+        if attempt_id in self.ended:
+            report = self.ended[attempt_id].report
+            return Fate(attempt_id, FateState.ENDED, report.end, report.outcome)
+        if attempt_id in self.gangs:
+            return Fate(attempt_id, FateState.RUNNING)
+        if incarnation != self.incarnation:
+            return Fate(attempt_id, FateState.UNKNOWN)
+        entry = self.members.reservations.get(attempt_id)
+        if entry is not None and entry.begun:
+            # A member of an attempt that another agent leads.
+            ended = entry.phase is Phase.ENDED
+            return Fate(attempt_id, FateState.ENDED if ended else FateState.RUNNING)
+        self.members.release(attempt_id)
+        self._bury(attempt_id)
+        return Fate(attempt_id, FateState.NOT_STARTED)
+
+    def _bury(self, attempt_id: str) -> None:
+        self.tombstones[attempt_id] = None
+        if len(self.tombstones) > TOMBSTONE_LIMIT:
+            del self.tombstones[next(iter(self.tombstones))]
+
+    def _expire(self, now_ms: int) -> None:
+        self.members.expire(now_ms)
+        for gang in list(self.gangs.values()):
+            self._send_all(gang, gang.tick(now_ms))
+        self._collect_ended(now_ms)
+        for attempt_id, entry in list(self.ended.items()):
+            if now_ms >= entry.drop_deadline_ms:
+                del self.ended[attempt_id]
+            elif not entry.acknowledged and now_ms >= entry.next_report_ms:
+                self._report(attempt_id, now_ms)
+
+    def _collect_ended(self, now_ms: int) -> None:
+        for attempt_id, gang in list(self.gangs.items()):
+            if gang.phase is not GangPhase.ENDED or gang.end is None:
+                continue
+            del self.gangs[attempt_id]
+            self.outbox.log('ended', attempt_id=attempt_id, end=gang.end.value)
+            self.ended[attempt_id] = Ended(
+                report=AttemptReport(attempt_id, gang.end, gang.outcome),
+                owner_address=gang.owner_address,
+                acknowledged=False,
+                next_report_ms=now_ms,
+                drop_deadline_ms=now_ms + KEEP_ENDED_MS,
+            )
+            self._report(attempt_id, now_ms)
+
+    def _report(self, attempt_id: str, now_ms: int) -> None:
+        entry = self.ended[attempt_id]
+        self.ended[attempt_id] = entry._replace(
+            next_report_ms=now_ms + REPEAT_INTERVAL_MS,
+        )
+        self.outbox.send(entry.owner_address, entry.report, f'report:{attempt_id}')
+
+    def _take_config(self, changed: bool) -> None:
+        if changed:
+            self.members.ledger.owned = {
+                share.organisation: share.accelerators for share in self.announcer.owned
+            }
+
+    def _publish(self, now_ms: int) -> None:
+        grants = tuple(
+            Grant(
+                attempt_id=entry.attempt_id,
+                organisation=entry.claim.organisation,
+                accelerators=entry.claim.total_accelerators,
+                slots=len(entry.claim.members),
+                guaranteed=entry.claim.guaranteed,
+                preemptible=entry.claim.preemptible,
+                running=entry.begun,
+            )
+            for entry in self.members.ledger.find_active()
+        )
+        self.announcer.publish(
+            now_ms,
+            grants=grants,
+            unreported=tuple(
+                attempt_id
+                for attempt_id, entry in self.ended.items()
+                if not entry.acknowledged
+            ),
+            draining=self.drain_deadline_ms is not None,
+            generation=self.announcer.generation,
+            plan_epoch=self.announcer.plan_epoch,
+        )
+
+    def _drain(self, deadline_ms: int, now_ms: int) -> None:
+        if self.drain_deadline_ms is not None:
+            return
+        self.drain_deadline_ms = deadline_ms
+        self.outbox.log('drain', active=len(self.members.ledger.find_active()))
+        self._publish(now_ms)
+        self.announcer.tell_all()
+
+    def _check_drained(self, now_ms: int) -> None:
+        if self.drain_deadline_ms is None or self.exited:
+            return
+        late = now_ms >= self.drain_deadline_ms
+        if late:
+            for gang in self.gangs.values():
+                reason = self.announcer.state.worker_id
+                self._send_all(gang, gang.evict(reason, now_ms))
+        active = self.members.ledger.find_active()
+        unreported = [entry for entry in self.ended.values() if not entry.acknowledged]
+        if not active and not self.gangs and not unreported:
+            self.exited = True
+            self.outbox.add(Exit())
+
+    def _send_all(self, gang: Gang, messages: list[Outgoing]) -> None:
+        for member, message in messages:
+            address = gang.members[member].ref.address
+            tag = f'gang:{gang.attempt_id}#{member}'
+            self.outbox.send(address, message, tag)
+
+    def _reply(self, reply_to: int, message: Message) -> None:
+        self.outbox.reply(reply_to, message)
--- /dev/null
+++ b/yuccarelay/core/announcer.py
@@ -0,0 +1,114 @@
+"""What an agent tells the entries about its worker, and when."""
+
+from yuccarelay.core.home import rank_entries
+from yuccarelay.core.messages import Announce, Heartbeat, Message, Welcome
+from yuccarelay.core.models import EntryRef, OwnedShare, WorkerState
+from yuccarelay.core.outbox import Outbox
+from yuccarelay.core.timing import (
+    ANNOUNCE_INTERVAL_MS,
+    HEARTBEAT_INTERVAL_MS,
+    REQUEST_TIMEOUT_MS,
+)
+from yuccarelay.ports.randomness import RandomSource
+
+
+class Announcer:
+    """
+    Keeps the home entry informed and takes the configuration from its answers.
+
+    A generation or plan epoch that is lower than the known one is ignored, so an
+    entry that is behind cannot take the agent back.
+    """
+
+    def __init__(
+        self,
+        state: WorkerState,
+        seeds: tuple[str, ...],
+        rng: RandomSource,
+        outbox: Outbox,
+    ):
+        self.state = state
+        self.rng = rng
+        self.outbox = outbox
+        self.entries = tuple(EntryRef(0, state.region, seed) for seed in seeds)
+        self.home_index = 0
+        self.acknowledged: tuple[str, int] = ('', -1)
+        self.next_send_ms = 0
+        self.waiting = False
+        self.generation = 0
+        self.plan_epoch = 0
+        self.owned: tuple[OwnedShare, ...] = ()
+
+    def publish(self, now_ms: int, **changes: object) -> None:
+        """Note a change of the worker's state; it is announced soon."""
+        if all(getattr(self.state, name) == value for name, value in changes.items()):
+            return
+        version = self.state.version + 1
+        self.state = self.state._replace(version=version, **changes)
+        self.next_send_ms = min(self.next_send_ms, now_ms + ANNOUNCE_INTERVAL_MS)
+
+    def tick(self, now_ms: int) -> None:
+        """Send the state or a heartbeat to the home entry when it is due."""
+        if self.waiting or now_ms < self.next_send_ms or not self.entries:
+            return
+        self.waiting = True
+        home = self.find_home()
+        self.next_send_ms = now_ms + self._jitter(HEARTBEAT_INTERVAL_MS)
+        self.outbox.send(home, self._make_message(home), f'home:{home}')
+
+    def tell_all(self) -> None:
+        """Send the state to every known entry at once, as when the worker leaves."""
+        for entry in self.entries:
+            message = Announce(self.state)
+            self.outbox.send(entry.address, message, f'tell:{entry.address}')
+
+    def take_reply(self, address: str, reply: Message | None, now_ms: int) -> bool:
+        """Take the home entry's answer; returns whether the configuration changed."""
+        self.waiting = False
+        match reply:
+            case Welcome():
+                if not reply.announce:
+                    self.acknowledged = (address, self.sent_version)
+                if reply.announce or self.state.version != self.sent_version:
+                    self.next_send_ms = now_ms + ANNOUNCE_INTERVAL_MS
+                return self.take_welcome(reply)
+            case _:
+                # The next entry in rank becomes home until the list changes.
+                self.home_index += 1
+                self.next_send_ms = now_ms + self._jitter(REQUEST_TIMEOUT_MS)
+                return False
+
+    def take_welcome(self, welcome: Welcome) -> bool:
+        """Take over configuration that is newer than the known one."""
+        if welcome.entries and set(welcome.entries) != set(self.entries):
+            self.entries = welcome.entries
+            self.home_index = 0
+        changed = False
+        if welcome.generation > self.generation:
+            self.generation = welcome.generation
+            changed = True
+        if welcome.plan_epoch > self.plan_epoch:
+            self.plan_epoch = welcome.plan_epoch
+            self.owned = welcome.owned
+            changed = True
+        return changed
+
+    def find_home(self) -> str:
+        """Return the address of the home entry."""
+        region = self.state.region
+        near = [entry for entry in self.entries if entry.region == region]
+        ranked = rank_entries(self.state.worker_id, near or self.entries)
+        return ranked[self.home_index % len(ranked)].address
+
+    def _make_message(self, home: str) -> Message:
+        self.sent_version = self.state.version
+        if self.acknowledged == (home, self.state.version):
+            return Heartbeat(
+                worker_id=self.state.worker_id,
+                incarnation=self.state.incarnation,
+                version=self.state.version,
+            )
+        return Announce(self.state)
+
+    def _jitter(self, interval_ms: int) -> int:
+        return int(interval_ms * (0.75 + 0.5 * self.rng.random()))
--- a/yuccarelay/core/events.py
+++ b/yuccarelay/core/events.py
@@ -58,13 +58,15 @@
     """
     The target ended the task.
 
-    `started` is false only when the target is known not to have started it. A
-    completed task's answer is kept by the answers task of the agent.
+    `started` is false only when the target is known not to have started it, and
+    `checkpointed` is true only when the target confirmed that it saved the
+    task's progress. The runner task keeps a completed task's answer.
     """
 
     task_id: str
     completed: bool
     started: bool
+    checkpointed: bool = False
     reason: str = ''
     length: int = 0
     sha256: str = ''
--- /dev/null
+++ b/yuccarelay/core/gang.py
@@ -0,0 +1,375 @@
+"""
+The leader's part of an attempt.
+
+The agent of the first member leads. It starts all members or none, renews their
+leases while all of them run, and stops all of them when one is lost. A gang of
+one is led in the same way, without the arming round.
+"""
+
+import enum
+from typing import NamedTuple
+
+from yuccarelay.core.messages import (
+    Abort,
+    EndState,
+    Fate,
+    FateState,
+    Launch,
+    MemberReport,
+    Message,
+    Prepare,
+    Prepared,
+    Refused,
+    Renew,
+    Renewed,
+    Start,
+    Started,
+    StopMember,
+)
+from yuccarelay.core.models import CHECKPOINTED, MemberRef, OutcomeRecord
+from yuccarelay.core.timing import (
+    HOLD_MS,
+    LEASE_MS,
+    RENEW_INTERVAL_MS,
+    START_WINDOW_MS,
+    TICK_MS,
+)
+
+
+class GangPhase(enum.Enum):
+    """Where the attempt stands."""
+
+    ARMING = 'arming'
+    STARTING = 'starting'
+    RUNNING = 'running'
+    STOPPING = 'stopping'
+    ENDED = 'ended'
+
+
+class MemberPhase(enum.Enum):
+    """What the leader knows of one agent's members."""
+
+    WAITING = 'waiting'
+    ARMED = 'armed'
+    REFUSED = 'refused'
+    STARTED = 'started'
+    ENDED = 'ended'
+
+
+class MemberStatus(NamedTuple):
+    """One agent's members; `alive_deadline_ms` is when they count as lost."""
+
+    ref: MemberRef
+    phase: MemberPhase = MemberPhase.WAITING
+    alive_deadline_ms: int = 0
+    report: MemberReport | None = None
+
+
+class Outgoing(NamedTuple):
+    """A message for one member."""
+
+    member: int
+    message: Message
+
+
+class Gang:
+    """
+    State machine of one attempt at its leader.
+
+    Each method returns the messages to send. `end` is set once the attempt has
+    ended, and no member runs any more by then.
+    """
+
+    def __init__(self, launch: Launch, leader_address: str, now_ms: int):
+        self.attempt_id = launch.attempt_id
+        self.payload = launch.payload
+        self.generation = launch.generation
+        self.owner_address = launch.owner_address
+        self.leader_address = leader_address
+        self.members = [MemberStatus(ref) for ref in launch.members]
+        self.phase = GangPhase.ARMING
+        self.start_deadline_ms = now_ms + START_WINDOW_MS
+        self.run_deadline_ms = now_ms + launch.run_ms
+        self.stop_deadline_ms = 0
+        self.next_send_ms = 0
+        self.checkpoint = False
+        self.wanted_end: EndState | None = None
+        self.reason = ''
+        self.end: EndState | None = None
+        self.outcome = OutcomeRecord(kind='')
+        self.start_sent = False
+
+    def begin(self, now_ms: int) -> list[Outgoing]:
+        """Arm all members, or start at once when there is only one agent."""
+        if len(self.members) == 1:
+            return self._start_all(now_ms)
+        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        return self._to_each(self._arm_message)
+
+    def take_reply(
+        self,
+        member: int,
+        reply: Message | None,
+        now_ms: int,
+    ) -> list[Outgoing]:
+        """Take the reply of a member to an earlier message."""
+        status = self.members[member]
+        match self.phase, reply:
+            case GangPhase.ARMING, Prepared():
+                self._set_phase(member, MemberPhase.ARMED)
+                if self._all_in(MemberPhase.ARMED):
+                    return self._start_all(now_ms)
+            case GangPhase.ARMING, Refused(refusal=refusal):
+                self._set_phase(member, MemberPhase.REFUSED)
+                return self._abort(f'{status.ref.worker_id}: {refusal.value}', now_ms)
+            case GangPhase.STARTING, Started():
+                self._set_alive(member, MemberPhase.STARTED, now_ms)
+                if self._all_in(MemberPhase.STARTED, MemberPhase.ENDED):
+                    return self._run(now_ms)
+            case GangPhase.STARTING, Refused(refusal=refusal):
+                self._set_phase(member, MemberPhase.REFUSED)
+                reason = f'{status.ref.worker_id}: {refusal.value}'
+                return self._stop(EndState.LOST, reason, now_ms)
+            case GangPhase.RUNNING, Renewed(state=FateState.RUNNING):
+                self._set_alive(member, MemberPhase.STARTED, now_ms)
+            case (
+                GangPhase.RUNNING,
+                Renewed(state=FateState.UNKNOWN | FateState.NOT_STARTED),
+            ):
+                reason = f'{status.ref.worker_id}: restarted'
+                return self._stop(EndState.LOST, reason, now_ms)
+            case GangPhase.STOPPING, Fate(state=state):
+                if state is FateState.NOT_STARTED:
+                    self._set_phase(member, MemberPhase.REFUSED)
+                elif state is not FateState.RUNNING:
+                    self._set_phase(member, MemberPhase.ENDED)
+                self._finish_stop(now_ms)
+            case _:
+                pass
+        return []
+
+    def take_report(self, report: MemberReport, now_ms: int) -> list[Outgoing]:
+        """Take the end of one agent's members."""
+        member = self._find_member(report.worker_id)
+        if member is None or self.phase is GangPhase.ENDED:
+            return []
+        not_started = report.end is EndState.NOT_STARTED
+        self.members[member] = self.members[member]._replace(
+            phase=MemberPhase.REFUSED if not_started else MemberPhase.ENDED,
+            report=report,
+        )
+        if self.phase is GangPhase.STOPPING:
+            self._finish_stop(now_ms)
+            return []
+        if report.end is not EndState.COMPLETED:
+            reason = f'{report.worker_id}: {report.outcome.reason}'
+            # Other members may have run, whatever this one says of its own.
+            end = EndState.LOST if not_started else report.end
+            return self._stop(end, reason, now_ms)
+        if self._all_in(MemberPhase.ENDED):
+            self._complete()
+        return []
+
+    def evict(self, worker_id: str, now_ms: int) -> list[Outgoing]:
+        """Stop all members with a checkpoint, because a guarantee needs a worker."""
+        reason = f'{worker_id}: reclaimed for a guarantee'
+        return self._stop(EndState.PREEMPTED, reason, now_ms, checkpoint=True)
+
+    def cancel(self, now_ms: int) -> list[Outgoing]:
+        """Stop all members, because the attempt is no longer wanted."""
+        return self._stop(EndState.STOPPED, 'stopped on request', now_ms)
+
+    def tick(self, now_ms: int) -> list[Outgoing]:
+        """Check deadlines; renew leases and repeat messages without an answer."""
+        match self.phase:
+            case GangPhase.ARMING if now_ms >= self.start_deadline_ms:
+                return self._abort('not all members answered', now_ms)
+            case GangPhase.STARTING if now_ms >= self.start_deadline_ms:
+                reason = 'not all members started in time'
+                return self._stop(EndState.LOST, reason, now_ms)
+            case GangPhase.RUNNING:
+                return self._tick_running(now_ms)
+            case GangPhase.STOPPING if now_ms >= self.stop_deadline_ms:
+                self._end(self.wanted_end or EndState.LOST)
+                return []
+        if self.phase is GangPhase.ENDED or now_ms < self.next_send_ms:
+            return []
+        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        return self._repeat()
+
+    def _tick_running(self, now_ms: int) -> list[Outgoing]:
+        for status in self.members:
+            lost = status.phase is MemberPhase.STARTED
+            if lost and now_ms >= status.alive_deadline_ms:
+                reason = f'{status.ref.worker_id}: no answer for {LEASE_MS} ms'
+                return self._stop(EndState.LOST, reason, now_ms)
+        if now_ms >= self.run_deadline_ms:
+            return self._stop(EndState.FAILED, 'run limit exceeded', now_ms)
+        if now_ms < self.next_send_ms:
+            return []
+        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        return self._renew_all()
+
+    def _repeat(self) -> list[Outgoing]:
+        match self.phase:
+            case GangPhase.ARMING:
+                return self._to_each(self._arm_message, MemberPhase.WAITING)
+            case GangPhase.STARTING:
+                return self._to_each(
+                    self._start_message,
+                    MemberPhase.WAITING,
+                    MemberPhase.ARMED,
+                )
+            case GangPhase.STOPPING:
+                return self._stop_all()
+            case _:
+                return []
+
+    def _start_all(self, now_ms: int) -> list[Outgoing]:
+        self.phase = GangPhase.STARTING
+        self.start_sent = True
+        self.start_deadline_ms = now_ms + START_WINDOW_MS
+        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        return self._to_each(self._start_message)
+
+    def _run(self, now_ms: int) -> list[Outgoing]:
+        self.phase = GangPhase.RUNNING
+        if self._all_in(MemberPhase.ENDED):
+            self._complete()
+            return []
+        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        return self._renew_all()
+
+    def _renew_all(self) -> list[Outgoing]:
+        return self._to_each(self._renew_message, MemberPhase.STARTED)
+
+    def _abort(self, reason: str, now_ms: int) -> list[Outgoing]:
+        # No start was sent, so the tombstones left by Abort make sure that
+        # nothing of this attempt ever runs.
+        self.reason = reason
+        self.stop_deadline_ms = now_ms
+        self._end(EndState.NOT_STARTED)
+        return self._to_each(
+            lambda ref: Abort(self.attempt_id, ref.incarnation),
+            *MemberPhase,
+        )
+
+    def _stop(
+        self,
+        end: EndState,
+        reason: str,
+        now_ms: int,
+        checkpoint: bool = False,
+    ) -> list[Outgoing]:
+        if self.phase in (GangPhase.STOPPING, GangPhase.ENDED):
+            return []
+        if not self.start_sent:
+            return self._abort(reason, now_ms)
+        self.phase = GangPhase.STOPPING
+        self.wanted_end = end
+        self.reason = reason
+        self.checkpoint = checkpoint
+        # By then the lease of every member has lapsed, answered or not.
+        self.stop_deadline_ms = now_ms + LEASE_MS + RENEW_INTERVAL_MS + 2 * TICK_MS
+        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        messages = self._stop_all()
+        self._finish_stop(now_ms)
+        return messages
+
+    def _stop_all(self) -> list[Outgoing]:
+        return self._to_each(
+            self._stop_message,
+            MemberPhase.WAITING,
+            MemberPhase.ARMED,
+            MemberPhase.STARTED,
+        )
+
+    def _finish_stop(self, now_ms: int) -> None:
+        if self._all_in(MemberPhase.REFUSED):
+            self._end(EndState.NOT_STARTED)
+        elif self._all_in(MemberPhase.ENDED, MemberPhase.REFUSED):
+            self._end(self._merge_ends())
+
+    def _merge_ends(self) -> EndState:
+        ends = {status.report.end for status in self.members if status.report}
+        # All members completed before the stop reached them.
+        all_reported = all(status.report for status in self.members)
+        if all_reported and ends == {EndState.COMPLETED}:
+            return EndState.COMPLETED
+        if self.wanted_end is EndState.STOPPED or EndState.FAILED not in ends:
+            return self.wanted_end or EndState.LOST
+        return EndState.FAILED
+
+    def _complete(self) -> None:
+        self._end(EndState.COMPLETED)
+
+    def _end(self, end: EndState) -> None:
+        self.phase = GangPhase.ENDED
+        self.end = end
+        if end is EndState.COMPLETED:
+            parts = [
+                part
+                for status in self.members
+                if status.report
+                for part in status.report.outcome.parts
+            ]
+            parts.sort(key=lambda part: part.member)
+            self.outcome = OutcomeRecord(kind='completed', parts=tuple(parts))
+        else:
+            saved = [
+                status.report is not None
+                and status.report.outcome.proof == CHECKPOINTED
+                for status in self.members
+            ]
+            proof = CHECKPOINTED if all(saved) else ''
+            self.outcome = OutcomeRecord(end.value, self.reason, proof)
+
+    def _arm_message(self, ref: MemberRef) -> Message:
+        return Prepare(
+            attempt_id=self.attempt_id,
+            incarnation=ref.incarnation,
+            generation=self.generation,
+            claim=ref.claim,
+            hold_ms=HOLD_MS,
+        )
+
+    def _start_message(self, ref: MemberRef) -> Message:
+        return Start(
+            attempt_id=self.attempt_id,
+            incarnation=ref.incarnation,
+            leader_address=self.leader_address,
+            payload=self.payload,
+            lease_ms=LEASE_MS,
+        )
+
+    def _renew_message(self, ref: MemberRef) -> Message:
+        return Renew(self.attempt_id, ref.incarnation, LEASE_MS)
+
+    def _stop_message(self, ref: MemberRef) -> Message:
+        return StopMember(self.attempt_id, ref.incarnation, self.checkpoint)
+
+    def _to_each(self, make_message, *phases: MemberPhase) -> list[Outgoing]:
+        return [
+            Outgoing(member, make_message(status.ref))
+            for member, status in enumerate(self.members)
+            if not phases or status.phase in phases
+        ]
+
+    def _set_phase(self, member: int, phase: MemberPhase) -> None:
+        if self.members[member].phase is not MemberPhase.ENDED:
+            self.members[member] = self.members[member]._replace(phase=phase)
+
+    def _set_alive(self, member: int, phase: MemberPhase, now_ms: int) -> None:
+        self._set_phase(member, phase)
+        self.members[member] = self.members[member]._replace(
+            alive_deadline_ms=now_ms + LEASE_MS,
+        )
+
+    def _all_in(self, *phases: MemberPhase) -> bool:
+        return all(status.phase in phases for status in self.members)
+
+    def _find_member(self, worker_id: str) -> int | None:
+        for member, status in enumerate(self.members):
+            if status.ref.worker_id == worker_id:
+                return member
+        return None
--- /dev/null
+++ b/yuccarelay/core/handover.py
@@ -0,0 +1,75 @@
+"""Graceful shutdown of an entry: hand over every job, then leave."""
+
+from yuccarelay.core.dispatch import Dispatcher
+from yuccarelay.core.events import Deregister, Exit
+from yuccarelay.core.models import JobState
+from yuccarelay.core.recording import Recorder
+from yuccarelay.core.state import EntryState
+from yuccarelay.core.timing import REQUEST_TIMEOUT_MS
+
+
+class Handover:
+    """
+    Gives up the entry's jobs in the store, so that other entries adopt them.
+
+    Running attempts go on under their leaders. A job that is not in the store
+    keeps the entry alive until it is, or until the deadline.
+    """
+
+    def __init__(self, state: EntryState, recorder: Recorder, dispatcher: Dispatcher):
+        self.state = state
+        self.recorder = recorder
+        self.dispatcher = dispatcher
+        self.deadline_ms: int | None = None
+        self.leave_at_ms: int | None = None
+        self.exited = False
+
+    def begin(self, deadline_ms: int) -> None:
+        """Take no new jobs from now on."""
+        if self.deadline_ms is None:
+            self.deadline_ms = deadline_ms
+            self.state.draining = True
+            self.state.outbox.log('drain', jobs=len(self._find_open()))
+
+    def tick(self, now_ms: int) -> None:
+        """Go on with the shutdown."""
+        if self.deadline_ms is None or self.exited:
+            return
+        if self.leave_at_ms is not None:
+            if now_ms >= self.leave_at_ms:
+                self.exited = True
+                self.state.outbox.add(Exit())
+            return
+        for job_id in self._find_open():
+            self._release(job_id, now_ms)
+        left = self._find_open()
+        if left and now_ms < self.deadline_ms:
+            return
+        if left:
+            self.state.outbox.log('drain_incomplete', jobs=len(left))
+        self.state.outbox.add(Deregister())
+        self.leave_at_ms = now_ms + REQUEST_TIMEOUT_MS
+
+    def _find_open(self) -> list[str]:
+        return [
+            job_id
+            for job_id, job in self.state.jobs.items()
+            if job.state is not JobState.ENDED
+            or (not job.recorded and job.decided is not None)
+        ]
+
+    def _release(self, job_id: str, now_ms: int) -> None:
+        job = self.state.jobs[job_id]
+        if job.writing or job.decided is not None:
+            return
+        if job.state is JobState.ACQUIRING:
+            self.dispatcher.give_up_for_drain(job, now_ms)
+            job = self.state.jobs[job_id]
+        if job.state in (JobState.RECORDING, JobState.LAUNCHING):
+            return
+        if not self.state.store_up or self.state.fenced:
+            return
+        if job.revision and job.record_known:
+            self.recorder.hand_over(job_id)
+        else:
+            self.recorder.flush(job_id)
--- /dev/null
+++ b/yuccarelay/core/jobs.py
@@ -0,0 +1,135 @@
+"""A job as its owner entry holds it."""
+
+from typing import NamedTuple
+
+from yuccarelay.core.messages import JobStatus
+from yuccarelay.core.models import (
+    ATTEMPTS_PER_OWNER,
+    JobRecord,
+    JobSpec,
+    JobState,
+    MemberRef,
+    Outcome,
+    flatten_outcome,
+    make_attempt_id,
+)
+from yuccarelay.core.ordering import QueuedJob
+
+
+class Job(NamedTuple):
+    """
+    A job and its current attempt.
+
+    `revision` is that of its record in the store, 0 when there is none, and
+    `record_known` is false when a write may have changed the record unseen.
+    `writing` names the store call under way, if any. `ready` has the members
+    whose reservation is held. `decided` is an outcome that callers hear of only
+    once it is recorded; `recorded` says that the record has the end.
+    """
+
+    job_id: str
+    spec: JobSpec
+    payload: bytes
+    key: str
+    state: JobState
+    submitted_ms: int
+    start_deadline_ms: int
+    request_id: int = 0
+    revision: int = 0
+    record_known: bool = True
+    writing: str = ''
+    attempt: int = 0
+    adoptions: int = 0
+    starts: int = 0
+    members: tuple[MemberRef, ...] = ()
+    ready: frozenset[int] = frozenset()
+    asked: int = 0
+    next_send_ms: int = 0
+    deadline_ms: int = 0
+    not_before_ms: int = 0
+    started_ms: int = 0
+    attained_ms: int = 0
+    ended_ms: int = 0
+    conflicts: int = 0
+    avoid_domains: frozenset[str] = frozenset()
+    cancelling: bool = False
+    decided: Outcome | None = None
+    outcome: Outcome | None = None
+    recorded: bool = False
+
+    @property
+    def attempt_id(self) -> str:
+        """Id of the current or last attempt."""
+        return make_attempt_id(self.job_id, self.attempt)
+
+    @property
+    def is_stored(self) -> bool:
+        """Whether other entries may see a record of the job."""
+        return self.revision > 0 or not self.record_known or self.writing == 'create'
+
+    @property
+    def needs_attempt_record(self) -> bool:
+        """Whether an attempt must be in the store before it is launched."""
+        return not self.spec.repeatable and self.is_stored
+
+    @property
+    def next_attempt(self) -> int:
+        """Number of the next attempt."""
+        return max(self.attempt + 1, self.adoptions * ATTEMPTS_PER_OWNER)
+
+    def make_record(self, owner: int) -> JobRecord:
+        """Return the record for the store."""
+        ending = self.decided or self.outcome
+        return JobRecord(
+            job_id=self.job_id,
+            organisation=self.spec.organisation,
+            job_name=self.spec.name,
+            key=self.key,
+            owner=owner,
+            payload=b'' if ending else self.payload,
+            state=JobState.ENDED if ending else self.state,
+            attempt=self.attempt,
+            members=self.members,
+            adoptions=self.adoptions,
+            outcome=flatten_outcome(ending) if ending else None,
+        )
+
+    def make_status(self) -> JobStatus:
+        """Return what a caller sees."""
+        outcome = flatten_outcome(self.outcome) if self.outcome else None
+        return JobStatus(
+            job_id=self.job_id,
+            found=True,
+            organisation=self.spec.organisation,
+            job_name=self.spec.name,
+            state=self.state.value,
+            durable=self.revision > 0,
+            attempt=self.attempt,
+            outcome=outcome,
+        )
+
+    def make_queued(self) -> QueuedJob:
+        """Return the entry for the queue."""
+        return QueuedJob(
+            job_id=self.job_id,
+            spec=self.spec,
+            submitted_ms=self.submitted_ms,
+            start_deadline_ms=self.start_deadline_ms,
+            attained_ms=self.attained_ms,
+            not_before_ms=self.not_before_ms,
+            attempt=self.attempt,
+        )
+
+
+def make_record_status(record: JobRecord) -> JobStatus:
+    """Return what a caller sees of a job that no live entry holds."""
+    return JobStatus(
+        job_id=record.job_id,
+        found=True,
+        organisation=record.organisation,
+        job_name=record.job_name,
+        state=record.state.value,
+        durable=True,
+        attempt=record.attempt,
+        outcome=record.outcome,
+    )
--- /dev/null
+++ b/yuccarelay/core/member.py
@@ -0,0 +1,386 @@
+"""
+The members of attempts that run on one worker.
+
+A member holds capacity, runs on the target under a lease that its leader renews,
+and stops itself when the lease lapses.
+"""
+
+from yuccarelay.core.events import (
+    RenewTasks,
+    StartTask,
+    StopTask,
+    TaskEnded,
+    TaskStarted,
+)
+from yuccarelay.core.messages import (
+    EndState,
+    EvictionNotice,
+    Fate,
+    FateState,
+    MemberReport,
+    Message,
+    Prepare,
+    Prepared,
+    Reclaiming,
+    Refusal,
+    Refused,
+    Renew,
+    Renewed,
+    Start,
+    Started,
+    StopMember,
+)
+from yuccarelay.core.models import CHECKPOINTED, AnswerPart, Claim, OutcomeRecord
+from yuccarelay.core.outbox import Outbox
+from yuccarelay.core.reservation import (
+    Admitted,
+    Capacity,
+    Ledger,
+    NotAdmitted,
+    Phase,
+    Reservation,
+)
+from yuccarelay.core.timing import (
+    KEEP_ENDED_MS,
+    RECLAIM_MS,
+    RENEW_INTERVAL_MS,
+    REPEAT_INTERVAL_MS,
+)
+
+# The target's leases are renewed in one call for all tasks whose own lease still
+# lasts this long; a member that is cut off from its leader is left out, so the
+# target stops it in time.
+BATCH_LEASE_MS = 1_500
+
+
+def make_task_id(attempt_id: str, member: int) -> str:
+    """Return the target's id of a member, such as `17-4.2/0`."""
+    return f'{attempt_id}/{member}'
+
+
+def parse_task_id(task_id: str) -> tuple[str, int]:
+    """Return the attempt id and the member of a task id."""
+    attempt_id, _, member = task_id.rpartition('/')
+    return attempt_id, int(member)
+
+
+class MemberBook:
+    """Reservations of one worker and the tasks that run under them."""
+
+    def __init__(
+        self,
+        worker_id: str,
+        incarnation: int,
+        address: str,
+        capacity: Capacity,
+        outbox: Outbox,
+    ):
+        self.worker_id = worker_id
+        self.incarnation = incarnation
+        self.address = address
+        self.ledger = Ledger(capacity)
+        self.outbox = outbox
+        self.next_renew_ms = 0
+
+    @property
+    def reservations(self) -> dict[str, Reservation]:
+        """The reservations by attempt id, ended ones included."""
+        return self.ledger.reservations
+
+    def prepare(self, attempt_id: str, claim: Claim, hold_deadline_ms: int, now_ms):
+        """
+        Hold capacity for an attempt, or extend the hold.
+
+        Returns None when the hold is ready, the time in milliseconds until it
+        may be, or the refusal.
+        """
+        entry = self.reservations.get(attempt_id)
+        if entry is None:
+            match self.ledger.admit(claim, now_ms):
+                case NotAdmitted(refusal):
+                    return refusal
+                case Admitted(victims, waits_for):
+                    self.reservations[attempt_id] = Reservation(
+                        attempt_id=attempt_id,
+                        claim=claim,
+                        phase=Phase.HELD,
+                        hold_deadline_ms=hold_deadline_ms,
+                        waits_for=waits_for,
+                    )
+                    for victim in victims:
+                        self._evict(victim, attempt_id, now_ms)
+        elif entry.phase is Phase.HELD:
+            self._update(attempt_id, hold_deadline_ms=hold_deadline_ms)
+        elif entry.phase is Phase.ENDED:
+            return Refusal.TOMBSTONED
+        return self._reclaim_wait(attempt_id, now_ms)
+
+    def answer_prepare(self, message: Prepare, now_ms: int) -> Message:
+        """Return the reply to a `Prepare`."""
+        result = self.prepare(
+            attempt_id=message.attempt_id,
+            claim=message.claim,
+            hold_deadline_ms=now_ms + message.hold_ms,
+            now_ms=now_ms,
+        )
+        match result:
+            case Refusal():
+                return Refused(message.attempt_id, result)
+            case None:
+                return Prepared(message.attempt_id)
+            case wait_ms:
+                return Reclaiming(message.attempt_id, wait_ms)
+
+    def start(self, message: Start, reply_to: int, now_ms: int) -> None:
+        """Start the held members of an attempt; replies once the target runs them."""
+        attempt_id = message.attempt_id
+        entry = self.reservations.get(attempt_id)
+        if entry is not None and entry.phase in (Phase.STARTING, Phase.RUNNING):
+            self._update(attempt_id, start_reply_to=reply_to)
+            self._answer_start(attempt_id)
+            return
+        if (
+            entry is None
+            or entry.phase is not Phase.HELD
+            or self._reclaim_wait(attempt_id, now_ms) is not None
+        ):
+            refusal = Refused(attempt_id, Refusal.NO_RESERVATION)
+            self.outbox.reply(reply_to, refusal)
+            return
+        deadline_ms = now_ms + message.lease_ms
+        self._update(
+            attempt_id,
+            phase=Phase.STARTING,
+            lease_deadline_ms=deadline_ms,
+            leader_address=message.leader_address,
+            start_reply_to=reply_to,
+            started_ms=now_ms,
+            begun=True,
+        )
+        for member in entry.claim.members:
+            self.outbox.add(
+                StartTask(
+                    task_id=make_task_id(attempt_id, member),
+                    job_name=entry.claim.job_name,
+                    member=member,
+                    accelerators=entry.claim.accelerators,
+                    payload=message.payload,
+                    lease_deadline_ms=deadline_ms,
+                ),
+            )
+
+    def renew(self, message: Renew, now_ms: int) -> Message:
+        """Extend the lease of running members."""
+        entry = self.reservations.get(message.attempt_id)
+        if entry is None:
+            return Renewed(message.attempt_id, FateState.NOT_STARTED)
+        if entry.phase is Phase.ENDED or entry.end is not None:
+            return Renewed(message.attempt_id, FateState.ENDED)
+        self._update(message.attempt_id, lease_deadline_ms=now_ms + message.lease_ms)
+        return Renewed(message.attempt_id, FateState.RUNNING)
+
+    def stop(self, message: StopMember, now_ms: int) -> Message:
+        """Stop the members of an attempt, or give up the hold."""
+        entry = self.reservations.get(message.attempt_id)
+        if entry is None or not entry.begun:
+            self.release(message.attempt_id)
+            return Fate(message.attempt_id, FateState.NOT_STARTED)
+        if entry.phase is Phase.ENDED:
+            return Fate(message.attempt_id, FateState.ENDED)
+        self._stop(message.attempt_id, EndState.STOPPED, '', message.checkpoint)
+        return Fate(message.attempt_id, FateState.RUNNING)
+
+    def release(self, attempt_id: str) -> None:
+        """Give up a hold that has not started anything."""
+        entry = self.reservations.get(attempt_id)
+        if entry is not None and not entry.begun:
+            del self.reservations[attempt_id]
+            self._forget_wait(attempt_id)
+
+    def take_started(self, event: TaskStarted) -> None:
+        """Note that the target runs a member."""
+        attempt_id, member = parse_task_id(event.task_id)
+        entry = self.reservations.get(attempt_id)
+        if entry is None:
+            return
+        self._update(attempt_id, started=entry.started | {member})
+        self._answer_start(attempt_id)
+
+    def take_ended(self, event: TaskEnded, now_ms: int) -> None:
+        """Note the end of a member; the first failure stops the others here."""
+        attempt_id, member = parse_task_id(event.task_id)
+        entry = self.reservations.get(attempt_id)
+        if entry is None or entry.phase is Phase.ENDED:
+            return
+        if event.completed:
+            part = AnswerPart(
+                attempt_id=attempt_id,
+                member=member,
+                address=self.address,
+                incarnation=self.incarnation,
+                length=event.length,
+                sha256=event.sha256,
+            )
+            entry = self._update(attempt_id, parts=(*entry.parts, part))
+        entry = self._update(attempt_id, ended=entry.ended | {member})
+        if event.started:
+            entry = self._update(attempt_id, started=entry.started | {member})
+        if event.checkpointed:
+            saved = entry.checkpointed | {member}
+            entry = self._update(attempt_id, checkpointed=saved)
+        if not event.completed and entry.end is None:
+            end = EndState.FAILED if event.started else EndState.NOT_STARTED
+            self._stop(attempt_id, end, event.reason, checkpoint=False)
+        self._answer_start(attempt_id)
+        if len(self.reservations[attempt_id].ended) == len(entry.claim.members):
+            self._end(attempt_id, now_ms)
+
+    def take_report_reply(self, attempt_id: str) -> None:
+        """Note that the leader knows the end."""
+        if attempt_id in self.reservations:
+            self._update(attempt_id, reported=True)
+
+    def expire(self, now_ms: int) -> None:
+        """Act on all deadlines that have passed."""
+        for attempt_id, entry in list(self.reservations.items()):
+            match entry.phase:
+                case Phase.HELD if now_ms >= entry.hold_deadline_ms:
+                    self.release(attempt_id)
+                    self.outbox.log('hold_expired', attempt_id=attempt_id)
+                case Phase.STARTING | Phase.RUNNING:
+                    self._expire_running(entry, now_ms)
+                case Phase.STOPPING if now_ms >= entry.next_report_ms:
+                    self._stop_tasks(entry, checkpoint=False)
+                    self._update(
+                        attempt_id,
+                        next_report_ms=now_ms + REPEAT_INTERVAL_MS,
+                    )
+                case Phase.ENDED:
+                    self._expire_ended(entry, now_ms)
+        if now_ms >= self.next_renew_ms:
+            self.next_renew_ms = now_ms + RENEW_INTERVAL_MS
+            self._renew_tasks(now_ms)
+
+    def _expire_running(self, entry: Reservation, now_ms: int) -> None:
+        if now_ms >= entry.lease_deadline_ms:
+            self.outbox.log('lease_expired', attempt_id=entry.attempt_id)
+            self._stop(entry.attempt_id, EndState.LOST, 'lease expired', False)
+        elif entry.stop_deadline_ms and now_ms >= entry.stop_deadline_ms:
+            reason = 'reclaimed for a guarantee'
+            self._stop(entry.attempt_id, EndState.PREEMPTED, reason, False)
+
+    def _expire_ended(self, entry: Reservation, now_ms: int) -> None:
+        if now_ms >= entry.ended_ms + KEEP_ENDED_MS:
+            del self.reservations[entry.attempt_id]
+        elif not entry.reported and now_ms >= entry.next_report_ms:
+            self._report(entry.attempt_id, now_ms)
+
+    def _renew_tasks(self, now_ms: int) -> None:
+        deadlines: list[int] = []
+        task_ids: list[str] = []
+        for entry in self.reservations.values():
+            if entry.phase not in (Phase.STARTING, Phase.RUNNING):
+                continue
+            if entry.lease_deadline_ms < now_ms + BATCH_LEASE_MS:
+                continue
+            deadlines.append(entry.lease_deadline_ms)
+            task_ids.extend(
+                make_task_id(entry.attempt_id, member)
+                for member in entry.claim.members
+                if member not in entry.ended
+            )
+        if task_ids:
+            self.outbox.add(RenewTasks(tuple(task_ids), min(deadlines)))
+
+    def _evict(self, victim: str, for_attempt: str, now_ms: int) -> None:
+        entry = self.reservations[victim]
+        self.outbox.log('evict', attempt_id=victim, for_attempt=for_attempt)
+        self.outbox.count('evictions')
+        if not entry.begun:
+            self.release(victim)
+            return
+        self._update(victim, stop_deadline_ms=now_ms + RECLAIM_MS)
+        notice = EvictionNotice(victim, self.worker_id, RECLAIM_MS)
+        self.outbox.send(entry.leader_address, notice, f'notice:{victim}')
+
+    def _reclaim_wait(self, attempt_id: str, now_ms: int) -> int | None:
+        entry = self.reservations[attempt_id]
+        waiting = [
+            self.reservations[name]
+            for name in entry.waits_for
+            if name in self.reservations and self.reservations[name].is_active
+        ]
+        if entry.phase is not Phase.HELD or not waiting:
+            return None
+        ready_ms = max(other.stop_deadline_ms for other in waiting)
+        return max(ready_ms - now_ms, RENEW_INTERVAL_MS // 4)
+
+    def _forget_wait(self, attempt_id: str) -> None:
+        for name, entry in list(self.reservations.items()):
+            if attempt_id in entry.waits_for:
+                self._update(name, waits_for=entry.waits_for - {attempt_id})
+
+    def _answer_start(self, attempt_id: str) -> None:
+        entry = self.reservations[attempt_id]
+        members = set(entry.claim.members)
+        if entry.end is EndState.NOT_STARTED and not entry.started:
+            reply: Message = Refused(attempt_id, Refusal.NO_CAPACITY)
+        elif members <= entry.started | entry.ended:
+            reply = Started(attempt_id)
+            if entry.phase is Phase.STARTING:
+                self._update(attempt_id, phase=Phase.RUNNING)
+        else:
+            return
+        if entry.start_reply_to:
+            self.outbox.reply(entry.start_reply_to, reply)
+            self._update(attempt_id, start_reply_to=0)
+
+    def _stop(
+        self,
+        attempt_id: str,
+        end: EndState,
+        reason: str,
+        checkpoint: bool,
+    ) -> None:
+        entry = self.reservations[attempt_id]
+        if entry.end is None:
+            entry = self._update(attempt_id, end=end, reason=reason)
+        self._update(attempt_id, phase=Phase.STOPPING)
+        self._stop_tasks(entry, checkpoint)
+
+    def _stop_tasks(self, entry: Reservation, checkpoint: bool) -> None:
+        for member in entry.claim.members:
+            if member not in entry.ended:
+                task_id = make_task_id(entry.attempt_id, member)
+                self.outbox.add(StopTask(task_id, checkpoint))
+
+    def _end(self, attempt_id: str, now_ms: int) -> None:
+        entry = self.reservations[attempt_id]
+        completed = len(entry.parts) == len(entry.claim.members)
+        end = EndState.COMPLETED if completed else entry.end or EndState.FAILED
+        if end is EndState.NOT_STARTED and entry.started:
+            end = EndState.LOST
+        self._update(attempt_id, phase=Phase.ENDED, end=end, ended_ms=now_ms)
+        self._report(attempt_id, now_ms)
+
+    def _report(self, attempt_id: str, now_ms: int) -> None:
+        entry = self._update(attempt_id, next_report_ms=now_ms + REPEAT_INTERVAL_MS)
+        saved = entry.checkpointed | {part.member for part in entry.parts}
+        all_saved = saved >= set(entry.claim.members)
+        report = MemberReport(
+            attempt_id=attempt_id,
+            worker_id=self.worker_id,
+            end=entry.end,
+            outcome=OutcomeRecord(
+                kind=entry.end.value,
+                reason=entry.reason,
+                proof=CHECKPOINTED if all_saved else '',
+                parts=entry.parts,
+            ),
+        )
+        self.outbox.send(entry.leader_address, report, f'member_report:{attempt_id}')
+
+    def _update(self, attempt_id: str, **changes: object) -> Reservation:
+        entry = self.reservations[attempt_id]._replace(**changes)
+        self.reservations[attempt_id] = entry
+        return entry
--- /dev/null
+++ b/yuccarelay/core/membership.py
@@ -0,0 +1,245 @@
+"""
+An entry's view of the workers of its region.
+
+The view is soft state. It is rebuilt from announcements and may be behind; the
+agents decide what runs.
+"""
+
+import hashlib
+from typing import NamedTuple
+
+from yuccarelay.core.models import Claim, JobSpec, MemberRef, WorkerState
+from yuccarelay.core.placement import Candidate
+from yuccarelay.core.timing import ANNOUNCE_INTERVAL_MS, REPLAN_ABSENCE_MS, SUSPECT_MS
+
+# A worker that refused for lack of capacity is left out until its next
+# announcement, or for this long when none comes.
+FULL_MS = 5 * ANNOUNCE_INTERVAL_MS
+
+
+class WorkerRecord(NamedTuple):
+    """
+    A worker in the view.
+
+    `home` is the incarnation of the entry that the agent reports to, 0 for this
+    entry. The worker is suspect from `suspect_deadline_ms` on and is forgotten
+    at `forget_deadline_ms`.
+    """
+
+    state: WorkerState
+    home: int
+    suspect_deadline_ms: int
+    forget_deadline_ms: int
+
+
+class Usage(NamedTuple):
+    """Reserved capacity of one worker, as far as this entry knows."""
+
+    accelerators: int
+    slots: int
+    guaranteed: dict[str, int]
+
+
+class View:
+    """Workers of the region, with the claims that are on their way to them."""
+
+    def __init__(self):
+        self.workers: dict[str, WorkerRecord] = {}
+        self.pending: dict[str, dict[str, Claim]] = {}
+        self.full_until_ms: dict[str, int] = {}
+        self.owned: dict[str, dict[str, int]] = {}
+        self.usage: dict[str, Usage] = {}
+        self.changed: dict[str, WorkerState] = {}
+        self.lost: dict[str, None] = {}
+
+    def take_state(self, state: WorkerState, home: int, now_ms: int) -> bool:
+        """Take an announcement or a relayed state; false when it is out of date."""
+        known = self.workers.get(state.worker_id)
+        if known is not None and home != 0 and _is_older(state, known.state):
+            return False
+        if known is not None and home == 0 and _is_repeat(state, known.state):
+            return False
+        if known is not None and state.draining and home == 0:
+            # A leaving agent tells all entries; its home entry stays the same.
+            home = known.home
+        self._put(state, home, now_ms)
+        self.full_until_ms.pop(state.worker_id, None)
+        self.usage.pop(state.worker_id, None)
+        if home == 0:
+            self.changed[state.worker_id] = state
+            self.lost.pop(state.worker_id, None)
+        return True
+
+    def take_heartbeat(
+        self,
+        worker_id: str,
+        incarnation: int,
+        version: int,
+        now_ms: int,
+    ) -> bool:
+        """Note a sign of life; false when the agent must announce its state."""
+        known = self.workers.get(worker_id)
+        if known is None or known.home != 0:
+            return False
+        if (known.state.incarnation, known.state.version) != (incarnation, version):
+            return False
+        self._put(known.state, 0, now_ms)
+        return True
+
+    def take_home_alive(self, home: int, now_ms: int) -> None:
+        """Note that another entry still watches over its workers."""
+        for record in list(self.workers.values()):
+            if record.home == home:
+                self._put(record.state, home, now_ms)
+
+    def keep_only(self, worker_ids: set[str], home: int) -> None:
+        """Forget the workers of a home entry that it does not have any more."""
+        for worker_id, record in list(self.workers.items()):
+            if record.home == home and worker_id not in worker_ids:
+                del self.workers[worker_id]
+                self.usage.pop(worker_id, None)
+
+    def lose(self, worker_ids: tuple[str, ...], home: int) -> None:
+        """Make workers suspect at the word of the entry that watches over them."""
+        for worker_id in worker_ids:
+            known = self.workers.get(worker_id)
+            if known is not None and known.home == home:
+                self.workers[worker_id] = known._replace(suspect_deadline_ms=0)
+
+    def expire(self, now_ms: int) -> list[str]:
+        """Forget absent workers; returns those that were forgotten."""
+        forgotten = []
+        for worker_id, record in list(self.workers.items()):
+            if now_ms >= record.suspect_deadline_ms and record.home == 0:
+                self.lost.setdefault(worker_id)
+            if now_ms >= record.forget_deadline_ms:
+                forgotten.append(worker_id)
+                del self.workers[worker_id]
+                self.usage.pop(worker_id, None)
+                self.lost.pop(worker_id, None)
+        return forgotten
+
+    def take_changes(self) -> tuple[tuple[WorkerState, ...], tuple[str, ...]]:
+        """Return own workers that changed or were lost since the last call."""
+        states = tuple(self.changed.values())
+        lost = tuple(self.lost)
+        self.changed = {}
+        return states, lost
+
+    def find_own(self) -> tuple[WorkerState, ...]:
+        """Return the states of the workers that report to this entry."""
+        return tuple(
+            record.state for record in self.workers.values() if record.home == 0
+        )
+
+    def compute_digest(self, home: int) -> int:
+        """Return a digest of the workers of one home entry."""
+        digest = 0
+        for record in self.workers.values():
+            if record.home == home:
+                state = record.state
+                text = f'{state.worker_id}|{state.incarnation}|{state.version}'
+                hashed = hashlib.blake2b(text.encode(), digest_size=7).digest()
+                digest ^= int.from_bytes(hashed, 'big')
+        return digest
+
+    def is_suspect(self, worker_id: str, now_ms: int) -> bool:
+        """Whether a worker was not heard of in time."""
+        record = self.workers.get(worker_id)
+        return record is None or now_ms >= record.suspect_deadline_ms
+
+    def add_pending(self, attempt_id: str, members: tuple[MemberRef, ...]) -> None:
+        """Count an attempt's claims before the agents announce them."""
+        for ref in members:
+            self.pending.setdefault(ref.worker_id, {})[attempt_id] = ref.claim
+            self.usage.pop(ref.worker_id, None)
+
+    def drop_pending(self, attempt_id: str, members: tuple[MemberRef, ...]) -> None:
+        """Stop counting an attempt's claims."""
+        for ref in members:
+            self.pending.get(ref.worker_id, {}).pop(attempt_id, None)
+            self.usage.pop(ref.worker_id, None)
+
+    def mark_full(self, worker_id: str, now_ms: int) -> None:
+        """Leave a worker out of placement until it announces a change."""
+        self.full_until_ms[worker_id] = now_ms + FULL_MS
+
+    def find_candidates(
+        self,
+        spec: JobSpec,
+        now_ms: int,
+        excluded: frozenset[str] = frozenset(),
+    ) -> list[Candidate]:
+        """Return the workers that may take members of a job, by worker id."""
+        found = []
+        for worker_id, record in self.workers.items():
+            state = record.state
+            if (
+                state.service != spec.service
+                or state.draining
+                or worker_id in excluded
+                or now_ms >= record.suspect_deadline_ms
+                or now_ms < self.full_until_ms.get(worker_id, 0)
+            ):
+                continue
+            found.append(self._make_candidate(state, spec.organisation))
+        found.sort(key=lambda candidate: candidate.worker_id)
+        return found
+
+    def _make_candidate(self, state: WorkerState, organisation: str) -> Candidate:
+        usage = self._find_usage(state)
+        owned = self.owned.get(state.worker_id, {})
+        mine = owned.get(organisation, 0)
+        return Candidate(
+            worker_id=state.worker_id,
+            region=state.region,
+            domain=state.domain,
+            rack=state.rack,
+            accelerators=state.accelerators,
+            free_accelerators=max(0, state.accelerators - usage.accelerators),
+            free_slots=max(0, state.slots - usage.slots),
+            owned_free=max(0, mine - usage.guaranteed.get(organisation, 0)),
+            others_owned=sum(owned.values()) - mine,
+        )
+
+    def _find_usage(self, state: WorkerState) -> Usage:
+        known = self.usage.get(state.worker_id)
+        if known is not None:
+            return known
+        accelerators = slots = 0
+        guaranteed: dict[str, int] = {}
+        announced = set()
+        for grant in state.grants:
+            announced.add(grant.attempt_id)
+            accelerators += grant.accelerators
+            slots += grant.slots
+            if grant.guaranteed:
+                used = guaranteed.get(grant.organisation, 0)
+                guaranteed[grant.organisation] = used + grant.accelerators
+        for attempt_id, claim in self.pending.get(state.worker_id, {}).items():
+            if attempt_id in announced:
+                continue
+            accelerators += claim.total_accelerators
+            slots += len(claim.members)
+            if claim.guaranteed:
+                used = guaranteed.get(claim.organisation, 0)
+                guaranteed[claim.organisation] = used + claim.total_accelerators
+        usage = Usage(accelerators, slots, guaranteed)
+        self.usage[state.worker_id] = usage
+        return usage
+
+    def _put(self, state: WorkerState, home: int, now_ms: int) -> None:
+        self.workers[state.worker_id] = WorkerRecord(
+            state=state,
+            home=home,
+            suspect_deadline_ms=now_ms + SUSPECT_MS,
+            forget_deadline_ms=now_ms + REPLAN_ABSENCE_MS,
+        )
+
+
+def _is_older(state: WorkerState, known: WorkerState) -> bool:
+    return (state.incarnation, state.version) < (known.incarnation, known.version)
+
+
+def _is_repeat(state: WorkerState, known: WorkerState) -> bool:
+    return state.incarnation == known.incarnation and state.version < known.version
--- a/yuccarelay/core/messages.py
+++ b/yuccarelay/core/messages.py
@@ -295,9 +295,49 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewDelta:
-    """Entry to entry: worker states that changed since the last delta."""
+    """
+    Entry to entry of its region: what changed among the agents that report to it.
+
+    `lost` names workers that were not heard of in time. `digest` covers all
+    workers of the sender, so the receiver notices a delta that it missed. With
+    `full`, `states` has all workers of the sender.
+    """
 
+    sender: EntryRef
     states: tuple[WorkerState, ...]
+    lost: tuple[str, ...]
+    digest: int
+    full: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ViewResync:
+    """The receiver of a delta missed an earlier one and wants all states."""
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitJob:
+    """Entry to entry of another region: a job that only that region can run."""
+
+    organisation: str
+    job_name: str
+    payload: bytes
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitReply:
+    """
+    What became of a forwarded submission.
+
+    `code` is empty when the job was accepted under `job_id`.
+    """
+
+    job_id: str
+    durable: bool
+    code: str = ''
+    rule: str = ''
+    retry_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -365,6 +405,9 @@
     | AnswerChunk
     | NoAnswer
     | ViewDelta
+    | ViewResync
+    | SubmitJob
+    | SubmitReply
     | QueryJob
     | CancelJob
     | JobStatus
--- a/yuccarelay/core/models.py
+++ b/yuccarelay/core/models.py
@@ -124,6 +124,10 @@
 )
 
 
+# Proof of an attempt that was stopped after all of its members saved their progress.
+CHECKPOINTED = 'checkpointed'
+
+
 class OutcomeRecord(NamedTuple):
     """Flat form of an outcome for records, messages and answers to callers."""
 
@@ -208,7 +212,8 @@
     What an agent announces of its worker.
 
     `version` rises with each change within one `incarnation`; an entry keeps
-    the state with the highest (incarnation, version).
+    the state with the highest (incarnation, version). `unreported` names ended
+    attempts whose owner entry does not know the end yet.
     """
 
     worker_id: str
@@ -225,6 +230,7 @@
     generation: int = 0
     plan_epoch: int = 0
     grants: tuple[Grant, ...] = ()
+    unreported: tuple[str, ...] = ()
 
 
 class EntryRef(NamedTuple):
@@ -268,7 +274,8 @@
     What the store keeps of a job.
 
     `owner` is the incarnation of the entry that may dispatch it. `attempt` and
-    `members` are written before a non-repeatable job is launched.
+    `members` are written before a non-repeatable job is launched. `adoptions`
+    counts the changes of owner and keeps the attempt ids of owners apart.
     """
 
     job_id: str
@@ -280,9 +287,15 @@
     state: JobState
     attempt: int = 0
     members: tuple[MemberRef, ...] = ()
+    adoptions: int = 0
     outcome: OutcomeRecord | None = None
 
 
+# Attempt numbers of the n-th owner of a job start at n times this number. An
+# attempt that an earlier owner did not record thus never shares its id.
+ATTEMPTS_PER_OWNER = 1_000
+
+
 def make_attempt_id(job_id: str, attempt: int) -> str:
     """Return the id of an attempt, such as `17-4.2` for attempt 2 of job `17-4`."""
     return f'{job_id}.{attempt}'
--- /dev/null
+++ b/yuccarelay/core/planning.py
@@ -0,0 +1,110 @@
+"""When an entry proposes a new guarantee plan for its region."""
+
+from yuccarelay.core.events import ProposePlan
+from yuccarelay.core.manifest import Manifest
+from yuccarelay.core.shape import Plan, plan_homes
+from yuccarelay.core.state import EntryState
+from yuccarelay.core.timing import REPLAN_ABSENCE_MS
+
+PLAN_INTERVAL_MS = 1_000
+# The entry with the lowest incarnation proposes first; each further one waits
+# this much longer, so that they do not race as a rule.
+RANK_DELAY_MS = 5_000
+
+
+class Planner:
+    """Compares the plan in force with the view, and proposes a better one."""
+
+    def __init__(self, state: EntryState):
+        self.state = state
+        self.next_check_ms = 0
+        self.serving_since_ms: int | None = None
+        self.wanted_since_ms: int | None = None
+
+    def tick(self, now_ms: int) -> None:
+        """Propose a plan when the present one does not fit the live workers."""
+        state = self.state
+        if now_ms < self.next_check_ms:
+            return
+        self.next_check_ms = now_ms + PLAN_INTERVAL_MS
+        if not state.is_serving or state.fenced or not state.store_up:
+            self.serving_since_ms = None
+            return
+        if self.serving_since_ms is None:
+            self.serving_since_ms = now_ms
+        plan = self._make_plan()
+        if plan is state.plan or not self._sees_enough(now_ms):
+            self.wanted_since_ms = None
+            return
+        if self.wanted_since_ms is None:
+            self.wanted_since_ms = now_ms
+        if now_ms >= self.wanted_since_ms + self._find_rank() * RANK_DELAY_MS:
+            self.wanted_since_ms = now_ms
+            state.outbox.add(ProposePlan(plan))
+            state.outbox.log('plan_proposed', epoch=plan.epoch, cells=len(plan.homes))
+
+    def _make_plan(self) -> Plan | None:
+        state = self.state
+        workers = [record.state for record in state.view.workers.values()]
+        if not workers and state.plan is None:
+            return None
+        return plan_homes(
+            select_region(state.manifest, state.entry.region),
+            state.generation,
+            workers,
+            state.plan,
+            self._find_pinned(),
+        )
+
+    def _find_pinned(self) -> frozenset[tuple[str, int]]:
+        # A cell with guaranteed work on one of its workers stays there if it can.
+        busy = {
+            (grant.organisation, worker_id)
+            for worker_id, record in self.state.view.workers.items()
+            for grant in record.state.grants
+            if grant.guaranteed
+        }
+        homes = self.state.plan.homes if self.state.plan else ()
+        return frozenset(
+            (home.organisation, home.ordinal)
+            for home in homes
+            if any((home.organisation, worker) in busy for worker in home.workers)
+        )
+
+    def _sees_enough(self, now_ms: int) -> bool:
+        # After a start the view fills up gradually. A worker of the present plan
+        # counts as absent only after the time that every absence is given.
+        if self.state.plan is None:
+            return True
+        if now_ms >= self.serving_since_ms + REPLAN_ABSENCE_MS:
+            return True
+        return all(
+            worker in self.state.view.workers
+            for home in self.state.plan.homes
+            for worker in home.workers
+        )
+
+    def _find_rank(self) -> int:
+        own = self.state.entry
+        return sum(
+            entry.region == own.region and entry.incarnation < own.incarnation
+            for entry in self.state.entries
+        )
+
+
+def select_region(manifest: Manifest, region: str) -> Manifest:
+    """Return the part of a manifest that concerns one region's cells and racks."""
+    organisations = {
+        name: organisation._replace(
+            guarantee=tuple(
+                cell
+                for cell in organisation.guarantee
+                if cell.cell.region in ('', region)
+            ),
+        )
+        for name, organisation in manifest.organisations.items()
+    }
+    return manifest._replace(
+        racks=tuple(rack for rack in manifest.racks if rack.region == region),
+        organisations=organisations,
+    )
--- /dev/null
+++ b/yuccarelay/core/recording.py
@@ -0,0 +1,234 @@
+"""
+Writes of job records, and what follows from their results.
+
+At most one write of a job is under way at a time. An outcome that asserts that
+nothing ran is told to callers only once it is recorded, because otherwise an
+entry that adopts the job could still run it.
+"""
+
+from yuccarelay.core.events import (
+    Accepted,
+    Conflict,
+    CreateRecord,
+    KeyTaken,
+    Loaded,
+    LoadRecord,
+    Missing,
+    NotAccepted,
+    ReplaceRecord,
+    Stored,
+    StoreResult,
+    Unavailable,
+    Undecided,
+)
+from yuccarelay.core.jobs import Job
+from yuccarelay.core.models import (
+    CancelledBeforeStart,
+    JobState,
+    NotRun,
+    Outcome,
+)
+from yuccarelay.core.state import EntryState
+
+STORE_RETRY_MS = 1_000
+# Incarnations start at 1.
+NO_OWNER = 0
+
+
+class Recorder:
+    """Keeps the store's records of this entry's jobs up to date."""
+
+    def __init__(self, state: EntryState):
+        self.state = state
+
+    def create(self, job_id: str) -> None:
+        """Write the record of a job that the store does not have yet."""
+        self._begin(job_id, 'create')
+        job = self.state.jobs[job_id]
+        record = job.make_record(self.state.entry.incarnation)
+        self.state.outbox.add(CreateRecord(f'create:{job_id}', record))
+
+    def accept_volatile(self, job_id: str) -> None:
+        """Accept a job without a record while the store is down."""
+        self._accept(job_id)
+
+    def hand_over(self, job_id: str) -> None:
+        """Give up ownership, so that another entry takes the job over at once."""
+        self._begin(job_id, 'handover')
+        job = self.state.jobs[job_id]
+        record = job.make_record(NO_OWNER)
+        tag = f'handover:{job_id}'
+        self.state.outbox.add(ReplaceRecord(tag, record, job.revision))
+
+    def write_attempt(self, job_id: str) -> None:
+        """Write the attempt before it is launched."""
+        self._replace(job_id, 'attempt')
+
+    def write_owner(self, job_id: str) -> None:
+        """Take ownership under a new incarnation."""
+        self._replace(job_id, 'owner')
+
+    def decide(self, job_id: str, outcome: Outcome, now_ms: int) -> None:
+        """End a job; what asserts that nothing ran waits for its record."""
+        state = self.state
+        job = state.update(job_id, decided=outcome)
+        state.queue.remove(job_id)
+        state.view.drop_pending(job.attempt_id, job.members)
+        if not job.is_stored or not _asserts_not_run(outcome):
+            state.publish_end(job_id, outcome, now_ms)
+        self.flush(job_id)
+
+    def flush(self, job_id: str) -> None:
+        """Write what the store does not have yet, if the store is up."""
+        job = self.state.jobs[job_id]
+        if job.writing or job.recorded:
+            return
+        if not self.state.store_up or self.state.fenced:
+            return
+        if not job.record_known:
+            self._load(job_id)
+        elif job.decided is not None:
+            if job.revision:
+                self._replace(job_id, 'end')
+            else:
+                self.create(job_id)
+        elif job.revision == 0:
+            self.create(job_id)
+
+    def take_result(self, kind: str, job_id: str, result: StoreResult, now_ms: int):
+        """Take the end of a store call; returns what the dispatcher should do next."""
+        if job_id not in self.state.jobs:
+            return ''
+        self.state.update(job_id, writing='')
+        match result:
+            case Stored(revision):
+                return self._take_stored(kind, job_id, revision, now_ms)
+            case Conflict(record, revision) | Loaded(record, revision):
+                return self._take_current(kind, job_id, record, revision, now_ms)
+            case KeyTaken(other):
+                self._take_key(job_id, other, now_ms)
+                return ''
+            case Missing():
+                # The write that may have created the record did not take effect.
+                self.state.update(job_id, revision=0, record_known=True)
+                return self._continue(job_id)
+            case Unavailable(ambiguous):
+                return self._take_unavailable(kind, job_id, ambiguous, now_ms)
+        return ''
+
+    def _take_stored(self, kind: str, job_id: str, revision: int, now_ms: int) -> str:
+        job = self.state.update(job_id, revision=revision, record_known=True)
+        if kind == 'handover':
+            self._hand_over(job_id, now_ms)
+            return ''
+        if job.state is JobState.RECORDING:
+            self._accept(job_id)
+        if job.decided is None:
+            return kind
+        if kind != 'end':
+            # The outcome was decided while this write was under way.
+            self.flush(job_id)
+            return ''
+        self.state.update(job_id, recorded=True)
+        if job.state is not JobState.ENDED:
+            self.state.publish_end(job_id, job.decided, now_ms)
+        return ''
+
+    def _take_current(self, kind, job_id, record, revision, now_ms) -> str:
+        if record.owner != self.state.entry.incarnation and not (
+            kind in ('owner', 'load') and self._is_own_earlier(record.owner)
+        ):
+            self._hand_over(job_id, now_ms)
+            return 'gone'
+        if record.state is JobState.ENDED and self.state.jobs[job_id].decided is None:
+            self._hand_over(job_id, now_ms)
+            return 'gone'
+        job = self.state.update(job_id, revision=revision, record_known=True)
+        if kind == 'create' or job.state is JobState.RECORDING:
+            return self._take_stored('create', job_id, revision, now_ms)
+        return self._continue(job_id)
+
+    def _is_own_earlier(self, owner: int) -> bool:
+        return owner in self.state.earlier_incarnations
+
+    def _take_unavailable(self, kind, job_id, ambiguous: bool, now_ms: int) -> str:
+        job = self.state.jobs[job_id]
+        if ambiguous:
+            job = self.state.update(job_id, record_known=False)
+        if kind == 'create' and job.state is JobState.RECORDING:
+            return self._take_create_unavailable(job, ambiguous)
+        if kind == 'attempt':
+            return 'attempt_unavailable'
+        return ''
+
+    def _take_create_unavailable(self, job: Job, ambiguous: bool) -> str:
+        if not job.key:
+            self._accept(job.job_id)
+            return 'create'
+        if ambiguous:
+            self.state.respond(job.request_id, Undecided(job.job_id))
+            self.state.update(job.job_id, request_id=0)
+            return ''
+        refusal = NotAccepted(code='store_unavailable', retry_ms=STORE_RETRY_MS)
+        self.state.respond(job.request_id, refusal)
+        self.state.forget(job.job_id)
+        return 'gone'
+
+    def _accept(self, job_id: str) -> None:
+        job = self.state.jobs[job_id]
+        durable = job.revision > 0
+        self.state.respond(job.request_id, Accepted(job_id, durable))
+        job = self.state.update(job_id, request_id=0)
+        if job.state is JobState.RECORDING:
+            self.state.outbox.log('job_accepted', job_id=job_id, durable=durable)
+            self.state.outbox.count('jobs.accepted')
+            if job.decided is None:
+                self.state.enqueue(job_id)
+
+    def _take_key(self, job_id: str, other: str, now_ms: int) -> None:
+        if other == job_id:
+            # An earlier write of this entry took effect after all.
+            self.state.update(job_id, record_known=False)
+            self.flush(job_id)
+            return
+        job = self.state.jobs[job_id]
+        self.state.respond(job.request_id, Accepted(other, durable=True))
+        self.state.update(job_id, request_id=0)
+        self._hand_over(job_id, now_ms)
+
+    def _hand_over(self, job_id: str, now_ms: int) -> None:
+        job = self.state.jobs[job_id]
+        self.state.respond(job.request_id, Accepted(job_id, durable=True))
+        for waiter in self.state.waiters.pop(job_id, []):
+            self.state.respond(waiter.request_id, job.make_status())
+        if job.state is not JobState.ENDED:
+            self.state.forget(job_id)
+
+    def _continue(self, job_id: str) -> str:
+        job = self.state.jobs[job_id]
+        if job.decided is not None or job.revision == 0:
+            self.flush(job_id)
+            return ''
+        return 'current'
+
+    def _load(self, job_id: str) -> None:
+        self._begin(job_id, 'load')
+        self.state.outbox.add(LoadRecord(f'load:{job_id}', job_id))
+
+    def _replace(self, job_id: str, kind: str) -> None:
+        self._begin(job_id, kind)
+        job = self.state.jobs[job_id]
+        record = job.make_record(self.state.entry.incarnation)
+        tag = f'{kind}:{job_id}'
+        self.state.outbox.add(ReplaceRecord(tag, record, job.revision))
+
+    def _begin(self, job_id: str, kind: str) -> None:
+        self.state.update(job_id, writing=kind)
+
+
+def _asserts_not_run(outcome: Outcome) -> bool:
+    match outcome:
+        case NotRun() | CancelledBeforeStart():
+            return True
+        case _:
+            return False
--- /dev/null
+++ b/yuccarelay/core/sharing.py
@@ -0,0 +1,62 @@
+"""
+Exchange of the view between the entries of a region.
+
+Each agent reports to one entry. That entry passes on what changed, so that every
+entry can place work on every worker. A digest finds missed changes.
+"""
+
+from yuccarelay.core.messages import Ack, Message, ViewDelta, ViewResync
+from yuccarelay.core.state import EntryState
+
+SHARE_INTERVAL_MS = 1_000
+
+
+class Sharer:
+    """Sends this entry's part of the view to its peers and takes theirs."""
+
+    def __init__(self, state: EntryState):
+        self.state = state
+        self.next_send_ms = 0
+        self.peers: set[str] = set()
+        self.needs_full: set[str] = set()
+
+    def tick(self, now_ms: int) -> None:
+        """Send what changed, and a sign of life when nothing did."""
+        state = self.state
+        if not state.entry.incarnation:
+            return
+        peers = {peer.address for peer in state.find_peers()}
+        self.needs_full = (self.needs_full | (peers - self.peers)) & peers
+        self.peers = peers
+        due = now_ms >= self.next_send_ms
+        if not due and not state.view.changed and not self.needs_full:
+            return
+        self.next_send_ms = now_ms + SHARE_INTERVAL_MS
+        changed, lost = state.view.take_changes()
+        digest = state.view.compute_digest(0)
+        for address in sorted(peers):
+            full = address in self.needs_full
+            states = state.view.find_own() if full else changed
+            delta = ViewDelta(state.entry, states, lost, digest, full)
+            state.outbox.send(address, delta, f'delta:{address}')
+        self.needs_full = set()
+
+    def take_delta(self, delta: ViewDelta, now_ms: int) -> Message:
+        """Take a peer's part of the view; ask for all of it when some is missing."""
+        view = self.state.view
+        home = delta.sender.incarnation
+        view.take_home_alive(home, now_ms)
+        for worker in delta.states:
+            view.take_state(worker, home, now_ms)
+            self.state.note_generation(worker.generation)
+        if delta.full:
+            view.keep_only({worker.worker_id for worker in delta.states}, home)
+        view.lose(delta.lost, home)
+        if view.compute_digest(home) != delta.digest and not delta.full:
+            return ViewResync()
+        return Ack()
+
+    def take_reply(self, address: str, reply: Message | None) -> None:
+        """Send everything next time to a peer that missed a change."""
+        if not isinstance(reply, Ack):
+            self.needs_full.add(address)
--- /dev/null
+++ b/yuccarelay/core/state.py
@@ -0,0 +1,168 @@
+"""State of an entry that its parts share."""
+
+from typing import NamedTuple
+
+from yuccarelay.core.events import Observe, Respond, Response
+from yuccarelay.core.jobs import Job
+from yuccarelay.core.manifest import Manifest
+from yuccarelay.core.membership import View
+from yuccarelay.core.messages import Welcome
+from yuccarelay.core.models import EntryRef, JobState, Outcome, OwnedShare
+from yuccarelay.core.ordering import JobQueue
+from yuccarelay.core.outbox import Outbox
+from yuccarelay.core.placement import PlacementPolicy
+from yuccarelay.core.shape import Plan, owned_shares
+from yuccarelay.ports.randomness import RandomSource
+
+
+class Waiter(NamedTuple):
+    """A caller that waits for a job's end until a deadline."""
+
+    request_id: int
+    deadline_ms: int
+
+
+class EntryState:
+    """
+    Jobs, queue, view and configuration of one entry.
+
+    `entry.incarnation` is 0 until the store has registered the entry. While
+    `fenced`, other entries may have adopted the stored jobs, and none of them
+    is dispatched.
+    """
+
+    def __init__(
+        self,
+        entry: EntryRef,
+        rng: RandomSource,
+        queue: JobQueue,
+        policy: PlacementPolicy = PlacementPolicy.BUDDY,
+    ):
+        self.entry = entry
+        self.rng = rng
+        self.queue = queue
+        self.policy = policy
+        self.outbox = Outbox(entry.address)
+        self.view = View()
+        self.jobs: dict[str, Job] = {}
+        self.waiters: dict[str, list[Waiter]] = {}
+        self.entries: tuple[EntryRef, ...] = ()
+        self.earlier_incarnations: set[int] = set()
+        self.generation = 0
+        self.manifest: Manifest | None = None
+        self.highest_generation = 0
+        self.plan: Plan | None = None
+        self.store_up = False
+        self.fenced = True
+        self.draining = False
+        self.next_number = 1
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the entry may take and dispatch jobs under its manifest."""
+        return (
+            self.manifest is not None
+            and self.entry.incarnation > 0
+            and self.generation >= self.highest_generation
+            and not self.draining
+        )
+
+    def note_generation(self, generation: int) -> None:
+        """Note a generation that some process has in force."""
+        self.highest_generation = max(self.highest_generation, generation)
+
+    def take_plan(self, plan: Plan) -> None:
+        """Put a guarantee plan in force."""
+        self.plan = plan
+        owned: dict[str, dict[str, int]] = {}
+        for home in plan.homes:
+            for worker_id in home.workers:
+                shares = owned.setdefault(worker_id, {})
+                used = shares.get(home.organisation, 0)
+                shares[home.organisation] = used + home.accelerators
+        self.view.owned = owned
+
+    def mint_job_id(self) -> str:
+        """Return a new job id."""
+        job_id = f'{self.entry.incarnation}-{self.next_number}'
+        self.next_number += 1
+        return job_id
+
+    def update(self, job_id: str, **changes: object) -> Job:
+        """Change a job and return it."""
+        job = self.jobs[job_id]._replace(**changes)
+        self.jobs[job_id] = job
+        return job
+
+    def enqueue(self, job_id: str) -> None:
+        """Put a job into the queue for its next attempt."""
+        job = self.update(job_id, state=JobState.QUEUED)
+        self.queue.remove(job_id)
+        self.queue.push(job.make_queued())
+
+    def forget(self, job_id: str) -> None:
+        """Drop a job that another entry owns now."""
+        job = self.jobs.pop(job_id, None)
+        self.queue.remove(job_id)
+        if job is not None:
+            self.view.drop_pending(job.attempt_id, job.members)
+            self.outbox.log('job_handed_over', job_id=job_id)
+
+    def respond(self, request_id: int, response: Response) -> None:
+        """Answer a caller."""
+        if request_id:
+            self.outbox.add(Respond(request_id, response))
+
+    def publish_end(self, job_id: str, outcome: Outcome, now_ms: int) -> None:
+        """Make an outcome visible to callers."""
+        job = self.update(
+            job_id,
+            state=JobState.ENDED,
+            outcome=outcome,
+            ended_ms=now_ms,
+        )
+        kind = type(outcome).__name__
+        self.outbox.log('job_ended', job_id=job_id, outcome=kind, attempt=job.attempt)
+        self.outbox.count(f'jobs.{kind}')
+        self.observe('completion', job, now_ms - job.submitted_ms)
+        for waiter in self.waiters.pop(job_id, []):
+            self.respond(waiter.request_id, job.make_status())
+
+    def observe(self, name: str, job: Job, value_ms: int) -> None:
+        """Record a time in the histogram of the job's organisation and class."""
+        self.outbox.add(
+            Observe(
+                name=name,
+                organisation=job.spec.organisation,
+                job_class=job.spec.job_class.value,
+                value_ms=value_ms,
+            ),
+        )
+
+    def find_entry(self, incarnation: int) -> EntryRef | None:
+        """Return the live entry of an incarnation."""
+        for entry in self.entries:
+            if entry.incarnation == incarnation:
+                return entry
+        return None
+
+    def find_peers(self) -> list[EntryRef]:
+        """Return the other live entries of the region."""
+        return [
+            entry
+            for entry in self.entries
+            if entry.region == self.entry.region and entry.address != self.entry.address
+        ]
+
+    def make_welcome(self, worker_id: str, announce: bool = False) -> Welcome:
+        """Return the configuration that an agent needs."""
+        owned: tuple[OwnedShare, ...] = ()
+        if self.plan is not None:
+            owned = owned_shares(self.plan, worker_id)
+        return Welcome(
+            entries=self.entries,
+            generation=self.generation,
+            plan_epoch=self.plan.epoch if self.plan else 0,
+            owned=owned,
+            announce=announce,
+        )
--- /dev/null
+++ b/yuccarelay/core/timing.py
@@ -0,0 +1,29 @@
+"""Intervals that several parts must agree on, in milliseconds."""
+
+# A member stops when its lease was not renewed for this long. The time in which
+# a gang may run partially after a loss follows from it.
+LEASE_MS = 3_000
+RENEW_INTERVAL_MS = 1_000
+# All members of a gang must have started within this time after the launch.
+START_WINDOW_MS = 2_000
+# A reservation that is not started or extended is given up after this time.
+HOLD_MS = 3_000
+# A borrower that was warned is stopped after this time.
+RECLAIM_MS = 2_000
+# The agent stops what did not stop by itself, and reports again, at this interval.
+REPEAT_INTERVAL_MS = 1_000
+TICK_MS = 250
+
+HEARTBEAT_INTERVAL_MS = 2_000
+# A worker that was not heard of for three heartbeats gets no new work.
+SUSPECT_MS = 3 * HEARTBEAT_INTERVAL_MS
+# Its guaranteed cells move to other workers only after a longer absence, so that
+# a restart of an agent does not move them.
+REPLAN_ABSENCE_MS = 30_000
+ANNOUNCE_INTERVAL_MS = 100
+
+REQUEST_TIMEOUT_MS = 1_000
+# The fate of an attempt is asked for until then; after that it is unknown.
+SETTLE_MS = 10_000
+KEEP_ENDED_MS = 900_000
+TOMBSTONE_LIMIT = 20_000
--- /dev/null
+++ b/yuccarelay/standins/session_store.py
@@ -0,0 +1,250 @@
+"""
+Store of a session, seen through the store keeper's events and effects.
+
+It can be down, and it can lose the answer of a write that took effect.
+"""
+
+from typing import TYPE_CHECKING
+
+from yuccarelay.core.events import (
+    Conflict,
+    CreateRecord,
+    Deregister,
+    EntriesSeen,
+    KeyTaken,
+    Loaded,
+    LoadedMany,
+    LoadOpenRecords,
+    LoadRecord,
+    ManifestSeen,
+    Missing,
+    PlanSeen,
+    ProposePlan,
+    Registered,
+    RegistrationLost,
+    ReplaceRecord,
+    Stored,
+    StoreHealthChanged,
+    StoreReplied,
+    StoreResult,
+    Unavailable,
+)
+from yuccarelay.core.manifest import Manifest
+from yuccarelay.core.models import EntryRef, JobRecord, JobState
+from yuccarelay.core.shape import Plan
+
+if TYPE_CHECKING:
+    from yuccarelay.standins.session import Process, Session
+
+CALL_DELAY_MS = 4
+LEASE_MS = 10_000
+KEEP_ALIVE_MS = 3_000
+CALL_DEADLINE_MS = 2_000
+
+
+class SessionStore:
+    """Records, configuration and registrations, with counted calls."""
+
+    def __init__(self, session: 'Session'):
+        self.session = session
+        self.up = True
+        self.lost_answers = 0
+        self.revision = 1
+        self.calls = 0
+        self.writes = 0
+        self.records: dict[str, tuple[JobRecord, int]] = {}
+        self.keys: dict[tuple[str, str], str] = {}
+        self.manifest: tuple[int, Manifest] | None = None
+        self.plans: dict[str, Plan] = {}
+        self.entries: dict[str, EntryRef] = {}
+        self.lease_deadlines: dict[str, int] = {}
+        self.members: dict[str, Process] = {}
+        self.told_up: dict[str, bool] = {}
+
+    # Faults and operators
+
+    def set_up(self, up: bool) -> None:
+        """Begin or end an outage; leases do not lapse during an outage."""
+        self.up = up
+        self.session.write_line('store', up=up)
+        if up:
+            for address in self.lease_deadlines:
+                self.lease_deadlines[address] = self.session.now_ms + LEASE_MS
+            self._tell_config()
+
+    def put_manifest(self, manifest: Manifest) -> int:
+        """Commit a manifest and return its generation."""
+        generation = self.manifest[0] + 1 if self.manifest else 1
+        self.manifest = (generation, manifest)
+        self.session.write_line('commit', generation=generation)
+        self._tell_config()
+        return generation
+
+    # Registration
+
+    def register(self, process: 'Process') -> None:
+        """Register an entry and keep its lease alive."""
+        self.members[process.address] = process
+        self.session.at(CALL_DELAY_MS, lambda: self._register(process))
+
+    def forget(self, process: 'Process') -> None:
+        """The process is gone; its lease lapses unless it deregistered."""
+        if self.members.get(process.address) is process:
+            del self.members[process.address]
+
+    def _register(self, process: 'Process') -> None:
+        if self.members.get(process.address) is not process:
+            return
+        if not self.up or process.paused:
+            self.session.at(KEEP_ALIVE_MS, lambda: self._register(process))
+            return
+        self.calls += 1
+        self.revision += 1
+        self._end_lease(process.address)
+        reference = EntryRef(self.revision, process.region, process.address)
+        self.entries[process.address] = reference
+        self.lease_deadlines[process.address] = self.session.now_ms + LEASE_MS
+        deliver = self.session.deliver
+        self._tell_health(process, True)
+        deliver(process, Registered(reference.incarnation))
+        self._tell_config()
+        self.session.at(KEEP_ALIVE_MS, lambda: self._keep_alive(process, reference))
+
+    def _keep_alive(self, process: 'Process', reference: EntryRef) -> None:
+        if self.members.get(process.address) is not process:
+            self._watch_lease(process.address, reference)
+            return
+        if process.paused or not self.up:
+            self._tell_health(process, self.up)
+            self._watch_lease(process.address, reference)
+            self.session.at(100, lambda: self._keep_alive(process, reference))
+            return
+        self.calls += 1
+        self._tell_health(process, True)
+        if self.entries.get(process.address) != reference:
+            self.session.deliver(process, RegistrationLost())
+            self._register(process)
+            return
+        self.lease_deadlines[process.address] = self.session.now_ms + LEASE_MS
+        self.session.at(KEEP_ALIVE_MS, lambda: self._keep_alive(process, reference))
+
+    def _watch_lease(self, address: str, reference: EntryRef) -> None:
+        if self.entries.get(address) != reference:
+            return
+        if self.up and self.session.now_ms >= self.lease_deadlines.get(address, 0):
+            self._end_lease(address)
+            self._tell_config()
+        elif address not in self.members:
+            self.session.at(100, lambda: self._watch_lease(address, reference))
+
+    def _end_lease(self, address: str) -> None:
+        self.entries.pop(address, None)
+        self.lease_deadlines.pop(address, None)
+
+    def _tell_health(self, process: 'Process', up: bool) -> None:
+        if self.told_up.get(process.address) is not up:
+            self.told_up[process.address] = up
+            self.session.deliver(process, StoreHealthChanged(up))
+
+    def _tell_config(self) -> None:
+        self.session.at(CALL_DELAY_MS, self._tell_all)
+
+    def _tell_all(self) -> None:
+        if not self.up:
+            return
+        entries = tuple(sorted(self.entries.values()))
+        for process in list(self.members.values()):
+            if self.entries.get(process.address) is None:
+                continue
+            deliver = self.session.deliver
+            deliver(process, EntriesSeen(entries))
+            if self.manifest is not None:
+                deliver(process, ManifestSeen(*self.manifest))
+            plan = self.plans.get(process.region)
+            if plan is not None:
+                deliver(process, PlanSeen(plan))
+
+    # Calls
+
+    def take(self, process: 'Process', effect: object) -> None:
+        """Carry out a store effect after a delay."""
+        self.session.at(CALL_DELAY_MS, lambda: self._execute(process, effect))
+
+    def _execute(self, process: 'Process', effect: object) -> None:
+        self.calls += 1
+        if not self.up:
+            self._reply(process, effect, Unavailable(ambiguous=False))
+            self._tell_health(process, False)
+            return
+        match effect:
+            case ProposePlan(plan):
+                known = self.plans.get(process.region)
+                if plan.epoch == (known.epoch + 1 if known else 1):
+                    self.plans[process.region] = plan
+                    self._tell_config()
+                return
+            case Deregister():
+                self._end_lease(process.address)
+                self.members.pop(process.address, None)
+                self._tell_config()
+                return
+        is_write = isinstance(effect, CreateRecord | ReplaceRecord)
+        result = self._apply(effect)
+        if is_write and self.lost_answers:
+            self.lost_answers -= 1
+            self.session.at(
+                CALL_DEADLINE_MS,
+                lambda: self._reply(process, effect, Unavailable(ambiguous=True)),
+            )
+            return
+        self.session.at(
+            CALL_DELAY_MS,
+            lambda: self._reply(process, effect, result),
+        )
+
+    def _apply(self, effect: object) -> StoreResult:
+        match effect:
+            case CreateRecord(_, record):
+                return self._create(record)
+            case ReplaceRecord(_, record, revision):
+                return self._replace(record, revision)
+            case LoadRecord(_, job_id):
+                known = self.records.get(job_id)
+                return Loaded(*known) if known else Missing()
+            case LoadOpenRecords():
+                records = [
+                    Loaded(record, revision)
+                    for record, revision in self.records.values()
+                    if record.state is not JobState.ENDED
+                ]
+                return LoadedMany(tuple(records))
+        raise TypeError(f'not a store effect: {effect!r}')
+
+    def _create(self, record: JobRecord) -> StoreResult:
+        binding = (record.organisation, record.key)
+        if record.key and binding in self.keys:
+            return KeyTaken(self.keys[binding])
+        if record.job_id in self.records:
+            return Conflict(*self.records[record.job_id])
+        if record.key:
+            self.keys[binding] = record.job_id
+        return self._put(record)
+
+    def _replace(self, record: JobRecord, revision: int) -> StoreResult:
+        known = self.records.get(record.job_id)
+        if known is None:
+            return Missing()
+        if known[1] != revision:
+            return Conflict(*known)
+        return self._put(record)
+
+    def _put(self, record: JobRecord) -> Stored:
+        self.writes += 1
+        self.revision += 1
+        self.records[record.job_id] = (record, self.revision)
+        return Stored(self.revision)
+
+    def _reply(self, process: 'Process', effect: object, result: StoreResult) -> None:
+        tag = getattr(effect, 'tag', None)
+        if tag is not None:
+            self.session.deliver(process, StoreReplied(tag, result))
--- /dev/null
+++ b/yuccarelay/standins/session_target.py
@@ -0,0 +1,142 @@
+"""Target of a session: runs tasks under leases and remembers each run."""
+
+import json
+from typing import TYPE_CHECKING, NamedTuple
+
+from yuccarelay.core.events import (
+    RenewTasks,
+    StartTask,
+    StopTask,
+    TaskEnded,
+    TaskStarted,
+)
+
+if TYPE_CHECKING:
+    from yuccarelay.standins.session import Process, Session
+
+START_DELAY_MS = 5
+STOP_DELAY_MS = 20
+
+
+class Run(NamedTuple):
+    """One run of a member; `end_ms` is None while it runs."""
+
+    task_id: str
+    worker_id: str
+    started_ms: int
+    lease_deadline_ms: int
+    end_ms: int | None = None
+    completed: bool = False
+
+    @property
+    def job_id(self) -> str:
+        """Id of the job that the run belongs to."""
+        return self.task_id.rpartition('.')[0]
+
+    @property
+    def attempt_id(self) -> str:
+        """Id of the attempt that the run belongs to."""
+        return self.task_id.rpartition('/')[0]
+
+
+class SessionTarget:
+    """
+    The platform's task service on one worker.
+
+    It stops a task whose lease lapses, whether or not its agent lives. The work is
+    the payload's JSON: `run_ms`, `fail`, `ignores_stop`.
+    """
+
+    def __init__(self, session: 'Session', worker_id: str):
+        self.session = session
+        self.worker_id = worker_id
+        self.runs: dict[str, Run] = {}
+        self.fails_everything = False
+        self.slow_factor = 1.0
+
+    def take(self, agent: 'Process', effect: object) -> None:
+        """Carry out an agent's effect."""
+        match effect:
+            case StartTask():
+                self._start(agent, effect)
+            case StopTask(task_id, checkpoint):
+                self.session.at(
+                    STOP_DELAY_MS,
+                    lambda: self._stop(agent, task_id, checkpoint),
+                )
+            case RenewTasks(task_ids, deadline_ms):
+                for task_id in task_ids:
+                    run = self.runs.get(task_id)
+                    if run is not None and run.end_ms is None:
+                        self.runs[task_id] = run._replace(lease_deadline_ms=deadline_ms)
+
+    def _start(self, agent: 'Process', effect: StartTask) -> None:
+        if effect.task_id in self.runs:
+            return
+        work = json.loads(effect.payload or b'{}')
+        now_ms = self.session.now_ms
+        self.runs[effect.task_id] = Run(
+            task_id=effect.task_id,
+            worker_id=self.worker_id,
+            started_ms=now_ms,
+            lease_deadline_ms=effect.lease_deadline_ms,
+        )
+        self.session.at(
+            START_DELAY_MS,
+            lambda: self.session.deliver(agent, TaskStarted(effect.task_id)),
+        )
+        run_ms = int(work.get('run_ms', 100) * self.slow_factor)
+        if self.fails_everything:
+            run_ms = START_DELAY_MS * 2
+        fails = self.fails_everything or bool(work.get('fail'))
+        self.session.at(run_ms, lambda: self._finish(agent, effect.task_id, fails))
+        self._watch_lease(agent, effect.task_id)
+
+    def _watch_lease(self, agent: 'Process', task_id: str) -> None:
+        run = self.runs[task_id]
+        if run.end_ms is not None:
+            return
+        left_ms = run.lease_deadline_ms - self.session.now_ms
+        if left_ms > 0:
+            self.session.at(left_ms, lambda: self._watch_lease(agent, task_id))
+        else:
+            self._end(agent, task_id, completed=False, reason='lease expired')
+
+    def _finish(self, agent: 'Process', task_id: str, fails: bool) -> None:
+        if self.runs[task_id].end_ms is None:
+            reason = 'exit status 1' if fails else ''
+            self._end(agent, task_id, completed=not fails, reason=reason)
+
+    def _stop(self, agent: 'Process', task_id: str, checkpoint: bool) -> None:
+        run = self.runs.get(task_id)
+        if run is not None and run.end_ms is None:
+            self._end(
+                agent,
+                task_id,
+                completed=False,
+                reason='stopped',
+                checkpointed=checkpoint,
+            )
+
+    def _end(
+        self,
+        agent: 'Process',
+        task_id: str,
+        completed: bool,
+        reason: str,
+        checkpointed: bool = False,
+    ) -> None:
+        self.runs[task_id] = self.runs[task_id]._replace(
+            end_ms=self.session.now_ms,
+            completed=completed,
+        )
+        event = TaskEnded(
+            task_id=task_id,
+            completed=completed,
+            started=True,
+            checkpointed=checkpointed,
+            reason=reason,
+            length=len(task_id),
+            sha256='',
+        )
+        self.session.deliver(agent, event)
