Rank workers by remainder and avoid domains member by member

Cause: the first ranking compared the power-of-two buddies that a cut breaks. And a gang that needs an avoided domain filled it like any other.

Change: BUDDY compares evictions, the remainder, the whole workers of the rack, what others could reclaim, and last the free accelerators. A gang that does not fit outside the avoided domains uses the workers outside first.

--- a/yuccarelay/core/placement.py
+++ b/yuccarelay/core/placement.py
@@ -80,18 +80,20 @@
     """
     if avoid_domains:
         others = [c for c in candidates if c.domain not in avoid_domains]
-        chosen = _choose_from(spec, others, policy)
-        if chosen is not None:
+        chosen = _choose_from(spec, others, policy, frozenset())
+        if chosen is not None or len(others) == len(candidates):
             return chosen
-    return _choose_from(spec, candidates, policy)
+        candidates = others + [c for c in candidates if c.domain in avoid_domains]
+    return _choose_from(spec, candidates, policy, avoid_domains)
 
 
 def _choose_from(
     spec: JobSpec,
     candidates: Sequence[Candidate],
     policy: PlacementPolicy,
+    avoid_domains: frozenset[str],
 ) -> tuple[Assignment, ...] | None:
-    rank = _make_ranker(spec, candidates, policy)
+    rank = _make_ranker(spec, candidates, policy, avoid_domains)
     for source in _list_sources(spec):
         group = _choose_group(spec, source(spec, candidates), policy, rank)
         if group:
@@ -201,7 +203,7 @@
         return _pick_best(fitting, spec.members, policy, rank)
     groups: dict[tuple[str, ...], list[Offer]] = {}
     for offer in offers:
-        key = _locate(offer.candidate, spec.adjacency)
+        key = locate(offer.candidate, spec.adjacency)
         groups.setdefault(key, []).append(offer)
     feasible = [
         group
@@ -213,7 +215,8 @@
     return min(feasible, key=lambda group: _rank_group(spec, group))
 
 
-def _locate(candidate: Candidate, adjacency: Adjacency) -> tuple[str, ...]:
+def locate(candidate: Candidate, adjacency: Adjacency) -> tuple[str, ...]:
+    """Return the name of the part of the fleet that an adjacency means."""
     match adjacency:
         case Adjacency.WORKER:
             return (candidate.worker_id,)
@@ -290,25 +293,24 @@
     spec: JobSpec,
     candidates: Sequence[Candidate],
     policy: PlacementPolicy,
+    avoid_domains: frozenset[str],
 ) -> Ranker:
     if policy is not PlacementPolicy.BUDDY:
         return lambda offer, members: (
+            offer.candidate.domain in avoid_domains,
             _count_evicted(offer, members * spec.accelerators),
             offer.block - members * spec.accelerators,
         )
     whole = _count_whole_workers(candidates)
-    cuts: dict[tuple[int, int], tuple[int, int]] = {}
 
     def rank(offer: Offer, members: int) -> tuple[int, ...]:
         candidate = offer.candidate
         need = members * spec.accelerators
-        cut = cuts.get((offer.block, need))
-        if cut is None:
-            cut = cuts[offer.block, need] = measure_cut(offer.block, need)
         return (
+            candidate.domain in avoid_domains,
             _count_evicted(offer, need),
-            *cut,
-            whole[_locate(candidate, Adjacency.RACK)],
+            offer.block - need,
+            whole[locate(candidate, Adjacency.RACK)],
             _count_exposed(candidate, need),
             candidate.free_accelerators,
         )
@@ -316,22 +318,6 @@
     return rank
 
 
-def measure_cut(block: int, need: int) -> tuple[int, int]:
-    """
-    Return the largest buddy that a cut breaks, and what remains of the broken ones.
-
-    A block consists of buddies whose sizes are the powers of two in its binary
-    form. Cutting 1 from 7 = 4 + 2 + 1 breaks only the 1, while cutting 1 from 4
-    breaks the 4, although its remainder is smaller.
-    """
-    if not need:
-        return 0, block
-    size = 1
-    while block & (2 * size - 1) < need and size <= block:
-        size *= 2
-    return size, (block & (2 * size - 1)) - need
-
-
 def _count_evicted(offer: Offer, need: int) -> int:
     return max(need - offer.candidate.free_accelerators, 0)
 
@@ -373,7 +359,7 @@
     free: Counter = Counter()
     total: Counter = Counter()
     for candidate in candidates:
-        rack = _locate(candidate, Adjacency.RACK)
+        rack = locate(candidate, Adjacency.RACK)
         free[rack] += candidate.free_accelerators
         total[rack] += candidate.accelerators
     return _measure_broken([(free[rack], total[rack]) for rack in total])
