Learn run times, earmark workers for large gangs, ignore idle start rates

Cause: a large gang never finds enough accelerators free at once while small work takes each one. Declared run times are too often wrong to decide which small work may go first. And a start rate taken while nothing waited shows how much work came, so admission could refuse work on an idle fleet.

StartHistory drops an organisation's starts when nothing is left waiting. Fifo.count_ahead counts the organisation's jobs, as its rate does.

--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -6,9 +6,10 @@
 from hypothesis import strategies as st
 from result import Ok
 
-from yuccarelay.core import admission, ordering
-from yuccarelay.core.models import JobClass, JobSpec
+from yuccarelay.core import admission, earmark, history, ordering
+from yuccarelay.core.models import Adjacency, JobClass, JobSpec
 from yuccarelay.core.ordering import Fifo, JobQueue, QueuedJob
+from yuccarelay.core.placement import Candidate
 
 MINUTE_MS = 60_000
 HOUR_MS = 60 * MINUTE_MS
@@ -167,13 +168,19 @@
 
     def test_no_data_never_refuses(self):
         self.assertEqual(self.check(ahead=1_000), Ok(None))
-        history = admission.StartHistory()
+        starts = admission.StartHistory()
         for _ in range(admission.START_SAMPLES_NEEDED - 1):
-            history.record('a', HOUR_MS)
-        self.assertIsNone(history.measure('a', HOUR_MS))
-        history.record('a', HOUR_MS)
-        self.assertIsNotNone(history.measure('a', HOUR_MS))
-        self.assertIsNone(history.measure('a', 2 * HOUR_MS))
+            starts.record('a', HOUR_MS, waiting=1)
+        self.assertIsNone(starts.measure('a', HOUR_MS))
+        starts.record('a', HOUR_MS, waiting=1)
+        self.assertIsNotNone(starts.measure('a', HOUR_MS))
+        self.assertIsNone(starts.measure('a', 2 * HOUR_MS))
+
+    def test_starts_without_a_backlog_say_nothing_about_the_fleet(self):
+        starts = admission.StartHistory()
+        for waiting in (5, 4, 3, 2, 1, 0):
+            starts.record('a', HOUR_MS, waiting)
+        self.assertIsNone(starts.measure('a', HOUR_MS))
 
     def test_unreachable_deadline_is_refused_with_a_retry_time(self):
         rate = admission.StartRate(starts=10, span_ms=100_000)
@@ -184,3 +191,78 @@
     def test_full_queue_is_refused(self):
         refusal = self.check(depth=10).unwrap_err()
         self.assertEqual(refusal, ('queue_full', admission.RETRY_FLOOR_MS))
+
+
+class RunHistoryTest(unittest.TestCase):
+    """Guards against wrong declared times and against unbounded memory."""
+
+    def test_learned_time_replaces_the_declared_one_after_a_few_runs(self):
+        runs, spec = history.RunHistory(), make_job('1-1').spec
+        for run_ms in (10, 20, 30, 40):
+            runs.record(spec, run_ms)
+        self.assertEqual(runs.estimate_run_ms(spec), spec.declared_run_ms)
+        self.assertIsNone(runs.measure_run_ms(spec))
+        for run_ms in (50, 60, 70, 80, 90, 9_000):
+            runs.record(spec, run_ms)
+        self.assertEqual(runs.estimate_run_ms(spec), 90)
+
+    def test_number_of_jobs_and_runs_is_bounded(self):
+        runs, spec = history.RunHistory(), make_job('1-1').spec
+        for number in range(history.JOBS_KEPT + 1):
+            runs.record(spec._replace(name=str(number)), 1)
+            runs.record(spec, number)
+        self.assertEqual(len(runs.runs), history.JOBS_KEPT)
+        self.assertEqual(len(runs.runs['a', 'print']), history.RUNS_KEPT)
+
+
+class EarmarkTest(unittest.TestCase):
+    """Guards against large gangs that starve and against idle reservations."""
+
+    def setUp(self):
+        gang = {'members': 2, 'accelerators': 8, 'adjacency': Adjacency.RACK}
+        self.gang = make_job('gang', spec=gang)
+        self.fleet = [
+            Candidate(f'{rack}{i}', 'g', 'd', rack, 8, 2 if rack == 'r' else 0, 8, i, 4)
+            for rack in 'rs'
+            for i in range(3)
+        ]
+
+    def choose(self, **changes) -> earmark.Earmark | None:
+        values = {'job': self.gang, 'candidates': self.fleet, 'owned': {}}
+        values |= {'free_ms': {}, 'now_ms': 0}
+        return earmark.choose_earmark(**(values | changes))
+
+    def test_only_a_large_gang_that_waited_has_a_claim(self):
+        jobs = [make_job('small'), self.gang]
+        age_ms = earmark.EARMARK_AGE_MS
+        self.assertIsNone(earmark.find_waiting_gang(jobs, age_ms - 1))
+        self.assertEqual(earmark.find_waiting_gang(jobs, age_ms), self.gang)
+
+    def test_rack_that_is_ready_first_is_reserved(self):
+        free_ms = {'s0': 500, 's2': 400, 'r0': 300, 'r1': 900}
+        mark = self.choose(free_ms=free_ms)
+        self.assertEqual((mark.worker_ids, mark.start_ms), ({'s0', 's2'}, 500))
+        mark = self.choose()
+        self.assertEqual((mark.worker_ids, mark.start_ms), ({'r0', 'r1'}, None))
+        self.assertIsNone(self.choose(candidates=self.fleet[:1]))
+
+    def test_job_that_may_not_borrow_reserves_only_own_cells(self):
+        once = self.gang._replace(spec=self.gang.spec._replace(repeatable=False))
+        self.assertIsNone(self.choose(job=once))
+        mark = self.choose(job=once, owned={'s1': 8, 's2': 8})
+        self.assertEqual(mark.worker_ids, {'s1', 's2'})
+
+    def test_backfill_needs_a_learned_time_that_ends_before(self):
+        mark = earmark.Earmark('gang', 'a', frozenset({'r0', 'r1'}), 500)
+
+        def restrict(job, learned_run_ms):
+            args = (job, self.fleet, mark, 100, learned_run_ms)
+            return earmark.restrict_candidates(*args)
+
+        self.assertEqual(restrict(make_job('x'), 400), self.fleet)
+        self.assertEqual(restrict(make_job('x'), 401), self.fleet[2:])
+        self.assertEqual(restrict(make_job('x'), None), self.fleet[2:])
+        self.assertEqual(restrict(self.gang, None), self.fleet)
+        seen = restrict(make_job('x', 'b'), None)
+        self.assertEqual([c.free_accelerators for c in seen[:3]], [0, 1, 2])
+        self.assertEqual([c.owned_free for c in seen[:3]], [0, 1, 2])
--- a/yuccarelay/core/admission.py
+++ b/yuccarelay/core/admission.py
@@ -37,14 +37,26 @@
     def __init__(self):
         self.starts: OrderedDict[str, deque[int]] = OrderedDict()
 
-    def record(self, organisation: str, now_ms: int) -> None:
-        """Record that a job of an organisation started."""
+    def record(self, organisation: str, now_ms: int, waiting: int) -> None:
+        """
+        Record that a job started while `waiting` others of its organisation wait.
+
+        With none waiting, the rate shows how much work came and not how much the
+        fleet takes, so what was learned is dropped.
+        """
+        if not waiting:
+            self.clear(organisation)
+            return
         times = self.starts.setdefault(organisation, deque(maxlen=START_SAMPLES))
         times.append(now_ms)
         self.starts.move_to_end(organisation)
         if len(self.starts) > ORGANISATIONS_KEPT:
             self.starts.popitem(last=False)
 
+    def clear(self, organisation: str) -> None:
+        """Forget the starts of an organisation; for a queue that became empty."""
+        self.starts.pop(organisation, None)
+
     def measure(self, organisation: str, now_ms: int) -> StartRate | None:
         """
         Return the start rate within the last window, or None with too few starts.
--- a/yuccarelay/core/ordering.py
+++ b/yuccarelay/core/ordering.py
@@ -338,8 +338,8 @@
         return sum(job.spec.organisation == organisation for job in self.jobs.values())
 
     def count_ahead(self, organisation: str, job_class: JobClass) -> int:
-        """Return all jobs of all organisations; classes do not matter here."""
-        return len(self.jobs)
+        """Return the queued jobs of an organisation; classes do not matter here."""
+        return self.depth(organisation)
 
     def order(self, now_ms: int, limit: int) -> list[QueuedJob]:
         """Return up to `limit` jobs that may be placed now, oldest first."""
