Eject outlier workers and limit retries

Cause: a worker that fails everything is always free and would get all the work, and retries without a limit multiply the load of a failing service.

Change: HealthTracker compares a worker's decaying failure share with the median of its peers, ejects it for 30 s doubling up to 1 h, and returns it after one successful probe. If more than half would be left out, all are usable. RetryBudget allows 20 % of the fresh starts of a sliding minute and at least 3; plan_retry adds the attempt limit, the deadline and a backoff with jitter.

Conclusion: both take the time and the jitter as arguments and hold no clock.

--- /dev/null
+++ b/yuccarelay/core/health.py
@@ -0,0 +1,164 @@
+"""Outlier ejection: workers that fail far more than their peers get no new work."""
+
+import statistics
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+# Results count half after this time, so a worker is judged by its recent runs.
+RESULT_HALF_LIFE_MS = 300_000
+
+# Fewer results than this say nothing about a worker.
+RESULTS_NEEDED = 5.0
+
+# A worker is an outlier when its failure share is at least this far above the
+# median of its peers. A fault common to all moves the median with it.
+FAILURE_MARGIN = 0.4
+
+EJECTION_BASE_MS = 30_000
+EJECTION_CEILING_MS = 3_600_000
+
+# Jobs may run for hours, so a probe without a result by then does not hold back
+# the next one.
+PROBE_LIMIT_MS = 60_000
+
+# An ejection this long after the last return starts again from the base time.
+FORGET_EJECTIONS_MS = 3_600_000
+
+
+@dataclass(frozen=True, slots=True)
+class Healthy:
+    """Takes work. `ejections` counts those before; the last ended at `since_ms`."""
+
+    ejections: int = 0
+    since_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Ejected:
+    """Takes no work until `until_ms`, and then one probe."""
+
+    ejections: int
+    until_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probing:
+    """One job was sent as a probe; its result or the deadline decides."""
+
+    ejections: int
+    deadline_ms: int
+
+
+Standing = Healthy | Ejected | Probing
+
+
+class Tally(NamedTuple):
+    """Decaying numbers of results and failures of a worker."""
+
+    results: float = 0.0
+    failures: float = 0.0
+    updated_ms: int = 0
+
+    @property
+    def failure_share(self) -> float:
+        """Failures per result; 0 without results."""
+        return self.failures / self.results if self.results else 0.0
+
+
+class HealthTracker:
+    """
+    Standing of the workers of one service.
+
+    `begin_probe` is called for each worker that a job is sent to. If its ejection
+    time is over, that job is the probe, and no other one follows until its result.
+    """
+
+    def __init__(self):
+        self.tallies: dict[str, Tally] = {}
+        self.standings: dict[str, Standing] = {}
+
+    def record(self, worker_id: str, succeeded: bool, now_ms: int) -> None:
+        """Record the result of a run and eject or return the worker by it."""
+        match self.standings.get(worker_id, Healthy()):
+            case Healthy(ejections, since_ms):
+                self._tally(worker_id, succeeded, now_ms)
+                if not succeeded and self._is_outlier(worker_id, now_ms):
+                    recent = now_ms - since_ms < FORGET_EJECTIONS_MS
+                    self._eject(worker_id, ejections if recent else 0, now_ms)
+            case Probing(ejections) if succeeded:
+                self.tallies.pop(worker_id, None)
+                self.standings[worker_id] = Healthy(ejections, now_ms)
+            case Probing(ejections):
+                self._eject(worker_id, ejections, now_ms)
+            case Ejected():
+                # Work that was running at the ejection proves nothing new.
+                pass
+
+    def begin_probe(self, worker_id: str, now_ms: int) -> None:
+        """Note that a worker whose ejection time is over was given a job."""
+        match self.standings.get(worker_id):
+            case Ejected(ejections, due_ms) | Probing(ejections, due_ms):
+                if now_ms >= due_ms:
+                    deadline_ms = now_ms + PROBE_LIMIT_MS
+                    self.standings[worker_id] = Probing(ejections, deadline_ms)
+
+    def forget(self, worker_id: str) -> None:
+        """Drop what is known of a worker that left or came with a new incarnation."""
+        self.tallies.pop(worker_id, None)
+        self.standings.pop(worker_id, None)
+
+    def find_usable(self, worker_ids: Iterable[str], now_ms: int) -> frozenset[str]:
+        """
+        Return the workers of the service that may be given a job now.
+
+        If more than half of them would be left out, the fault is common to all and
+        each one is usable.
+        """
+        everyone = frozenset(worker_ids)
+        usable = everyone.difference(
+            worker_id
+            for worker_id, standing in self.standings.items()
+            if not isinstance(standing, Healthy)
+            and not self._may_probe(worker_id, now_ms)
+        )
+        return usable if 2 * len(usable) >= len(everyone) else everyone
+
+    def _may_probe(self, worker_id: str, now_ms: int) -> bool:
+        match self.standings.get(worker_id):
+            case Ejected(_, due_ms) | Probing(_, due_ms):
+                return now_ms >= due_ms
+            case _:
+                return False
+
+    def _eject(self, worker_id: str, ejections: int, now_ms: int) -> None:
+        length_ms = min(EJECTION_BASE_MS << min(ejections, 16), EJECTION_CEILING_MS)
+        self.standings[worker_id] = Ejected(ejections + 1, now_ms + length_ms)
+
+    def _tally(self, worker_id: str, succeeded: bool, now_ms: int) -> None:
+        tally = self._read_tally(worker_id, now_ms)
+        self.tallies[worker_id] = Tally(
+            results=tally.results + 1,
+            failures=tally.failures + (not succeeded),
+            updated_ms=now_ms,
+        )
+
+    def _read_tally(self, worker_id: str, now_ms: int) -> Tally:
+        tally = self.tallies.get(worker_id, Tally())
+        factor = 0.5 ** (max(now_ms - tally.updated_ms, 0) / RESULT_HALF_LIFE_MS)
+        return Tally(tally.results * factor, tally.failures * factor, now_ms)
+
+    def _is_outlier(self, worker_id: str, now_ms: int) -> bool:
+        tally = self._read_tally(worker_id, now_ms)
+        if tally.results < RESULTS_NEEDED:
+            return False
+        # Old results of peers count in full: a worker that fails at once is always
+        # free and may get all the work, while its peers have no new results.
+        peers = [
+            peer.failure_share
+            for peer_id, peer in self.tallies.items()
+            if peer_id != worker_id and peer.results >= 1
+        ]
+        if not peers:
+            return False
+        return tally.failure_share >= statistics.median(peers) + FAILURE_MARGIN
--- /dev/null
+++ b/yuccarelay/core/retry.py
@@ -0,0 +1,111 @@
+"""Retry budget and backoff."""
+
+from collections import deque
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+BUDGET_WINDOW_MS = 60_000
+BUDGET_BUCKET_MS = 5_000
+BUDGET_SHARE = 0.2
+
+# A service with few starts must still be able to retry after a single failure.
+BUDGET_MINIMUM = 3
+
+BACKOFF_BASE_MS = 200
+BACKOFF_CEILING_MS = 30_000
+
+# Half of each delay is fixed and half is jitter: repeats spread out, and none
+# comes back at once.
+JITTER_SHARE = 0.5
+
+
+class Bucket(NamedTuple):
+    """Fresh starts and retries within one part of the window."""
+
+    start_ms: int
+    fresh: int
+    retries: int
+
+
+class RetryBudget:
+    """
+    Limits retries to a share of the fresh starts within a sliding window.
+
+    In any span of one window at least `BUDGET_MINIMUM` retries are allowed. Use
+    one budget per service.
+    """
+
+    def __init__(self):
+        self.buckets: deque[Bucket] = deque()
+
+    def record_fresh(self, now_ms: int) -> None:
+        """Record the first start of a job."""
+        self._add(now_ms, fresh=1, retries=0)
+
+    def count_left(self, now_ms: int) -> int:
+        """Return how many retries the budget allows now."""
+        self._drop_old(now_ms)
+        fresh = sum(bucket.fresh for bucket in self.buckets)
+        retries = sum(bucket.retries for bucket in self.buckets)
+        allowed = max(int(fresh * BUDGET_SHARE), BUDGET_MINIMUM)
+        return max(allowed - retries, 0)
+
+    def take(self, now_ms: int) -> bool:
+        """Take one retry out of the budget; False when none is left."""
+        if not self.count_left(now_ms):
+            return False
+        self._add(now_ms, fresh=0, retries=1)
+        return True
+
+    def _add(self, now_ms: int, fresh: int, retries: int) -> None:
+        self._drop_old(now_ms)
+        if self.buckets and now_ms < self.buckets[-1].start_ms + BUDGET_BUCKET_MS:
+            last = self.buckets.pop()
+            fresh += last.fresh
+            retries += last.retries
+            now_ms = last.start_ms
+        self.buckets.append(Bucket(now_ms, fresh, retries))
+
+    def _drop_old(self, now_ms: int) -> None:
+        # A bucket counts until its last moment has left the window, so that a
+        # burst of retries is never forgotten early.
+        span_ms = BUDGET_WINDOW_MS + BUDGET_BUCKET_MS
+        while self.buckets and self.buckets[0].start_ms <= now_ms - span_ms:
+            self.buckets.popleft()
+
+
+def compute_backoff_ms(retry: int, jitter: float) -> int:
+    """
+    Return the delay before a retry.
+
+    `retry` counts from 1 and `jitter` lies in [0, 1). The delay doubles with each
+    retry up to `BACKOFF_CEILING_MS`; at least half of it is always waited.
+    """
+    doublings = min(max(retry, 1) - 1, BACKOFF_CEILING_MS.bit_length())
+    delay_ms = min(BACKOFF_BASE_MS << doublings, BACKOFF_CEILING_MS)
+    return int(delay_ms * (1 - JITTER_SHARE + JITTER_SHARE * jitter))
+
+
+def plan_retry(
+    attempt: int,
+    attempt_limit: int,
+    budget: RetryBudget,
+    now_ms: int,
+    deadline_ms: int,
+    jitter: float,
+) -> Result[int, str]:
+    """
+    Return the time before which the next attempt is not placed, or why there is none.
+
+    `attempt` is the number of the attempt that failed, counted from 1. The budget
+    is charged only when a retry is granted.
+    """
+    if attempt >= attempt_limit:
+        return Err('attempt_limit')
+    not_before_ms = now_ms + compute_backoff_ms(attempt, jitter)
+    if not_before_ms > deadline_ms:
+        return Err('deadline')
+    if not budget.take(now_ms):
+        return Err('retry_budget')
+    return Ok(not_before_ms)
