Test the limit of ejections, repeated pushes and partly avoided domains

Cause: trials with altered code passed the tests in two places: without the rule that keeps half of the workers, and with a deadline of an earlier push that expires a retry. Partly avoided domains had no test.

Change: one test for each.

Conclusion: no code changed.

--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -62,6 +62,13 @@
         tracker = make_tracker(WORKERS)
         self.assertEqual(tracker.find_usable(WORKERS, 0), frozenset(WORKERS))
 
+    def test_more_than_half_left_out_makes_all_usable(self):
+        for count, expected in ((3, WORKERS[3:]), (4, WORKERS)):
+            tracker = HealthTracker()
+            ejected = health.Ejected(ejections=1, until_ms=BASE_MS)
+            tracker.standings = dict.fromkeys(WORKERS[:count], ejected)
+            self.assertEqual(tracker.find_usable(WORKERS, 0), frozenset(expected))
+
     def test_few_failures_eject_nobody(self):
         tracker = make_tracker([])
         tracker.record('w0', False, 0)
--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -92,6 +92,12 @@
             with self.assertRaises(ValueError):
                 queue.push(make_job('1-1'))
 
+    def test_deadline_of_an_earlier_push_does_not_expire_a_retry(self):
+        queue = push_all(JobQueue(), make_job('1-1', start_deadline_ms=10))
+        queue.remove('1-1')
+        queue.push(make_job('1-1', attempt=1))
+        self.assertEqual(queue.take_expired(11), [])
+
     def test_stale_deadlines_stay_bounded(self):
         queue = JobQueue()
         for number in range(1_000):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -125,6 +125,15 @@
             (chosen,) = choose_workers(make_spec(), fleet, BUDDY, frozenset(avoided))
             self.assertEqual(chosen.worker_id, expected)
 
+    def test_gang_uses_as_little_of_an_avoided_domain_as_it_can(self):
+        fleet = [make_candidate('a', free=4), make_candidate('b', domain='f')]
+        for policy in PlacementPolicy:
+            chosen = choose_workers(
+                make_spec(members=10), fleet, policy, frozenset({'kano-a'})
+            )
+            members = {a.worker_id: len(a.members) for a in chosen}
+            self.assertEqual(members, {'b': 8, 'a': 2})
+
 
 class BuddyTest(unittest.TestCase):
     """Guards against small jobs that break large blocks without need."""
