--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok
 
-from yuccarelay.core.admission import check_queue, find_spec
+from yuccarelay.core.submission import check_queue, find_spec
 from yuccarelay.core.dispatch import Dispatcher
 from yuccarelay.core.events import (
     CancelRequested,
