--- /dev/null
+++ b/yuccarelay/core/acquire.py
@@ -0,0 +1,244 @@
+"""
+Acquisition of workers for one attempt: reserve, record, launch.
+
+An attempt id is used for one acquisition only. Members are asked in the order of
+worker ids, so of two entries in conflict one always proceeds.
+"""
+
+from yuccarelay.core.follow import Follower
+from yuccarelay.core.jobs import Job
+from yuccarelay.core.messages import (
+    Abort,
+    Launch,
+    Launched,
+    Message,
+    Prepare,
+    Prepared,
+    Reclaiming,
+    Refusal,
+    Refused,
+)
+from yuccarelay.core.models import (
+    Claim,
+    JobState,
+    MemberRef,
+)
+from yuccarelay.core.placement import Assignment, Candidate
+from yuccarelay.core.recording import Recorder
+from yuccarelay.core.state import EntryState
+from yuccarelay.core.timing import (
+    HOLD_MS,
+    REPEAT_INTERVAL_MS,
+)
+
+ACQUIRE_MS = 20_000
+LAUNCH_MS = 5_000
+
+
+class Acquirer:
+    """Takes an attempt from the choice of workers to its launch."""
+
+    def __init__(self, state: EntryState, recorder: Recorder, follower: Follower):
+        self.state = state
+        self.recorder = recorder
+        self.follower = follower
+
+    def begin(
+        self,
+        job: Job,
+        assignments: tuple[Assignment, ...],
+        candidates: list[Candidate],
+        now_ms: int,
+    ) -> None:
+        """Begin an attempt on chosen workers."""
+        state = self.state
+        by_worker = {candidate.worker_id: candidate for candidate in candidates}
+        members = tuple(
+            self._make_ref(job, assignment)
+            for assignment in sorted(assignments, key=lambda one: one.worker_id)
+        )
+        reclaims = any(
+            ref.claim.total_accelerators > by_worker[ref.worker_id].free_accelerators
+            or len(ref.claim.members) > by_worker[ref.worker_id].free_slots
+            for ref in members
+        )
+        state.queue.remove(job.job_id)
+        job = state.update(
+            job.job_id,
+            state=JobState.ACQUIRING,
+            attempt=job.next_attempt,
+            members=members,
+            ready=frozenset(),
+            next_send_ms=now_ms,
+            deadline_ms=now_ms + ACQUIRE_MS,
+        )
+        state.view.add_pending(job.attempt_id, members)
+        for ref in members:
+            state.find_health(job.spec.service).begin_probe(ref.worker_id, now_ms)
+        if job.retrying:
+            state.find_budget(job.spec.service).take(now_ms)
+            job = state.update(job.job_id, retrying=False)
+        if len(members) == 1 and not reclaims and not job.needs_attempt_record:
+            self._launch(job.job_id, now_ms)
+        else:
+            self._prepare(job.job_id, 0)
+
+    def _make_ref(self, job: Job, assignment: Assignment) -> MemberRef:
+        worker = self.state.view.workers[assignment.worker_id].state
+        return MemberRef(
+            worker_id=worker.worker_id,
+            address=worker.address,
+            incarnation=worker.incarnation,
+            claim=Claim(
+                organisation=job.spec.organisation,
+                job_name=job.spec.name,
+                members=assignment.members,
+                accelerators=job.spec.accelerators,
+                guaranteed=assignment.guaranteed,
+                preemptible=job.spec.preemptible,
+            ),
+        )
+
+    def _prepare(self, job_id: str, index: int) -> None:
+        job = self.state.jobs[job_id]
+        ref = job.members[index]
+        message = Prepare(
+            attempt_id=job.attempt_id,
+            incarnation=ref.incarnation,
+            generation=self.state.generation,
+            claim=ref.claim,
+            hold_ms=HOLD_MS,
+        )
+        tag = f'prepare:{job.attempt_id}#{index}'
+        self.state.outbox.send(ref.address, message, tag)
+
+    def take_prepare_reply(
+        self,
+        attempt_id: str,
+        index: int,
+        reply: Message | None,
+        now_ms: int,
+    ) -> None:
+        """Take a member's answer; ask the next one in order of worker ids."""
+        job = self.state.find_current(attempt_id, JobState.ACQUIRING)
+        if job is None:
+            return
+        asked_all = index + 1 >= len(job.members)
+        match reply:
+            case Prepared():
+                job = self.state.update(job.job_id, ready=job.ready | {index})
+            case Reclaiming(_, ready_ms):
+                # The others can be asked meanwhile; this one is asked again.
+                self.state.update(
+                    job.job_id,
+                    next_send_ms=min(now_ms + ready_ms, now_ms + REPEAT_INTERVAL_MS),
+                )
+            case Refused(_, refusal):
+                self.give_up(job, index, refusal.value, now_ms)
+                return
+            case _:
+                self.give_up(job, index, 'no answer', now_ms)
+                return
+        if not asked_all and job.asked == index:
+            self.state.update(job.job_id, asked=index + 1)
+            self._prepare(job.job_id, index + 1)
+        elif len(job.ready) == len(job.members):
+            self._launch_when_recorded(job.job_id, now_ms)
+
+    def _launch_when_recorded(self, job_id: str, now_ms: int) -> None:
+        job = self.state.jobs[job_id]
+        if not job.needs_attempt_record:
+            self._launch(job_id, now_ms)
+        elif not job.writing:
+            self.recorder.write_attempt(job_id)
+
+    def take_record_step(self, step: str, job_id: str, now_ms: int) -> None:
+        """Go on after a store call for a job has ended."""
+        job = self.state.jobs.get(job_id)
+        if job is None or job.state is not JobState.ACQUIRING:
+            return
+        if job.cancelling:
+            self.give_up(job, -1, 'cancelled', now_ms)
+            return
+        match step:
+            case 'attempt':
+                self._launch(job_id, now_ms)
+            case 'attempt_unavailable':
+                self.give_up(job, -1, 'store unavailable', now_ms)
+            case 'current':
+                self._launch_when_recorded(job_id, now_ms)
+
+    def _launch(self, job_id: str, now_ms: int) -> None:
+        job = self.state.update(
+            job_id,
+            state=JobState.LAUNCHING,
+            deadline_ms=now_ms + LAUNCH_MS,
+        )
+        self._send_launch(job)
+
+    def _send_launch(self, job: Job) -> None:
+        leader = job.members[0]
+        message = Launch(
+            attempt_id=job.attempt_id,
+            incarnation=leader.incarnation,
+            generation=self.state.generation,
+            members=job.members,
+            payload=job.payload,
+            owner_address=self.state.entry.address,
+            run_ms=job.spec.run_limit_ms,
+        )
+        self.state.outbox.send(leader.address, message, f'launch:{job.attempt_id}')
+
+    def take_launch_reply(
+        self,
+        attempt_id: str,
+        reply: Message | None,
+        now_ms: int,
+    ) -> None:
+        """Take the leader's answer to `Launch`; no answer means that it may run."""
+        job = self.state.find_current(attempt_id, JobState.LAUNCHING)
+        if job is None:
+            return
+        match reply:
+            case Launched():
+                self.follower.take_running(job, now_ms)
+            case Refused(_, refusal):
+                # The refusal proves that nothing started, and leaves a tombstone.
+                self.give_up(job, 0, refusal.value, now_ms)
+            case Reclaiming(_, ready_ms):
+                self.state.update(
+                    job.job_id,
+                    state=JobState.ACQUIRING,
+                    deadline_ms=now_ms + ACQUIRE_MS,
+                    next_send_ms=now_ms + ready_ms,
+                )
+            case _ if now_ms < job.deadline_ms:
+                self._send_launch(job)
+            case _:
+                self.follower.settle(job.job_id, now_ms)
+
+    def give_up(self, job: Job, index: int, reason: str, now_ms: int) -> None:
+        """Release an acquisition that met a refusal; nothing of it has started."""
+        state = self.state
+        state.outbox.log('acquire_failed', attempt_id=job.attempt_id, reason=reason)
+        state.outbox.count('acquire_failed')
+        if index >= 0 and reason != Refusal.TOMBSTONED.value:
+            state.view.mark_full(job.members[index].worker_id, now_ms)
+        last = len(job.members) - 1 if index < 0 else max(index, job.asked)
+        for ref in job.members[: last + 1]:
+            abort = Abort(job.attempt_id, ref.incarnation)
+            state.outbox.send(ref.address, abort, f'abort:{job.attempt_id}')
+        job = state.update(job.job_id, conflicts=job.conflicts + 1)
+        self.follower.requeue(job, now_ms, self.follower.find_backoff_ms(job.conflicts))
+
+    def tick(self, job: Job, now_ms: int) -> None:
+        """Extend holds, ask again, and give up at the deadline."""
+        if job.writing == 'attempt':
+            return
+        if now_ms >= job.deadline_ms:
+            self.give_up(job, -1, 'not acquired in time', now_ms)
+        elif now_ms >= job.next_send_ms:
+            # Holds are extended, and members that were reclaiming asked again.
+            self.state.update(job.job_id, next_send_ms=now_ms + REPEAT_INTERVAL_MS)
+            for index in range(job.asked + 1):
+                self._prepare(job.job_id, index)
--- a/yuccarelay/core/adoption.py
+++ b/yuccarelay/core/adoption.py
@@ -118,7 +118,7 @@
                 state.jobs[record.job_id].attempt_id,
                 record.members,
             )
-            self.dispatcher.settle(record.job_id, now_ms)
+            self.dispatcher.follower.settle(record.job_id, now_ms)
         elif not self._settle_announced(record.job_id, now_ms):
             state.enqueue(record.job_id)
 
@@ -140,7 +140,7 @@
                     claim=claim,
                 )
                 self.state.update(job_id, attempt=int(number), members=(ref,))
-                self.dispatcher.settle(job_id, now_ms)
+                self.dispatcher.follower.settle(job_id, now_ms)
                 return True
         return False
 
--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -43,7 +43,7 @@
     ViewDelta,
 )
 from yuccarelay.core.models import EntryRef, JobState
-from yuccarelay.core.ordering import JobQueue
+from yuccarelay.core.ordering import Queue
 from yuccarelay.core.placement import PlacementPolicy
 from yuccarelay.core.planning import Planner
 from yuccarelay.core.recording import Recorder
@@ -72,7 +72,7 @@
         self,
         entry: EntryRef,
         rng: RandomSource,
-        queue: JobQueue,
+        queue: Queue,
         policy: PlacementPolicy = PlacementPolicy.BUDDY,
     ):
         self.state = EntryState(entry, rng, queue, policy)
@@ -191,7 +191,7 @@
                 )
                 return state.make_welcome(worker_id, announce=not known)
             case AttemptReport():
-                if self.dispatcher.take_report(message, now_ms):
+                if self.dispatcher.follower.take_report(message, now_ms):
                     return Ack()
                 return Malformed('this entry does not have the job')
             case ViewDelta():
@@ -208,16 +208,16 @@
         match kind:
             case 'prepare':
                 attempt_id, _, index = rest.partition('#')
-                self.dispatcher.take_prepare_reply(
+                self.dispatcher.acquirer.take_prepare_reply(
                     attempt_id,
                     int(index),
                     reply,
                     now_ms,
                 )
             case 'launch':
-                self.dispatcher.take_launch_reply(rest, reply, now_ms)
+                self.dispatcher.acquirer.take_launch_reply(rest, reply, now_ms)
             case 'settle' | 'stop':
-                self.dispatcher.take_fate(rest, reply, now_ms)
+                self.dispatcher.follower.take_fate(rest, reply, now_ms)
             case 'forward':
                 self.intake.take_forward_reply(tag, reply, now_ms)
             case 'delta':
@@ -234,7 +234,7 @@
                 self.adopter.take_result(rest, result, now_ms)
             case _:
                 step = self.recorder.take_result(kind, rest, result, now_ms)
-                self.dispatcher.take_record_step(step, rest, now_ms)
+                self.dispatcher.acquirer.take_record_step(step, rest, now_ms)
 
     def _tick(self, now_ms: int) -> None:
         state = self.state
--- /dev/null
+++ b/yuccarelay/core/follow.py
@@ -0,0 +1,299 @@
+"""
+Attempts that may have started: follow them, settle them, decide what follows.
+
+After `Launch` was sent, a job is sent again only when the agent proves that the
+attempt did not start, or when the job is repeatable and its leases have lapsed.
+"""
+
+from yuccarelay.core.jobs import Job
+from yuccarelay.core.messages import (
+    AttemptReport,
+    EndState,
+    Fate,
+    FateState,
+    Message,
+    Settle,
+    StopAttempt,
+)
+from yuccarelay.core.models import (
+    CHECKPOINTED,
+    CancelledAfterStart,
+    CancelledBeforeStart,
+    Completed,
+    Failed,
+    JobState,
+    OutcomeRecord,
+    Unknown,
+)
+from yuccarelay.core.ordering import NO_DEADLINE_MS
+from yuccarelay.core.recording import Recorder
+from yuccarelay.core.retry import compute_backoff_ms
+from yuccarelay.core.state import EntryState
+from yuccarelay.core.timing import (
+    LEASE_MS,
+    RENEW_INTERVAL_MS,
+    REPEAT_INTERVAL_MS,
+    SETTLE_MS,
+    START_WINDOW_MS,
+    TICK_MS,
+)
+
+# A repeatable job is started again only when no member of the lost attempt can
+# still run.
+LAPSE_MS = LEASE_MS + START_WINDOW_MS + RENEW_INTERVAL_MS + 2 * TICK_MS
+# A running attempt is settled when its leader no longer announces it for so long.
+MISSING_MS = 10_000
+
+
+class Follower:
+    """Follows running attempts and decides what comes after each end."""
+
+    def __init__(self, state: EntryState, recorder: Recorder):
+        self.state = state
+        self.recorder = recorder
+
+    def take_running(self, job: Job, now_ms: int) -> None:
+        """Note that the leader took the attempt."""
+        if job.starts == 0:
+            self._record_first_start(job, now_ms)
+        self.state.update(
+            job.job_id,
+            state=JobState.RUNNING,
+            starts=job.starts if job.started_ms else job.starts + 1,
+            started_ms=job.started_ms or now_ms,
+            conflicts=0,
+            next_send_ms=now_ms + MISSING_MS,
+        )
+        self.state.outbox.log(
+            'job_started',
+            job_id=job.job_id,
+            attempt=job.attempt,
+            worker=job.members[0].worker_id,
+        )
+        if job.cancelling:
+            self.send_stop(job)
+
+    def _record_first_start(self, job: Job, now_ms: int) -> None:
+        state = self.state
+        state.observe('wait', job, now_ms - job.submitted_ms)
+        state.find_budget(job.spec.service).record_fresh(now_ms)
+        waiting = state.queue.depth(job.spec.organisation)
+        state.start_history.record(job.spec.organisation, now_ms, waiting)
+
+    def settle(self, job_id: str, now_ms: int) -> None:
+        """Find out what became of an attempt that may have started."""
+        job = self.state.update(
+            job_id,
+            state=JobState.SETTLING,
+            deadline_ms=now_ms + SETTLE_MS,
+        )
+        self._send_settle(job, now_ms)
+
+    def _send_settle(self, job: Job, now_ms: int) -> None:
+        leader = job.members[0]
+        self.state.update(job.job_id, next_send_ms=now_ms + REPEAT_INTERVAL_MS)
+        message = Settle(
+            attempt_id=job.attempt_id,
+            incarnation=leader.incarnation,
+            owner_address=self.state.entry.address,
+        )
+        self.state.outbox.send(leader.address, message, f'settle:{job.attempt_id}')
+
+    def take_fate(
+        self,
+        attempt_id: str,
+        reply: Message | None,
+        now_ms: int,
+    ) -> None:
+        """Take what the leader proves about an attempt."""
+        job = self.state.find_current(attempt_id)
+        if job is None or job.state not in (JobState.SETTLING, JobState.RUNNING):
+            return
+        match reply:
+            case Fate(state=FateState.NOT_STARTED):
+                self._end_not_started(job, now_ms)
+            case Fate(state=FateState.RUNNING):
+                if job.state is JobState.SETTLING:
+                    self.take_running(job, now_ms)
+            case Fate(state=FateState.ENDED, end=EndState() as end, outcome=outcome):
+                self.take_end(job, end, outcome, now_ms)
+            case Fate(state=FateState.UNKNOWN):
+                self._end_lost(job, 'the agent restarted', now_ms)
+
+    def take_report(self, report: AttemptReport, now_ms: int) -> bool:
+        """Take the end of an attempt; false when this entry does not have the job."""
+        job = self.state.find_current(report.attempt_id)
+        if job is None:
+            job_id = report.attempt_id.rpartition('.')[0]
+            return job_id in self.state.jobs
+        if job.state is JobState.ENDED:
+            self._correct_unknown(job, report, now_ms)
+        elif job.state in (JobState.LAUNCHING, JobState.RUNNING, JobState.SETTLING):
+            self.take_end(job, report.end, report.outcome, now_ms)
+        return True
+
+    def _correct_unknown(self, job: Job, report: AttemptReport, now_ms: int) -> None:
+        # A proof that arrives late replaces an outcome that was unknown.
+        if isinstance(job.outcome, Unknown) and report.end is EndState.COMPLETED:
+            self.state.update(job.job_id, recorded=False)
+            self.recorder.decide(job.job_id, Completed(report.outcome.parts), now_ms)
+
+    def take_end(
+        self,
+        job: Job,
+        end: EndState,
+        outcome: OutcomeRecord,
+        now_ms: int,
+    ) -> None:
+        """Decide what follows from the end of an attempt."""
+        self._charge(job, now_ms)
+        match end:
+            case EndState.COMPLETED:
+                self._record_success(job, now_ms)
+                completed = Completed(outcome.parts)
+                self.recorder.decide(job.job_id, completed, now_ms)
+            case EndState.FAILED:
+                self._end_failed(job, outcome.reason, now_ms)
+            case EndState.NOT_STARTED:
+                self._end_not_started(job, now_ms)
+            case EndState.PREEMPTED:
+                self._end_preempted(job, outcome, now_ms)
+            case EndState.STOPPED:
+                stopped = CancelledAfterStart(outcome.reason)
+                self.recorder.decide(job.job_id, stopped, now_ms)
+            case EndState.LOST:
+                self._end_lost(job, outcome.reason, now_ms)
+
+    def _end_preempted(self, job: Job, outcome: OutcomeRecord, now_ms: int) -> None:
+        self.state.outbox.count('preemptions')
+        if job.spec.repeatable or outcome.proof == CHECKPOINTED:
+            self.requeue(job, now_ms, delay_ms=0)
+        else:
+            # Another attempt would do the first part of the work twice.
+            reason = f'{outcome.reason}, without a checkpoint'
+            self.recorder.decide(job.job_id, Failed(reason), now_ms)
+
+    def _end_failed(self, job: Job, reason: str, now_ms: int) -> None:
+        self._avoid(job)
+        retry = job.spec.repeatable and job.starts < job.spec.attempt_limit
+        if job.cancelling or not retry:
+            self.recorder.decide(job.job_id, Failed(reason), now_ms)
+        else:
+            self.state.outbox.count('retries')
+            self.requeue(job, now_ms, self._backoff_ms(job.starts))
+
+    def _end_not_started(self, job: Job, now_ms: int) -> None:
+        if job.cancelling:
+            proof = f'the agent refuses attempt {job.attempt_id} from now on'
+            self.recorder.decide(job.job_id, CancelledBeforeStart(proof), now_ms)
+        else:
+            job = self.state.update(job.job_id, conflicts=job.conflicts + 1)
+            self.requeue(job, now_ms, self.find_backoff_ms(job.conflicts))
+
+    def _end_lost(self, job: Job, reason: str, now_ms: int) -> None:
+        self._record_failure(job, reason, now_ms)
+        if not job.spec.repeatable:
+            self.recorder.decide(job.job_id, Unknown(reason), now_ms)
+        elif job.cancelling:
+            self.recorder.decide(job.job_id, CancelledAfterStart(reason), now_ms)
+        elif job.starts >= job.spec.attempt_limit:
+            self.recorder.decide(job.job_id, Failed(reason), now_ms)
+        else:
+            self._retry(job, now_ms, LAPSE_MS)
+
+    def _retry(self, job: Job, now_ms: int, delay_ms: int) -> None:
+        self.state.outbox.count('retries')
+        job = self.state.update(job.job_id, retrying=True)
+        self.requeue(job, now_ms, delay_ms)
+
+    def requeue(self, job: Job, now_ms: int, delay_ms: int) -> None:
+        """Queue a job for another attempt, or end it when it is cancelled."""
+        state = self.state
+        state.view.drop_pending(job.attempt_id, job.members)
+        if job.cancelling:
+            proof = f'attempt {job.attempt_id} did not start'
+            outcome = (
+                CancelledBeforeStart(proof)
+                if job.starts == 0
+                else CancelledAfterStart('an earlier attempt ran')
+            )
+            self.recorder.decide(job.job_id, outcome, now_ms)
+            return
+        if job.starts:
+            # The limit is for the first start. A job that ran is finished.
+            state.update(job.job_id, start_deadline_ms=NO_DEADLINE_MS)
+        state.update(
+            job.job_id,
+            not_before_ms=now_ms + delay_ms,
+            members=(),
+            ready=frozenset(),
+            asked=0,
+        )
+        state.enqueue(job.job_id)
+
+    def send_stop(self, job: Job) -> None:
+        """Ask the leader to stop the attempt."""
+        leader = job.members[0]
+        message = StopAttempt(job.attempt_id, leader.incarnation)
+        self.state.outbox.send(leader.address, message, f'stop:{job.attempt_id}')
+
+    def tick_settling(self, job: Job, now_ms: int) -> None:
+        """Ask for the fate again, until the deadline."""
+        if now_ms >= job.deadline_ms:
+            self._end_lost(job, 'the agent does not answer', now_ms)
+        elif now_ms >= job.next_send_ms:
+            self._send_settle(job, now_ms)
+
+    def tick_running(self, job: Job, now_ms: int) -> None:
+        """Settle an attempt whose leader is silent or does not announce it."""
+        leader = job.members[0]
+        record = self.state.view.workers.get(leader.worker_id)
+        known = record is not None and any(
+            grant.attempt_id == job.attempt_id for grant in record.state.grants
+        )
+        if self.state.view.is_suspect(leader.worker_id, now_ms):
+            self.settle(job.job_id, now_ms)
+        elif record.state.incarnation != leader.incarnation:
+            self._end_lost(job, 'the agent restarted', now_ms)
+        elif known:
+            self.state.update(job.job_id, next_send_ms=now_ms + MISSING_MS)
+        elif now_ms >= job.next_send_ms:
+            self.settle(job.job_id, now_ms)
+        elif job.cancelling and now_ms >= job.next_send_ms - MISSING_MS:
+            self.send_stop(job)
+
+    def _charge(self, job: Job, now_ms: int) -> None:
+        if not job.started_ms:
+            return
+        used = (now_ms - job.started_ms) * max(1, job.spec.total_accelerators)
+        self.state.queue.charge(job.spec.organisation, used)
+        self.state.update(job.job_id, attained_ms=job.attained_ms + used, started_ms=0)
+
+    def _record_success(self, job: Job, now_ms: int) -> None:
+        health = self.state.find_health(job.spec.service)
+        for ref in job.members:
+            health.record(ref.worker_id, True, now_ms)
+        if job.started_ms:
+            run_ms = now_ms - job.started_ms
+            self.state.run_history.record(job.spec, run_ms)
+
+    def _record_failure(self, job: Job, reason: str, now_ms: int) -> None:
+        # The reason names the worker that ended the attempt; the other members
+        # of a gang have done nothing wrong.
+        culprit = reason.partition(':')[0]
+        refs = [ref for ref in job.members if ref.worker_id == culprit]
+        domains = set()
+        for ref in refs or job.members:
+            self.state.find_health(job.spec.service).record(
+                ref.worker_id,
+                False,
+                now_ms,
+            )
+            record = self.state.view.workers.get(ref.worker_id)
+            if record is not None:
+                domains.add(record.state.domain)
+        self.state.update(job.job_id, avoid_domains=frozenset(domains))
+
+    def find_backoff_ms(self, conflicts: int) -> int:
+        """Return the delay before the next acquisition, with jitter."""
+        return compute_backoff_ms(conflicts, self.state.rng.random())
--- a/yuccarelay/core/handover.py
+++ b/yuccarelay/core/handover.py
@@ -63,7 +63,8 @@
         if job.writing or job.decided is not None:
             return
         if job.state is JobState.ACQUIRING:
-            self.dispatcher.give_up_for_drain(job, now_ms)
+            reason = 'the entry leaves'
+            self.dispatcher.acquirer.give_up(job, -1, reason, now_ms)
             job = self.state.jobs[job_id]
         if job.state in (JobState.RECORDING, JobState.LAUNCHING):
             return
--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
-from yuccarelay.core.submission import check_queue, find_spec
+from yuccarelay.core.admission import check_admission
 from yuccarelay.core.dispatch import Dispatcher
 from yuccarelay.core.events import (
     CancelRequested,
@@ -22,9 +22,10 @@
 from yuccarelay.core.jobs import Job, make_record_status
 from yuccarelay.core.manifest import FieldError
 from yuccarelay.core.messages import CancelJob, JobStatus, Message, QueryJob
-from yuccarelay.core.models import JobRecord, JobState, parse_incarnation
+from yuccarelay.core.models import JobRecord, JobSpec, JobState, parse_incarnation
 from yuccarelay.core.recording import Recorder
 from yuccarelay.core.state import EntryState, Waiter
+from yuccarelay.core.submission import find_spec
 
 NOT_SERVING_RETRY_MS = 1_000
 FORWARD_POLL_MS = 300
@@ -93,11 +94,11 @@
                 return
             case Ok(spec):
                 pass
-        depth = state.queue.depth(event.organisation)
-        checked = check_queue(state.manifest, event, depth)
-        if isinstance(checked, Err):
-            state.respond(event.request_id, checked.err_value)
-            return
+        match self._check_admission(spec, now_ms):
+            case Err(refusal):
+                state.outbox.count(f'jobs.refused.{refusal.code}')
+                state.respond(event.request_id, refusal)
+                return
         if event.key and not state.store_up:
             self._refuse(event.request_id, 'store_unavailable')
             return
@@ -118,6 +119,21 @@
         else:
             self.recorder.accept_volatile(job_id)
 
+    def _check_admission(self, spec: JobSpec, now_ms: int) -> Result[None, NotAccepted]:
+        state = self.state
+        name = spec.organisation
+        result = check_admission(
+            depth=state.queue.depth(name),
+            queue_limit=state.manifest.organisations[name].queue_limit,
+            ahead=state.queue.count_ahead(name, spec.job_class),
+            rate=state.start_history.measure(name, now_ms),
+            now_ms=now_ms,
+            start_deadline_ms=now_ms + spec.start_limit_ms,
+        )
+        return result.map_err(
+            lambda refusal: NotAccepted(refusal.reason, retry_ms=refusal.retry_ms),
+        )
+
     def query(self, event: Queried, now_ms: int) -> None:
         """Answer where a job stands, at its end if the caller waits."""
         job = self.state.jobs.get(event.job_id)
--- a/yuccarelay/core/jobs.py
+++ b/yuccarelay/core/jobs.py
@@ -52,6 +52,7 @@
     ended_ms: int = 0
     conflicts: int = 0
     avoid_domains: frozenset[str] = frozenset()
+    retrying: bool = False
     cancelling: bool = False
     decided: Outcome | None = None
     outcome: Outcome | None = None
--- a/yuccarelay/core/membership.py
+++ b/yuccarelay/core/membership.py
@@ -8,7 +8,7 @@
 import hashlib
 from typing import NamedTuple
 
-from yuccarelay.core.models import Claim, JobSpec, MemberRef, WorkerState
+from yuccarelay.core.models import Claim, Grant, JobSpec, MemberRef, WorkerState
 from yuccarelay.core.placement import Candidate
 from yuccarelay.core.timing import ANNOUNCE_INTERVAL_MS, REPLAN_ABSENCE_MS, SUSPECT_MS
 
@@ -37,6 +37,7 @@
 
     accelerators: int
     slots: int
+    borrowed_slots: int
     guaranteed: dict[str, int]
 
 
@@ -200,31 +201,20 @@
             free_slots=max(0, state.slots - usage.slots),
             owned_free=max(0, mine - usage.guaranteed.get(organisation, 0)),
             others_owned=sum(owned.values()) - mine,
+            reclaimable_slots=usage.borrowed_slots,
         )
 
     def _find_usage(self, state: WorkerState) -> Usage:
         known = self.usage.get(state.worker_id)
         if known is not None:
             return known
-        accelerators = slots = 0
-        guaranteed: dict[str, int] = {}
-        announced = set()
+        usage = Usage(0, 0, 0, {})
+        announced = {grant.attempt_id for grant in state.grants}
         for grant in state.grants:
-            announced.add(grant.attempt_id)
-            accelerators += grant.accelerators
-            slots += grant.slots
-            if grant.guaranteed:
-                used = guaranteed.get(grant.organisation, 0)
-                guaranteed[grant.organisation] = used + grant.accelerators
+            usage = _add_usage(usage, grant)
         for attempt_id, claim in self.pending.get(state.worker_id, {}).items():
-            if attempt_id in announced:
-                continue
-            accelerators += claim.total_accelerators
-            slots += len(claim.members)
-            if claim.guaranteed:
-                used = guaranteed.get(claim.organisation, 0)
-                guaranteed[claim.organisation] = used + claim.total_accelerators
-        usage = Usage(accelerators, slots, guaranteed)
+            if attempt_id not in announced:
+                usage = _add_usage(usage, _make_grant(attempt_id, claim))
         self.usage[state.worker_id] = usage
         return usage
 
@@ -237,6 +227,32 @@
         )
 
 
+def _add_usage(usage: Usage, grant: Grant) -> Usage:
+    guaranteed = usage.guaranteed
+    if grant.guaranteed:
+        used = guaranteed.get(grant.organisation, 0)
+        guaranteed = guaranteed | {grant.organisation: used + grant.accelerators}
+    is_borrowed = not grant.guaranteed and grant.preemptible
+    return Usage(
+        accelerators=usage.accelerators + grant.accelerators,
+        slots=usage.slots + grant.slots,
+        borrowed_slots=usage.borrowed_slots + (grant.slots if is_borrowed else 0),
+        guaranteed=guaranteed,
+    )
+
+
+def _make_grant(attempt_id: str, claim: Claim) -> Grant:
+    return Grant(
+        attempt_id=attempt_id,
+        organisation=claim.organisation,
+        accelerators=claim.total_accelerators,
+        slots=len(claim.members),
+        guaranteed=claim.guaranteed,
+        preemptible=claim.preemptible,
+        running=False,
+    )
+
+
 def _is_older(state: WorkerState, known: WorkerState) -> bool:
     return (state.incarnation, state.version) < (known.incarnation, known.version)
 
--- a/yuccarelay/core/reservation.py
+++ b/yuccarelay/core/reservation.py
@@ -110,7 +110,7 @@
     def admit(self, claim: Claim, now_ms: int) -> Admitted | NotAdmitted:
         """Decide whether a claim fits, and which borrowers must stop for it."""
         active = self.find_active()
-        if claim.guaranteed:
+        if claim.guaranteed and claim.accelerators > 0:
             return self._admit_guaranteed(claim, active, now_ms)
         return self._admit_borrowed(claim, active)
 
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -2,15 +2,25 @@
 
 from typing import NamedTuple
 
+from yuccarelay.core.admission import StartHistory
 from yuccarelay.core.events import Observe, Respond, Response
+from yuccarelay.core.health import HealthTracker
+from yuccarelay.core.history import RunHistory
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.manifest import Manifest
 from yuccarelay.core.membership import View
 from yuccarelay.core.messages import Welcome
-from yuccarelay.core.models import EntryRef, JobState, Outcome, OwnedShare
-from yuccarelay.core.ordering import JobQueue
+from yuccarelay.core.models import (
+    EntryRef,
+    JobState,
+    Outcome,
+    OwnedShare,
+    parse_job_id,
+)
+from yuccarelay.core.ordering import Queue
 from yuccarelay.core.outbox import Outbox
 from yuccarelay.core.placement import PlacementPolicy
+from yuccarelay.core.retry import RetryBudget
 from yuccarelay.core.shape import Plan, owned_shares
 from yuccarelay.ports.randomness import RandomSource
 
@@ -35,7 +45,7 @@
         self,
         entry: EntryRef,
         rng: RandomSource,
-        queue: JobQueue,
+        queue: Queue,
         policy: PlacementPolicy = PlacementPolicy.BUDDY,
     ):
         self.entry = entry
@@ -44,6 +54,10 @@
         self.policy = policy
         self.outbox = Outbox(entry.address)
         self.view = View()
+        self.health: dict[str, HealthTracker] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.run_history = RunHistory()
+        self.start_history = StartHistory()
         self.jobs: dict[str, Job] = {}
         self.waiters: dict[str, list[Waiter]] = {}
         self.entries: tuple[EntryRef, ...] = ()
@@ -94,6 +108,27 @@
         self.jobs[job_id] = job
         return job
 
+    def find_current(
+        self,
+        attempt_id: str,
+        job_state: JobState | None = None,
+    ) -> Job | None:
+        """Return the job whose current attempt this is, in that state if given."""
+        job = self.jobs.get(parse_job_id(attempt_id))
+        if job is None or job.attempt_id != attempt_id:
+            return None
+        if job_state is not None and job.state is not job_state:
+            return None
+        return job
+
+    def find_health(self, service: str) -> HealthTracker:
+        """Return the standing of the workers of a service."""
+        return self.health.setdefault(service, HealthTracker())
+
+    def find_budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        return self.budgets.setdefault(service, RetryBudget())
+
     def enqueue(self, job_id: str) -> None:
         """Put a job into the queue for its next attempt."""
         job = self.update(job_id, state=JobState.QUEUED)
--- a/yuccarelay/core/submission.py
+++ b/yuccarelay/core/submission.py
@@ -2,12 +2,10 @@
 
 from result import Err, Ok, Result
 
-from yuccarelay.core.events import NotAccepted, Submitted
+from yuccarelay.core.events import NotAccepted
 from yuccarelay.core.manifest import FieldError, Manifest
 from yuccarelay.core.models import JobSpec
 
-QUEUE_RETRY_MS = 1_000
-
 
 def find_spec(
     manifest: Manifest,
@@ -24,20 +22,6 @@
     return Ok(spec)
 
 
-def check_queue(
-    manifest: Manifest,
-    submission: Submitted,
-    depth: int,
-) -> Result[None, NotAccepted]:
-    """Refuse a submission when the organisation's queue is full."""
-    limit = manifest.organisations[submission.organisation].queue_limit
-    if depth < limit:
-        return Ok(None)
-    rule = f'at most {limit} jobs of the organisation may wait'
-    error = FieldError('job', rule)
-    return Err(NotAccepted('queue_full', (error,), QUEUE_RETRY_MS))
-
-
 def _refuse(code: str, field: str, value: str) -> NotAccepted:
     rule = f'{value!r} is not in the manifest in force'
     return NotAccepted(code, (FieldError(field, rule),))
