--- /dev/null
+++ b/tests/oracle.py
@@ -0,0 +1,122 @@
+"""
+What must hold in a session, checked from outside.
+
+The oracle looks only at what callers were told and at what the targets ran.
+"""
+
+from collections import defaultdict
+
+from yuccarelay.core.messages import JobStatus
+from yuccarelay.core.models import parse_job_id
+from yuccarelay.core.timing import LEASE_MS, RENEW_INTERVAL_MS, TICK_MS
+from yuccarelay.standins.session import Session
+from yuccarelay.standins.session_target import Run
+
+NOTHING_RAN = ('not_run', 'cancelled_before_start')
+# The bound that the design page states: a lease, and the tick that notices it.
+PARTIAL_LIMIT_MS = LEASE_MS + RENEW_INTERVAL_MS + 2 * TICK_MS
+
+
+def collect_runs(session: Session) -> dict[str, list[Run]]:
+    """Return all runs of members by job id."""
+    runs = defaultdict(list)
+    for target in session.targets.values():
+        for run in target.runs.values():
+            runs[parse_job_id(run.attempt_id)].append(run)
+    return runs
+
+
+def collect_statuses(session: Session) -> list[JobStatus]:
+    """Return every status that any caller was given."""
+    return [
+        response
+        for process in session.processes.values()
+        for response in process.responses.values()
+        if isinstance(response, JobStatus)
+    ]
+
+
+def check_nothing_ran(session: Session) -> list[str]:
+    """A job of which a caller heard that it was not run has no run."""
+    runs = collect_runs(session)
+    return [
+        f'{status.job_id} was told as {status.outcome.kind} but ran'
+        for status in collect_statuses(session)
+        if status.outcome and status.outcome.kind in NOTHING_RAN
+        if runs[status.job_id]
+    ]
+
+
+def check_at_most_once(session: Session, once: set[str]) -> list[str]:
+    """No member of a job that is not repeatable starts twice."""
+    faults = []
+    for job_id, runs in collect_runs(session).items():
+        members = [run.task_id.rpartition('/')[2] for run in runs]
+        if job_id in once and len(members) != len(set(members)):
+            faults.append(f'{job_id} ran more than once: {sorted(members)}')
+    return faults
+
+
+def check_completed(session: Session, members: dict[str, int]) -> list[str]:
+    """A completed job has one attempt of which every member completed."""
+    runs = collect_runs(session)
+    faults = []
+    for status in collect_statuses(session):
+        if status.outcome is None or status.outcome.kind != 'completed':
+            continue
+        whole = defaultdict(int)
+        for run in runs[status.job_id]:
+            whole[run.attempt_id] += run.completed
+        wanted = members[status.job_id]
+        parts = len(status.outcome.parts)
+        if wanted not in whole.values() or parts != wanted:
+            faults.append(f'{status.job_id} completed with {dict(whole)}, {parts}')
+    return faults
+
+
+def check_whole_gangs(session: Session, members: dict[str, int]) -> list[str]:
+    """No attempt runs with only some of its members beyond the stated bound."""
+    faults = []
+    for job_id, runs in collect_runs(session).items():
+        attempts = defaultdict(list)
+        for run in runs:
+            attempts[run.attempt_id].append(run)
+        for attempt_id, parts in attempts.items():
+            partial = measure_partial(parts, members[job_id], session.now_ms)
+            if partial > PARTIAL_LIMIT_MS:
+                faults.append(f'{attempt_id} ran partially for {partial} ms')
+    return faults
+
+
+def measure_partial(runs: list[Run], members: int, now_ms: int) -> int:
+    """Return for how long some members ran without the others; ended work counts."""
+    spans = []
+    for run in runs:
+        end_ms = now_ms if run.end_ms is None else run.end_ms
+        # A member that completed its part is not missing afterwards.
+        spans.append((run.started_ms, now_ms if run.completed else end_ms, end_ms))
+    last_ms = max(end_ms for _, _, end_ms in spans)
+    points = sorted({point for span in spans for point in span} | {last_ms})
+    partial = 0
+    for begin, end in zip(points, points[1:], strict=False):
+        present = sum(start <= begin < until for start, until, _ in spans)
+        running = any(start <= begin < stop for start, _, stop in spans)
+        if running and present < members:
+            partial += end - begin
+    return partial
+
+
+def check_generations(session: Session) -> list[str]:
+    """No process puts an older manifest in force."""
+    latest: dict[str, int] = {}
+    faults = []
+    for line in session.lines:
+        words = line.split()
+        if words[1] != 'manifest_in_force':
+            continue
+        fields = dict(word.split('=', 1) for word in words[2:])
+        generation = int(fields['generation'])
+        if generation < latest.get(fields['by'], 0):
+            faults.append(line)
+        latest[fields['by']] = generation
+    return faults
--- a/yuccarelay/core/announcer.py
+++ b/yuccarelay/core/announcer.py
@@ -67,8 +67,8 @@
         self.waiting = False
         match reply:
             case Welcome():
-                if not reply.announce:
-                    self.acknowledged = (address, self.sent_version)
+                known = -1 if reply.announce else self.sent_version
+                self.acknowledged = (address, known)
                 if reply.announce or self.state.version != self.sent_version:
                     self.next_send_ms = now_ms + ANNOUNCE_INTERVAL_MS
                 return self.take_welcome(reply)
--- a/yuccarelay/core/follow.py
+++ b/yuccarelay/core/follow.py
@@ -174,13 +174,12 @@
             self.recorder.decide(job.job_id, Failed(reason), now_ms)
 
     def _end_failed(self, job: Job, reason: str, now_ms: int) -> None:
-        self._avoid(job)
+        self._record_failure(job, reason, now_ms)
         retry = job.spec.repeatable and job.starts < job.spec.attempt_limit
         if job.cancelling or not retry:
             self.recorder.decide(job.job_id, Failed(reason), now_ms)
         else:
-            self.state.outbox.count('retries')
-            self.requeue(job, now_ms, self._backoff_ms(job.starts))
+            self._retry(job, now_ms, self.find_backoff_ms(job.starts))
 
     def _end_not_started(self, job: Job, now_ms: int) -> None:
         if job.cancelling:
