Plan the homes of guaranteed cells with few moves

The guarantee plan gives each guaranteed cell concrete live workers. A plan that moved cells without need would evict borrowers and take accelerators away from running guaranteed work.

plan_homes keeps every home whose workers are present, have room and do not drain. Cells without a home are placed first fit; a cell that finds no room moves cells that are smaller or not bound to a region, in short chains first. Only if that leaves cells out are all unpinned cells of a service searched anew, and the result is used only when it places every cell of that service. Pinned homes are kept first when room is short, never move for another cell and stay on a draining worker. A home is kept for an equal cell when ordinals shift because a guarantee changed. The result does not depend on the order of the workers, and an unchanged plan is the previous object.

--- a/yuccarelay/core/shape.py
+++ b/yuccarelay/core/shape.py
@@ -1,7 +1,13 @@
-"""Packing of guaranteed cells, and the plan that gives each cell its workers."""
+"""The guarantee plan: which live workers carry which guaranteed cells."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
+from yuccarelay.core.manifest import Manifest
+from yuccarelay.core.models import OwnedShare, WorkerState
+from yuccarelay.core.packing import CellRequest, list_requests
+from yuccarelay.core.placing import CellKey, CellPlacer
+
 
 class CellHome(NamedTuple):
     """
@@ -23,3 +29,141 @@
     epoch: int
     generation: int
     homes: tuple[CellHome, ...]
+
+
+def plan_homes(
+    manifest: Manifest,
+    generation: int,
+    workers: Sequence[WorkerState],
+    previous: Plan | None,
+    pinned: frozenset[CellKey],
+) -> Plan:
+    """
+    Return the plan for the live workers, `previous` itself when nothing changes.
+
+    A home stays when all of its workers are present, have room and do not drain.
+    `pinned` names cells of the previous plan that are in use: they go first when
+    room is short, are not moved for others, and stay on a draining worker. The
+    order of `workers` does not matter. Cells that find no workers are left out.
+    """
+    requests = list_plan_requests(manifest)
+    placer = CellPlacer(workers, requests)
+    if previous:
+        keep_homes(placer, previous, pinned)
+    placer.place_missing()
+    homes = list_homes(placer)
+    if previous and previous.generation == generation and previous.homes == homes:
+        return previous
+    return Plan(previous.epoch + 1 if previous else 1, generation, homes)
+
+
+def unplaced_cells(manifest: Manifest, plan: Plan) -> tuple[CellRequest, ...]:
+    """Return the guaranteed cells that the plan leaves out, by organisation."""
+    placed = {(home.organisation, home.ordinal) for home in plan.homes}
+    return tuple(
+        request
+        for request in list_plan_requests(manifest)
+        if (request.organisation, request.ordinal) not in placed
+    )
+
+
+def owned_shares(plan: Plan, worker_id: str) -> tuple[OwnedShare, ...]:
+    """
+    Return what each organisation owns on a worker, sorted by organisation.
+
+    For many workers of one plan, `index_shares` is faster.
+    """
+    homes = tuple(home for home in plan.homes if worker_id in home.workers)
+    return index_shares(plan._replace(homes=homes)).get(worker_id, ())
+
+
+def index_shares(plan: Plan) -> dict[str, tuple[OwnedShare, ...]]:
+    """Return the owned shares of every worker that carries a cell."""
+    totals: dict[str, dict[str, int]] = {}
+    for home in plan.homes:
+        for worker_id in home.workers:
+            shares = totals.setdefault(worker_id, {})
+            owned = shares.get(home.organisation, 0)
+            shares[home.organisation] = owned + home.accelerators
+    return {
+        worker_id: tuple(OwnedShare(*share) for share in sorted(shares.items()))
+        for worker_id, shares in totals.items()
+    }
+
+
+def list_plan_requests(manifest: Manifest) -> list[CellRequest]:
+    """Return all guaranteed cells of a manifest by organisation and ordinal."""
+    return list_requests(
+        {
+            name: organisation.guarantee
+            for name, organisation in manifest.organisations.items()
+        },
+    )
+
+
+def keep_homes(placer: CellPlacer, previous: Plan, pinned: frozenset[CellKey]) -> None:
+    """
+    Place the cells of the previous plan that may stay.
+
+    When a guarantee changes, the ordinals of its cells shift. A home whose
+    ordinal now stands for another shape is kept for an equal cell.
+    """
+    homes = sorted(
+        previous.homes,
+        key=lambda home: (home[:2] not in pinned, home),
+    )
+    shifted = []
+    for home in homes:
+        held = home[:2] in pinned
+        if not keep_home(placer, home, home[:2], held) and is_live(placer, home, held):
+            shifted.append(home)
+    unplaced: dict[str, list[CellKey]] = {}
+    for key in placer.cells:
+        if key not in placer.placed:
+            unplaced.setdefault(key[0], []).append(key)
+    for home in shifted:
+        keys = unplaced.get(home.organisation, [])
+        kept = next(
+            (key for key in keys if keep_home(placer, home, key, home[:2] in pinned)),
+            None,
+        )
+        if kept:
+            keys.remove(kept)
+
+
+def is_live(placer: CellPlacer, home: CellHome, pinned: bool) -> bool:
+    """Whether the workers of a home are present and, if not pinned, stay."""
+    present = all(name in placer.table.index for name in home.workers)
+    return present and (pinned or placer.draining.isdisjoint(home.workers))
+
+
+def keep_home(placer: CellPlacer, home: CellHome, key: CellKey, pinned: bool) -> bool:
+    """Place the cell on the workers of the home if it may stay there."""
+    cell = placer.cells.get(key)
+    if cell is None or key in placer.placed:
+        return False
+    shape = (len(home.workers), home.accelerators)
+    if shape != (cell.workers, cell.accelerators):
+        return False
+    if not is_live(placer, home, pinned):
+        return False
+    legs = tuple(sorted(placer.table.index[name] for name in home.workers))
+    if not placer.can_carry(cell, legs):
+        return False
+    placer.occupy(key, legs)
+    if pinned:
+        placer.pinned.add(key)
+    return True
+
+
+def list_homes(placer: CellPlacer) -> tuple[CellHome, ...]:
+    """Return the homes by organisation and ordinal."""
+    return tuple(
+        CellHome(
+            organisation=key[0],
+            ordinal=key[1],
+            workers=placer.table.name_workers(legs),
+            accelerators=placer.cells[key].accelerators,
+        )
+        for key, legs in sorted(placer.placed.items())
+    )
