--- /dev/null
+++ b/yuccarelay/core/fitting.py
@@ -0,0 +1,184 @@
+"""Whether one cell or one job fits into declared racks or into a guarantee."""
+
+from collections import Counter
+from collections.abc import Hashable, Iterable
+from typing import NamedTuple
+
+from yuccarelay.core.fleet import Cell, GuaranteedCell, RackCapacity
+from yuccarelay.core.models import Adjacency, JobSpec
+
+
+def show_cell(cell: Cell) -> str:
+    """Return a cell in words for an error."""
+    where = f'service {cell.service}'
+    where += f' in region {cell.region}' if cell.region else ''
+    return (
+        f'{cell.workers} x {cell.accelerators} accelerators '
+        f'within one {cell.within.value} of {where}'
+    )
+
+
+class WorkerKind(NamedTuple):
+    """Capacity of a worker."""
+
+    accelerators: int
+    slots: int
+
+
+# How many workers of each kind a rack, failure domain or region holds.
+Profile = frozenset[tuple[WorkerKind, int]]
+
+
+def find_part(rack: RackCapacity, adjacency: Adjacency) -> Hashable:
+    """Return the part of the fleet that members in this rack share."""
+    match adjacency:
+        case Adjacency.ANY:
+            return ()
+        case Adjacency.REGION:
+            return rack.region
+        case Adjacency.DOMAIN:
+            return (rack.region, rack.domain)
+        case Adjacency.RACK | Adjacency.WORKER:
+            return (rack.region, rack.domain, rack.rack)
+
+
+class FleetProfiles:
+    """
+    The different profiles of the parts of a fleet.
+
+    Most parts of a fleet are alike, so a job is compared with a few profiles
+    instead of with every rack.
+    """
+
+    def __init__(self, racks: Iterable[RackCapacity]):
+        self.racks = tuple(racks)
+        self.profiles: dict[tuple[str, str, Adjacency], set[Profile]] = {}
+        for adjacency in Adjacency:
+            self._collect(adjacency)
+
+    def _collect(self, adjacency: Adjacency) -> None:
+        """Collect the profiles of all parts of one adjacency."""
+        parts: dict[tuple, Counter[WorkerKind]] = {}
+        for rack in self.racks:
+            workers = 1 if adjacency is Adjacency.WORKER else rack.workers
+            kind = WorkerKind(rack.accelerators, rack.slots)
+            for region in ('', rack.region):
+                key = (rack.service, region, find_part(rack, adjacency))
+                parts.setdefault(key, Counter())[kind] += workers
+        for (service, region, _), kinds in parts.items():
+            profiles = self.profiles.setdefault((service, region, adjacency), set())
+            profiles.add(frozenset(kinds.items()))
+
+    def list_profiles(
+        self,
+        service: str,
+        region: str,
+        adjacency: Adjacency,
+    ) -> set[Profile]:
+        """Return the profiles of a service; an empty region means any."""
+        return self.profiles.get((service, region, adjacency), set())
+
+
+def explain_cell(fleet: FleetProfiles, cell: Cell) -> tuple[str, str]:
+    """Return the field and the rule that a cell breaks, or two empty strings."""
+    if not fleet.list_profiles(cell.service, '', cell.within):
+        return 'service', f'no rack has the service {cell.service}'
+    profiles = fleet.list_profiles(cell.service, cell.region, cell.within)
+    if not profiles:
+        rule = f'no rack of service {cell.service} is in region {cell.region}'
+        return 'region', rule
+    most = max(
+        sum(n for kind, n in profile if kind.accelerators >= cell.accelerators)
+        for profile in profiles
+    )
+    if most < cell.workers:
+        return 'workers', f'the fleet has no place for {show_cell(cell)}'
+    return '', ''
+
+
+def count_members(spec: JobSpec, accelerators: int) -> int:
+    """Return how many members have enough accelerators, whatever the slots."""
+    return accelerators // spec.accelerators if spec.accelerators else spec.members
+
+
+def explain_job(fleet: FleetProfiles, spec: JobSpec) -> str:
+    """Return why a job can never run in the empty fleet, or an empty string."""
+    profiles = fleet.list_profiles(spec.service, '', spec.adjacency)
+    if not profiles:
+        return f'no rack has the service {spec.service}'
+    most = max(
+        sum(
+            n * min(kind.slots, count_members(spec, kind.accelerators)) for kind, n in p
+        )
+        for p in profiles
+    )
+    if most >= spec.members:
+        return ''
+    return (
+        f'{spec.members} members of {spec.accelerators} accelerators with adjacency '
+        f'{spec.adjacency.value} do not fit into the fleet, at most {most} do'
+    )
+
+
+def find_meeting_place(cell: Cell, adjacency: Adjacency) -> Hashable | None:
+    """
+    Return what makes two cells certainly meet an adjacency together.
+
+    Cells of one named region are in one region together, and any two cells meet
+    `any`. Other cells may be far from each other: None.
+    """
+    match adjacency:
+        case Adjacency.ANY:
+            return ('any',)
+        case Adjacency.REGION if cell.region:
+            return ('region', cell.region)
+        case _:
+            return None
+
+
+_WIDTHS = {
+    Adjacency.WORKER: 0,
+    Adjacency.RACK: 1,
+    Adjacency.DOMAIN: 2,
+    Adjacency.REGION: 3,
+    Adjacency.ANY: 4,
+}
+
+
+def count_in_cell(cell: Cell, spec: JobSpec) -> int:
+    """Return how many members one cell holds under the job's adjacency."""
+    each = count_members(spec, cell.accelerators)
+    if _WIDTHS[cell.within] <= _WIDTHS[spec.adjacency]:
+        return cell.workers * each
+    # The cell is wider than the adjacency, so only one worker of it is certain.
+    return each
+
+
+def explain_guarantee(guarantee: Iterable[GuaranteedCell], spec: JobSpec) -> str:
+    """
+    Return why a job that may not borrow never fits its guarantee, or nothing.
+
+    Such a job runs only in the cells of its organisation. Cells count together
+    only where their places certainly meet the job's adjacency.
+    """
+    if spec.preemptible or spec.accelerators == 0:
+        return ''
+    most = 0
+    together: dict[Hashable, int] = {}
+    for cell, count in guarantee:
+        if cell.service != spec.service:
+            continue
+        members = count_in_cell(cell, spec)
+        most = max(most, members)
+        place = find_meeting_place(cell, spec.adjacency)
+        if place is not None:
+            together[place] = together.get(place, 0) + members * count
+    most = max(most, *together.values(), 0)
+    if most >= spec.members:
+        return ''
+    return (
+        'a job that is neither repeatable nor checkpointable must fit into the '
+        f'guarantee of its organisation: {spec.members} members of '
+        f'{spec.accelerators} accelerators with adjacency {spec.adjacency.value} '
+        f'are needed, at most {most} fit'
+    )
