--- a/yuccarelay/standins/session_store.py
+++ b/yuccarelay/standins/session_store.py
@@ -85,6 +85,7 @@
     def register(self, process: 'Process') -> None:
         """Register an entry and keep its lease alive."""
         self.members[process.address] = process
+        self.told_up.pop(process.address, None)
         self.session.at(CALL_DELAY_MS, lambda: self._register(process))
 
     def forget(self, process: 'Process') -> None:
