--- /dev/null
+++ b/yuccarelay/adapters/nng.py
@@ -0,0 +1,288 @@
+"""The transport port over the request/reply sockets of nng on TCP."""
+
+import asyncio
+
+import pynng
+from pynng.exceptions import check_err
+from pynng.nng import ffi, lib
+from result import Err, Ok, Result
+
+from yuccarelay.ports.clock import Clock
+from yuccarelay.ports.transport import TakeRequest, TransportFailure
+
+# Requests that one listener answers at the same time. Requests beyond these
+# wait in the sockets, which slows their senders down.
+LISTENER_CONTEXTS = 64
+# A larger message ends the connection before it is held in memory. It lies
+# above the codec's limit, so that a message a little too large is answered.
+RECEIVE_LIMIT_BYTES = 16_000_000
+# Requests read before other tasks run.
+READS_PER_TURN = 32
+STALE_PAUSE_S = 0.02
+# nng does not tell when a slow connection has taken a reply, unless one of its
+# threads calls into Python.
+SENDING_CHECK_S = 0.01
+RECONNECT_FIRST_MS = 100
+RECONNECT_LONGEST_MS = 2_000
+NO_RESEND = -1
+
+
+class NngListener:
+    """
+    A listening socket whose contexts are read on the event loop.
+
+    The loop watches the socket's receive descriptor and reads without waiting,
+    so that no thread of nng calls into Python; a receive through pynng's asyncio
+    functions costs several times the processor time. pynng has no functions for
+    this, so the calls go to the C interface that it exposes as `lib`.
+    """
+
+    def __init__(self, socket: pynng.Rep0, address: str):
+        self.socket = socket
+        self.address = address
+        self.free = [_ReplyContext(socket) for _ in range(LISTENER_CONTEXTS)]
+        self.waiting: dict[int, _ReplyContext] = {}
+        self.sending: list[_ReplyContext] = []
+        self.last_id = 0
+        self.reading = False
+        self.closed = False
+
+    def start(self, take: TakeRequest) -> None:
+        """Pass each request with its id to `take`."""
+        self.take = take
+        self.loop = asyncio.get_running_loop()
+        self.descriptor = self.socket.recv_fd
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Watch the receive descriptor while there is a free context."""
+        if not self.closed and not self.reading and self.free:
+            self.reading = True
+            self.loop.add_reader(self.descriptor, self._read_requests)
+
+    def _pause_reading(self) -> None:
+        """Leave further requests in the sockets."""
+        if self.reading:
+            self.reading = False
+            self.loop.remove_reader(self.descriptor)
+
+    def _read_requests(self) -> None:
+        """Read the requests that wait, but let other tasks run in between."""
+        for count in range(READS_PER_TURN):
+            if not self.free:
+                self._pause_reading()
+                return
+            data = self.free[-1].receive()
+            if data is None:
+                if count == 0:
+                    self._ignore_stale_descriptor()
+                return
+            self.last_id += 1
+            self.waiting[self.last_id] = self.free.pop()
+            self.take(self.last_id, data)
+
+    def _ignore_stale_descriptor(self) -> None:
+        """
+        Stop watching for a short time.
+
+        The descriptor stays readable when a connection ends before its request
+        is read; watching on would turn the event loop without pause.
+        """
+        self._pause_reading()
+        self.loop.call_later(STALE_PAUSE_S, self._resume_reading)
+
+    def reply(self, request_id: int, data: bytes) -> bool:
+        """Answer a request; false when it was answered or given up before."""
+        context = self.waiting.pop(request_id, None)
+        if context is None:
+            return False
+        if context.send(data):
+            self._free_context(context)
+        else:
+            self._await_sending(context)
+        return True
+
+    def give_up(self, request_id: int) -> bool:
+        """Leave a request unanswered; false when it was answered before."""
+        context = self.waiting.pop(request_id, None)
+        if context is not None:
+            self._free_context(context)
+        return context is not None
+
+    def _free_context(self, context: '_ReplyContext') -> None:
+        """Use a context for another request."""
+        self.free.append(context)
+        self._resume_reading()
+
+    def _await_sending(self, context: '_ReplyContext') -> None:
+        """Look again later whether a slow connection has taken a reply."""
+        if not self.sending:
+            self.loop.call_later(SENDING_CHECK_S, self._collect_sent)
+        self.sending.append(context)
+
+    def _collect_sent(self) -> None:
+        """Free the contexts whose reply is on its way."""
+        if self.closed:
+            return
+        sending, self.sending = self.sending, []
+        for context in sending:
+            if context.is_sending():
+                self._await_sending(context)
+            else:
+                self._free_context(context)
+
+    def close(self) -> None:
+        """Close the socket and its contexts."""
+        if self.closed:
+            return
+        self._pause_reading()
+        self.closed = True
+        for context in [*self.free, *self.waiting.values(), *self.sending]:
+            context.close()
+        self.socket.close()
+
+
+class _ReplyContext:
+    """One context of a listening socket, with an operation that it reuses."""
+
+    def __init__(self, socket: pynng.Rep0):
+        self.context = socket.new_context()
+        self.message = ffi.new('nng_msg **')
+        operation = ffi.new('nng_aio **')
+        check_err(lib.nng_aio_alloc(operation, ffi.NULL, ffi.NULL))
+        self.operation = operation[0]
+
+    def receive(self) -> bytes | None:
+        """Return a request that waits, or None."""
+        fault = lib.nng_ctx_recvmsg(
+            self.context.context,
+            self.message,
+            lib.NNG_FLAG_NONBLOCK,
+        )
+        if fault:
+            return None
+        message = self.message[0]
+        data = bytes(ffi.buffer(lib.nng_msg_body(message), lib.nng_msg_len(message)))
+        lib.nng_msg_free(message)
+        return data
+
+    def send(self, data: bytes) -> bool:
+        """Start to send a reply; false when nng has not taken it yet."""
+        check_err(lib.nng_msg_alloc(self.message, 0))
+        check_err(lib.nng_msg_append(self.message[0], data, len(data)))
+        lib.nng_aio_set_msg(self.operation, self.message[0])
+        check_err(lib.nng_ctx_send(self.context.context, self.operation))
+        return not self.is_sending()
+
+    def is_sending(self) -> bool:
+        """Whether the reply still waits; a reply that failed is freed."""
+        if lib.nng_aio_busy(self.operation):
+            return True
+        if lib.nng_aio_result(self.operation):
+            self._free_unsent()
+        return False
+
+    def _free_unsent(self) -> None:
+        """Free the message of a send that failed; nng leaves it to the caller."""
+        message = lib.nng_aio_get_msg(self.operation)
+        if message != ffi.NULL:
+            lib.nng_msg_free(message)
+            lib.nng_aio_set_msg(self.operation, ffi.NULL)
+
+    def close(self) -> None:
+        """Abort and free the operation, and close the context."""
+        self.context.close()
+        lib.nng_aio_stop(self.operation)
+        if lib.nng_aio_result(self.operation):
+            self._free_unsent()
+        lib.nng_aio_free(self.operation)
+
+
+class NngPeer:
+    """A socket to one peer, with one context for each open request."""
+
+    def __init__(self, socket: pynng.Req0, clock: Clock):
+        self.socket = socket
+        self.clock = clock
+        self.connected = asyncio.Event()
+        self.loop = asyncio.get_running_loop()
+        socket.add_post_pipe_connect_cb(self._note_pipe_from_thread)
+        socket.add_post_pipe_remove_cb(self._note_pipe_from_thread)
+
+    def _note_pipe_from_thread(self, _pipe: pynng.Pipe) -> None:
+        """Pass a change of the connection from nng's thread to the event loop."""
+        if not self.loop.is_closed():
+            self.loop.call_soon_threadsafe(self._update_connected)
+
+    def _update_connected(self) -> None:
+        """Let requests pass while there is a connection."""
+        if self.socket.pipes:
+            self.connected.set()
+        else:
+            self.connected.clear()
+
+    async def request(
+        self,
+        data: bytes,
+        deadline_ms: int,
+    ) -> Result[bytes, TransportFailure]:
+        """Send a request and return the reply that arrives by the deadline."""
+        remaining_s = (deadline_ms - self.clock.now_ms()) / 1000
+        try:
+            async with asyncio.timeout(remaining_s):
+                # pynng does not free the message of a send that is cancelled,
+                # so nothing is sent before there is a connection.
+                await self.connected.wait()
+                return Ok(await self._exchange(data))
+        except TimeoutError:
+            return Err(TransportFailure('no reply by the deadline'))
+        except pynng.NNGException as fault:
+            return Err(TransportFailure(str(fault)))
+
+    async def _exchange(self, data: bytes) -> bytes:
+        """Send a request on a context of its own and receive its reply."""
+        with self.socket.new_context() as context:
+            await context.asend(data)
+            # pynng drops a cancellation that arrives as the send ends, and
+            # would then wait for the reply without a deadline.
+            if asyncio.current_task().cancelling():
+                raise asyncio.CancelledError
+            return await context.arecv()
+
+    def close(self) -> None:
+        """Close the socket; open requests end with a failure."""
+        self.socket.close()
+
+
+class NngTransport:
+    """Opens the sockets of a process."""
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+
+    def listen(self, address: str) -> Result[NngListener, TransportFailure]:
+        """Listen on an address; port 0 lets the system choose the port."""
+        socket = pynng.Rep0(recv_max_size=RECEIVE_LIMIT_BYTES)
+        try:
+            socket.listen(f'tcp://{address}')
+        except pynng.NNGException as fault:
+            socket.close()
+            return Err(TransportFailure(f'cannot listen on {address}: {fault}'))
+        bound = str(socket.listeners[0].local_address)
+        return Ok(NngListener(socket=socket, address=bound))
+
+    def connect(self, address: str) -> Result[NngPeer, TransportFailure]:
+        """Return a socket to a peer, which need not be reachable yet."""
+        socket = pynng.Req0(
+            resend_time=NO_RESEND,
+            recv_max_size=RECEIVE_LIMIT_BYTES,
+            reconnect_time_min=RECONNECT_FIRST_MS,
+            reconnect_time_max=RECONNECT_LONGEST_MS,
+        )
+        peer = NngPeer(socket=socket, clock=self.clock)
+        try:
+            socket.dial(f'tcp://{address}', block=False)
+        except pynng.NNGException as fault:
+            socket.close()
+            return Err(TransportFailure(f'cannot connect to {address}: {fault}'))
+        return Ok(peer)
