--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,44 @@
+"""Fakes of ports that several test modules use."""
+
+import asyncio
+import contextlib
+
+
+class FakeClock:
+    """A clock that moves only when a test says so."""
+
+    def __init__(self):
+        self.time_ms = 1_000
+
+    def now_ms(self) -> int:
+        return self.time_ms
+
+
+class FakeJournal:
+    """Keeps the events that were written."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, fields):
+        self.lines.append((event, dict(fields)))
+
+
+class FakeMetrics:
+    """Keeps the sums of the counters."""
+
+    def __init__(self):
+        self.counts = {}
+
+    def count(self, name, amount):
+        self.counts[name] = self.counts.get(name, 0) + amount
+
+    def observe(self, name, organisation, job_class, value_ms):
+        pass
+
+
+async def stop_task(task: asyncio.Task) -> None:
+    """Cancel a task and wait until it has cleaned up."""
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,265 @@
+"""Tests of the sockets and of the tasks that own them."""
+
+import asyncio
+import unittest
+import unittest.mock
+
+from tests.fakes import FakeClock, FakeJournal, FakeMetrics, stop_task
+from yuccarelay.adapters import codec, nng
+from yuccarelay.adapters.clock import MonotonicClock
+from yuccarelay.core.events import Reply, ReplyArrived, Request
+from yuccarelay.core.messages import Ack, Heartbeat, Malformed
+from yuccarelay.tasks.links import IDLE_LIMIT_MS, LinksTask
+from yuccarelay.tasks.listener import ANSWER_LIMIT_MS, ListenerTask
+from yuccarelay.tasks.mailbox import Mailbox
+
+BEAT = Heartbeat(worker_id='w', incarnation=1, version=2)
+LONG_MS = 20_000
+SHORT_MS = 50
+
+
+class SocketCase(unittest.IsolatedAsyncioTestCase):
+    """A listening socket and a peer connected to it."""
+
+    async def asyncSetUp(self):
+        self.clock = MonotonicClock()
+        self.transport = nng.NngTransport(self.clock)
+        self.listener = self.transport.listen('127.0.0.1:0').unwrap()
+        self.addCleanup(self.listener.close)
+        self.requests = Mailbox()
+        self.peer = self.connect(self.listener.address)
+
+    def connect(self, address):
+        peer = self.transport.connect(address).unwrap()
+        self.addCleanup(peer.close)
+        return peer
+
+    def start(self):
+        self.listener.start(lambda *request: self.requests.put_nowait(request))
+
+    def ask(self, data, timeout_ms=LONG_MS, peer=None):
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        request = (peer or self.peer).request(data, deadline_ms)
+        return asyncio.create_task(request)
+
+
+class ListenerTest(SocketCase):
+    """Guards against replies that go astray and contexts that are not freed."""
+
+    async def wait_for_free_contexts(self):
+        async with asyncio.timeout(LONG_MS / 1000):
+            while len(self.listener.free) < nng.LISTENER_CONTEXTS:
+                await asyncio.sleep(nng.SENDING_CHECK_S)
+
+    async def test_replies_out_of_order_reach_their_askers(self):
+        self.start()
+        asked = [self.ask(b'%d' % number) for number in range(20)]
+        received = [await self.requests.get() for _ in asked]
+        for request_id, data in reversed(received):
+            self.assertTrue(self.listener.reply(request_id, b're ' + data))
+        for number, request in enumerate(asked):
+            self.assertEqual((await request).unwrap(), b're %d' % number)
+
+    async def test_large_replies_over_one_connection(self):
+        self.start()
+        asked = [self.ask(b'x') for _ in range(12)]
+        for _ in asked:
+            request_id, _ = await self.requests.get()
+            self.listener.reply(request_id, b'y' * 1_000_000)
+        for request in asked:
+            self.assertEqual(len((await request).unwrap()), 1_000_000)
+        await self.wait_for_free_contexts()
+
+    async def test_requests_beyond_the_contexts_wait(self):
+        self.start()
+        peers = [self.connect(self.listener.address) for _ in range(4)]
+        count = nng.LISTENER_CONTEXTS + 10
+        asked = [self.ask(b'x', peer=peers[n % 4]) for n in range(count)]
+        for _ in range(count):
+            request_id, _ = await self.requests.get()
+            if request_id > 10:
+                self.listener.reply(request_id, b'y')
+            else:
+                self.listener.give_up(request_id)
+            self.assertFalse(self.listener.reply(request_id, b'again'))
+        await self.wait_for_free_contexts()
+        for request in asked:
+            request.cancel()
+        await asyncio.wait(asked)
+
+    async def test_readable_descriptor_without_a_request_does_not_spin(self):
+        reads = []
+        fake = unittest.mock.patch.object(
+            target=nng._ReplyContext,
+            attribute='receive',
+            side_effect=lambda: reads.append(1),
+        )
+        with fake:
+            self.start()
+            asked = self.ask(b'x')
+            await asyncio.sleep(0.2)
+        # Without a pause between reads there are tens of thousands.
+        self.assertLess(len(reads), 100)
+        request_id, _ = await self.requests.get()
+        self.listener.reply(request_id, b'y')
+        self.assertTrue((await asked).is_ok())
+
+    async def test_reply_to_a_closed_connection_frees_the_context(self):
+        self.start()
+        lost = self.connect(self.listener.address)
+        asked = self.ask(b'x', peer=lost)
+        request_id, _ = await self.requests.get()
+        lost.close()
+        self.assertTrue((await asked).is_err())
+        self.listener.reply(request_id, b'y' * 1_000_000)
+        await self.wait_for_free_contexts()
+
+    async def test_address_in_use_is_an_error(self):
+        self.assertTrue(self.transport.listen(self.listener.address).is_err())
+
+
+class PeerTest(SocketCase):
+    """Guards against requests that outlive their deadline or are sent twice."""
+
+    async def test_unanswered_request_ends_at_its_deadline(self):
+        self.start()
+        self.assertTrue((await self.ask(b'x', SHORT_MS)).is_err())
+
+    async def test_unreachable_peer_ends_at_the_deadline(self):
+        self.listener.close()
+        peer = self.connect(self.listener.address)
+        self.assertTrue((await self.ask(b'x', SHORT_MS, peer)).is_err())
+
+    async def test_request_is_not_sent_again_after_a_lost_connection(self):
+        self.start()
+        asked = self.ask(b'once')
+        await self.requests.get()
+        self.listener.close()
+        listener = self.transport.listen(self.listener.address).unwrap()
+        self.addCleanup(listener.close)
+        seen = Mailbox()
+        listener.start(lambda *request: seen.put_nowait(request))
+        self.assertTrue((await asked).is_err())
+        later = self.ask(b'later')
+        request_id, data = await seen.get()
+        self.assertEqual(data, b'later')
+        listener.reply(request_id, b'answer')
+        self.assertEqual((await later).unwrap(), b'answer')
+        self.assertTrue(seen.empty())
+
+
+class ListenerTaskTest(SocketCase):
+    """Guards against a listener that unreadable or unanswered requests stop."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.time = FakeClock()
+        self.metrics = FakeMetrics()
+        self.inbox, self.machine = Mailbox(), Mailbox()
+        self.task = ListenerTask(
+            listener=self.listener,
+            inbox=self.inbox,
+            machine=self.machine,
+            clock=self.time,
+            journal=FakeJournal(),
+            metrics=self.metrics,
+        )
+        running = asyncio.create_task(self.task.run())
+        self.addAsyncCleanup(stop_task, running)
+
+    async def test_request_and_reply_pass(self):
+        asked = self.ask(codec.encode(BEAT, 'a:1'))
+        event = await self.machine.get()
+        self.assertEqual(event.message, BEAT)
+        await self.inbox.put(Reply(reply_to=event.reply_to, message=Ack()))
+        self.assertEqual(codec.decode((await asked).unwrap()).unwrap().message, Ack())
+
+    async def test_unreadable_input_is_answered_and_counted(self):
+        answer = codec.decode((await self.ask(b'\xc1')).unwrap()).unwrap()
+        self.assertIsInstance(answer.message, Malformed)
+        self.assertEqual(self.metrics.counts, {'malformed.malformed_envelope': 1})
+        self.assertTrue(self.machine.empty())
+
+    async def test_late_reply_is_dropped(self):
+        asked = self.ask(codec.encode(BEAT, ''), 500)
+        event = await self.machine.get()
+        self.time.time_ms += ANSWER_LIMIT_MS
+        self.task.expire_requests()
+        self.assertEqual(len(self.listener.free), nng.LISTENER_CONTEXTS)
+        await self.inbox.put(Reply(reply_to=event.reply_to, message=Ack()))
+        self.assertTrue((await asked).is_err())
+        counts = {'unanswered_requests': 1, 'late_replies': 1}
+        self.assertEqual(self.metrics.counts, counts)
+
+
+class LinksTaskTest(SocketCase):
+    """Guards against a request with no end, or with more than one."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.start()
+        self.time = FakeClock()
+        self.journal = FakeJournal()
+        self.inbox, self.machine = Mailbox(), Mailbox()
+        self.task = LinksTask(
+            sender='a:1',
+            inbox=self.inbox,
+            machine=self.machine,
+            clock=self.time,
+            transport=nng.NngTransport(self.time),
+            journal=self.journal,
+        )
+        self.running = asyncio.create_task(self.task.run())
+        self.addAsyncCleanup(stop_task, self.running)
+
+    def send(self, tag, timeout_ms=LONG_MS, address=None):
+        request = Request(
+            address=address or self.listener.address,
+            message=BEAT,
+            tag=tag,
+            timeout_ms=timeout_ms,
+        )
+        self.inbox.put_nowait(request)
+
+    async def answer(self, message):
+        request_id, _ = await self.requests.get()
+        self.listener.reply(request_id, codec.encode(message, 'b:1'))
+
+    async def test_reply_is_matched_by_its_tag(self):
+        self.send('one')
+        await self.answer(Ack())
+        self.assertEqual(await self.machine.get(), ReplyArrived('one', Ack()))
+
+    async def test_malformed_and_missing_replies_count_as_none(self):
+        self.send('rejected')
+        await self.answer(Malformed('unknown_kind'))
+        self.assertEqual(await self.machine.get(), ReplyArrived('rejected', None))
+        self.send('silent', SHORT_MS)
+        self.assertEqual(await self.machine.get(), ReplyArrived('silent', None))
+        events = [event for event, _ in self.journal.lines]
+        self.assertEqual(events, ['request_rejected', 'request_failed'])
+
+    async def test_unusable_address_ends_at_once(self):
+        self.send('bad', address='no address')
+        self.assertEqual(await self.machine.get(), ReplyArrived('bad', None))
+
+    async def test_idle_link_is_closed_and_opened_again(self):
+        self.send('one')
+        await self.answer(Ack())
+        await self.machine.get()
+        self.time.time_ms += LONG_MS + IDLE_LIMIT_MS
+        await self.task.close_idle_links()
+        self.assertEqual(self.task.links, {})
+        self.send('two')
+        await self.answer(Ack())
+        self.assertEqual((await self.machine.get()).tag, 'two')
+
+    async def test_cancelled_task_ends_each_request_once(self):
+        for tag in 'abc':
+            self.send(tag)
+        await self.requests.get()
+        self.send('unread')
+        await stop_task(self.running)
+        ended = [self.machine.get_nowait() for _ in range(self.machine.qsize())]
+        tags = sorted(event.tag for event in ended)
+        self.assertEqual(tags, ['a', 'b', 'c', 'unread'])
