--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,187 @@
+"""Tests of fetching whole answers."""
+
+import asyncio
+import dataclasses
+import hashlib
+import unittest
+
+from result import Err, Ok
+
+from tests.fakes import FakeJournal, stop_task
+from yuccarelay.adapters import codec
+from yuccarelay.adapters.clock import MonotonicClock
+from yuccarelay.core.messages import Ack, AnswerChunk, NoAnswer
+from yuccarelay.core.models import AnswerPart
+from yuccarelay.ports.transport import TransportFailure
+from yuccarelay.tasks import answers
+from yuccarelay.tasks.mailbox import (
+    AnswerUnavailable,
+    FetchWhole,
+    Mailbox,
+    WholeAnswer,
+)
+
+DATA = bytes(range(256)) * 3000
+FETCH_LIMIT_MS = 300
+
+
+class FakePeers:
+    """A transport whose peers keep answers and can spoil their replies."""
+
+    def __init__(self):
+        self.kept = {}
+        self.spoil = []
+        self.in_flight = 0
+        self.most_in_flight = 0
+
+    def connect(self, address):
+        return Ok(self)
+
+    def close(self):
+        pass
+
+    async def request(self, data, deadline_ms):
+        self.in_flight += 1
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        await asyncio.sleep(0)
+        self.in_flight -= 1
+        ask = codec.decode(data).unwrap().message
+        reply = self.read(ask)
+        if self.spoil:
+            reply = self.spoil.pop(0)(reply)
+        if reply is None:
+            return Err(TransportFailure('no reply by the deadline'))
+        return Ok(codec.encode(reply, 'b:1'))
+
+    def read(self, ask):
+        whole = self.kept.get((ask.attempt_id, ask.member))
+        if whole is None:
+            return NoAnswer(ask.attempt_id, ask.member)
+        return AnswerChunk(
+            attempt_id=ask.attempt_id,
+            member=ask.member,
+            offset=ask.offset,
+            length=len(whole),
+            sha256=hashlib.sha256(whole).hexdigest(),
+            data=whole[ask.offset : ask.offset + ask.limit],
+        )
+
+
+class FetchCase(unittest.IsolatedAsyncioTestCase):
+    """An answers task over fake peers."""
+
+    async def asyncSetUp(self):
+        self.peers = FakePeers()
+        self.inbox, self.replies = Mailbox(), Mailbox()
+        task = answers.AnswersTask(
+            sender='a:1',
+            inbox=self.inbox,
+            transport=self.peers,
+            clock=MonotonicClock(),
+            journal=FakeJournal(),
+            fetch_limit_ms=FETCH_LIMIT_MS,
+        )
+        self.addAsyncCleanup(stop_task, asyncio.create_task(task.run()))
+
+    def keep(self, member, data):
+        self.peers.kept['7-1.1', member] = data
+        return AnswerPart(
+            attempt_id='7-1.1',
+            member=member,
+            address='b:1',
+            incarnation=1,
+            length=len(data),
+            sha256=hashlib.sha256(data).hexdigest(),
+        )
+
+    async def fetch(self, *parts):
+        self.inbox.put_nowait(FetchWhole(5, parts, self.replies))
+        return await self.replies.get()
+
+    async def check_spoiled(self, *spoil):
+        part = self.keep(0, DATA)
+        self.peers.spoil = list(spoil)
+        self.assertEqual(await self.fetch(part), WholeAnswer(5, DATA))
+        self.assertEqual(self.peers.spoil, [])
+
+
+def replace(**fields):
+    return lambda chunk: dataclasses.replace(chunk, **fields)
+
+
+def cut(chunk):
+    return dataclasses.replace(chunk, data=chunk.data[:-1])
+
+
+def flip(chunk):
+    return dataclasses.replace(chunk, data=b'!' + chunk.data[1:])
+
+
+class WholeAnswerTest(FetchCase):
+    """Guards against parts in the wrong order and against lost bytes."""
+
+    async def test_parts_are_joined_in_member_order(self):
+        parts = [self.keep(0, DATA), self.keep(1, b''), self.keep(2, b'end')]
+        self.assertEqual(await self.fetch(*parts), WholeAnswer(5, DATA + b'end'))
+
+    async def test_bytes_in_flight_are_bounded(self):
+        parts = [self.keep(n, DATA) for n in range(3 * answers.CHUNKS_IN_FLIGHT)]
+        for part in parts:
+            self.inbox.put_nowait(FetchWhole(5, (part,), self.replies))
+        for _ in parts:
+            self.assertEqual(await self.replies.get(), WholeAnswer(5, DATA))
+        self.assertEqual(self.peers.most_in_flight, answers.CHUNKS_IN_FLIGHT)
+
+
+class SpoiledChunkTest(FetchCase):
+    """Guards against a spoiled chunk that reaches the caller."""
+
+    async def test_lost_chunk(self):
+        await self.check_spoiled(lambda chunk: None)
+
+    async def test_duplicated_and_reordered_chunks(self):
+        await self.check_spoiled(lambda chunk: chunk, replace(offset=0))
+        await self.check_spoiled(replace(offset=answers.CHUNK_BYTES))
+
+    async def test_truncated_and_empty_chunks(self):
+        await self.check_spoiled(cut, replace(data=b''))
+
+    async def test_chunk_of_another_answer(self):
+        await self.check_spoiled(
+            replace(attempt_id='7-2.1'),
+            replace(member=3),
+            replace(sha256='00'),
+            replace(length=1),
+            lambda chunk: Ack(),
+        )
+
+    async def test_wrong_bytes_fetch_the_part_again(self):
+        await self.check_spoiled(flip)
+
+
+class UnavailableTest(FetchCase):
+    """Guards against an endless fetch and against an incomplete answer."""
+
+    async def test_dropped_answer_names_the_part(self):
+        part = self.keep(3, DATA)
+        self.peers.kept.clear()
+        reply = await self.fetch(self.keep(0, b'x'), part)
+        self.assertIsInstance(reply, AnswerUnavailable)
+        self.assertIn('7-1.1/3', reply.reason)
+
+    async def test_part_that_stays_wrong_ends_at_the_deadline(self):
+        part = self.keep(0, DATA)
+        for kept in (DATA[:-1], None):
+            self.peers.kept['7-1.1', 0] = kept or b'!' + DATA[1:]
+            reply = await self.fetch(part)
+            self.assertIsInstance(reply, AnswerUnavailable)
+
+    async def test_wrong_bytes_with_the_right_header_end_at_the_deadline(self):
+        part = self.keep(0, b'right')
+        self.peers.spoil = [flip] * 1000
+        reply = await self.fetch(part)
+        self.assertIn('SHA-256', reply.reason)
+
+    async def test_answer_beyond_the_memory_limit(self):
+        part = self.keep(0, b'x')._replace(length=answers.ASSEMBLY_LIMIT_BYTES + 1)
+        self.assertIn('memory', (await self.fetch(part)).reason)
