Add the runner task that runs members on the target

An agent must report each start with exactly one end, and say that nothing started only when the target refused. A start without a response ends after its lease has certainly lapsed, since a stop may overtake the start. A task whose lease the target no longer confirms ends with a reason, once it is stopped or no renewal can have kept it alive. Answers are kept in bounded memory; a task whose answer does not fit ends as not completed.

--- /dev/null
+++ b/yuccarelay/tasks/runner.py
@@ -0,0 +1,292 @@
+"""The task that runs members of jobs on the target and keeps their answers."""
+
+import asyncio
+import hashlib
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from yuccarelay.core.events import (
+    DropAnswer,
+    RenewTasks,
+    Reply,
+    ServeAnswer,
+    StartTask,
+    StopTask,
+    TaskEnded,
+    TaskStarted,
+)
+from yuccarelay.core.messages import AnswerChunk, NoAnswer
+from yuccarelay.ports.clock import Clock
+from yuccarelay.ports.target import Target, TargetTask, TaskAnswer, TaskState
+from yuccarelay.tasks.mailbox import Mailbox
+
+CONNECTION_LIMIT = 64
+# Connections kept for starting, renewing and stopping; each running task holds
+# one of the others.
+CALL_CONNECTIONS = 8
+ANSWER_MEMORY_BYTES = 32_000_000
+CHUNK_LIMIT_BYTES = 256 * 1024
+# The target counts a lease from the arrival of a call, which is at most the
+# timeout of a call after it was sent.
+LEASE_MARGIN_MS = 1_000
+WAIT_ATTEMPTS = 6
+RETRY_PAUSE_S = 0.5
+
+
+class KeptAnswer(NamedTuple):
+    """A whole answer and its SHA-256."""
+
+    data: bytes
+    sha256: str
+
+
+class RunningTask:
+    """
+    A task of the target as the runner knows it.
+
+    `confirmed_ms` is the lease deadline that the target is known to have and
+    `possible_ms` the one that it may have by a call without a response.
+    """
+
+    def __init__(self, lease_deadline_ms: int):
+        self.confirmed_ms = lease_deadline_ms
+        self.possible_ms = lease_deadline_ms
+        self.started = False
+        self.stop: StopTask | None = None
+
+
+class RunnerTask:
+    """
+    Carries out an agent's effects on its target.
+
+    Reads `StartTask`, `StopTask`, `RenewTasks`, `ServeAnswer` and `DropAnswer`
+    from `inbox`. Puts `TaskStarted` and exactly one `TaskEnded` for each
+    `StartTask` into `machine`, and `Reply` into `listener`. A `StartTask` for a
+    task that is still running is ignored.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        inbox: Mailbox,
+        machine: Mailbox,
+        listener: Mailbox,
+        clock: Clock,
+        connection_limit: int = CONNECTION_LIMIT,
+        answer_memory_bytes: int = ANSWER_MEMORY_BYTES,
+    ):
+        self.target = target
+        self.inbox = inbox
+        self.machine = machine
+        self.listener = listener
+        self.clock = clock
+        self.task_limit = connection_limit - CALL_CONNECTIONS
+        self.answer_memory_bytes = answer_memory_bytes
+        self.kept: dict[str, KeptAnswer] = {}
+        self.kept_bytes = 0
+        self.running: dict[str, RunningTask] = {}
+
+    async def run(self) -> None:
+        """Carry out effects until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                while True:
+                    self._carry_out(await self.inbox.get(), group)
+        finally:
+            self.target.close()
+
+    def _carry_out(self, effect: object, group: asyncio.TaskGroup) -> None:
+        """Start or do what an effect asks for."""
+        match effect:
+            case StartTask():
+                self._start(effect, group)
+            case StopTask(task_id):
+                self._stop(task_id, effect, group)
+            case RenewTasks(task_ids, lease_deadline_ms):
+                group.create_task(self._renew(task_ids, lease_deadline_ms))
+            case ServeAnswer(reply_to):
+                reply = Reply(reply_to=reply_to, message=self._read_answer(effect))
+                self.listener.put_nowait(reply)
+            case DropAnswer(task_id):
+                dropped = self.kept.pop(task_id, None)
+                self.kept_bytes -= len(dropped.data) if dropped else 0
+
+    def _start(self, start: StartTask, group: asyncio.TaskGroup) -> None:
+        """Start a task if a connection can be held for it."""
+        if start.task_id in self.running:
+            return
+        if len(self.running) >= self.task_limit:
+            self._report_end(start.task_id, False, 'connection limit of the target')
+            return
+        self.running[start.task_id] = RunningTask(start.lease_deadline_ms)
+        group.create_task(self._run_task(start))
+
+    async def _run_task(self, start: StartTask) -> None:
+        """Take a task from its start to its end."""
+        task = self.running[start.task_id]
+        lease_ms = start.lease_deadline_ms - self.clock.now_ms()
+        if lease_ms <= 0:
+            self._report_end(start.task_id, False, 'lease lapsed before the start')
+            return
+        request = TargetTask(
+            task_id=start.task_id,
+            job_name=start.job_name,
+            member=start.member,
+            accelerators=start.accelerators,
+            payload=start.payload,
+            lease_ms=lease_ms,
+        )
+        match await self.target.start(request):
+            case Err(failure) if not failure.ambiguous:
+                self._report_end(start.task_id, False, failure.reason)
+            case Err(failure):
+                # The start may still arrive after a stop, so that only the end
+                # of its lease proves that the task does not run.
+                await self._await_stopped(start.task_id, task, trust_stop=False)
+                reason = f'start without a response: {failure.reason}'
+                self._report_end(start.task_id, True, reason)
+            case Ok(_):
+                task.started = True
+                self.machine.put_nowait(TaskStarted(start.task_id))
+                await self._follow(start.task_id, task)
+
+    async def _follow(self, task_id: str, task: RunningTask) -> None:
+        """Wait for the end of a started task and report it."""
+        if task.stop:
+            await self._send_stop(task_id, task.stop.checkpoint)
+        result = await self._await_end(task_id, task)
+        match result:
+            case Ok(answer) if answer.state is TaskState.COMPLETED:
+                self._keep_answer(task_id, answer)
+            case Ok(answer):
+                reason = answer.reason or answer.state.value
+                self._report_end(task_id, True, reason)
+            case Err(reason):
+                await self._await_stopped(task_id, task, trust_stop=True)
+                self._report_end(task_id, True, reason)
+
+    async def _await_end(
+        self,
+        task_id: str,
+        task: RunningTask,
+    ) -> Ok[TaskAnswer] | Err[str]:
+        """Wait for the answer as long as the target confirms the lease."""
+        waiting = asyncio.create_task(self._wait_answer(task_id))
+        try:
+            while not waiting.done():
+                end_ms = task.confirmed_ms + LEASE_MARGIN_MS
+                remaining_ms = end_ms - self.clock.now_ms()
+                if remaining_ms <= 0:
+                    return Err('target not reached before the lease lapsed')
+                await asyncio.wait([waiting], timeout=remaining_ms / 1000)
+            return waiting.result()
+        finally:
+            waiting.cancel()
+
+    async def _wait_answer(self, task_id: str) -> Ok[TaskAnswer] | Err[str]:
+        """Wait on a held connection, and again when it is lost."""
+        reason = ''
+        for _ in range(WAIT_ATTEMPTS):
+            match await self.target.wait_answer(task_id):
+                case Ok(answer):
+                    return Ok(answer)
+                case Err(failure):
+                    reason = failure.reason
+                    await asyncio.sleep(RETRY_PAUSE_S)
+        return Err(f'no answer of the target: {reason}')
+
+    async def _await_stopped(
+        self,
+        task_id: str,
+        task: RunningTask,
+        trust_stop: bool,
+    ) -> None:
+        """Stop a task of unknown state, or wait until its lease has lapsed."""
+        # It is not renewed from now on.
+        task.started = False
+        while self.clock.now_ms() < task.possible_ms + LEASE_MARGIN_MS:
+            stopped = await self.target.stop(task_id, checkpoint=False)
+            if stopped.is_ok() and trust_stop:
+                return
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    def _stop(self, task_id: str, stop: StopTask, group: asyncio.TaskGroup) -> None:
+        """Stop a task, or note that it has to stop once it is started."""
+        task = self.running.get(task_id)
+        if task is None:
+            return
+        task.stop = stop
+        if task.started:
+            group.create_task(self._send_stop(task_id, stop.checkpoint))
+
+    async def _send_stop(self, task_id: str, checkpoint: bool) -> None:
+        """Ask the target to stop a task until it agrees; else its lease lapses."""
+        for _ in range(WAIT_ATTEMPTS):
+            stopped = await self.target.stop(task_id, checkpoint)
+            if stopped.is_ok() or task_id not in self.running:
+                return
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _renew(self, task_ids: tuple[str, ...], deadline_ms: int) -> None:
+        """Renew the leases of started tasks in one call."""
+        tasks = {
+            task_id: self.running[task_id]
+            for task_id in task_ids
+            if task_id in self.running and self.running[task_id].started
+        }
+        lease_ms = deadline_ms - self.clock.now_ms()
+        if not tasks or lease_ms <= 0:
+            return
+        for task in tasks.values():
+            task.possible_ms = max(task.possible_ms, deadline_ms)
+        renewed = await self.target.renew(tuple(tasks), lease_ms)
+        for task_id in renewed.unwrap_or(frozenset()) & tasks.keys():
+            task = tasks[task_id]
+            task.confirmed_ms = max(task.confirmed_ms, deadline_ms)
+
+    def _keep_answer(self, task_id: str, answer: TaskAnswer) -> None:
+        """Keep a completed task's answer if there is memory for it."""
+        length = len(answer.data)
+        if self.kept_bytes + length > self.answer_memory_bytes:
+            reason = f'no memory for an answer of {length} bytes'
+            self._report_end(task_id, True, reason)
+            return
+        sha256 = hashlib.sha256(answer.data).hexdigest()
+        self.kept[task_id] = KeptAnswer(data=answer.data, sha256=sha256)
+        self.kept_bytes += length
+        self.running.pop(task_id)
+        ended = TaskEnded(
+            task_id=task_id,
+            completed=True,
+            started=True,
+            length=length,
+            sha256=sha256,
+        )
+        self.machine.put_nowait(ended)
+
+    def _report_end(self, task_id: str, started: bool, reason: str) -> None:
+        """Report a task that did not complete."""
+        self.running.pop(task_id, None)
+        ended = TaskEnded(
+            task_id=task_id,
+            completed=False,
+            started=started,
+            reason=reason,
+        )
+        self.machine.put_nowait(ended)
+
+    def _read_answer(self, serve: ServeAnswer) -> AnswerChunk | NoAnswer:
+        """Return a chunk of a kept answer."""
+        kept = self.kept.get(f'{serve.attempt_id}/{serve.member}')
+        if kept is None or serve.offset < 0 or serve.limit <= 0:
+            return NoAnswer(attempt_id=serve.attempt_id, member=serve.member)
+        end = serve.offset + min(serve.limit, CHUNK_LIMIT_BYTES)
+        return AnswerChunk(
+            attempt_id=serve.attempt_id,
+            member=serve.member,
+            offset=serve.offset,
+            length=len(kept.data),
+            sha256=kept.sha256,
+            data=kept.data[serve.offset : end],
+        )
