Limit the time that a reply waits for a peer that does not read

nng queues a reply without a deadline while the connection is full, so a stalled peer could hold all 64 contexts and stop the listener for everyone. The send operation now ends after 10 s and frees its message.

Without the limit the new test fails. The answers test now also checks that a truncated chunk is asked for again; it fails with that check removed.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -31,6 +31,7 @@
     def __init__(self):
         self.kept = {}
         self.spoil = []
+        self.asked = []
         self.in_flight = 0
         self.most_in_flight = 0
 
@@ -46,6 +47,7 @@
         await asyncio.sleep(0)
         self.in_flight -= 1
         ask = codec.decode(data).unwrap().message
+        self.asked.append(ask.offset)
         reply = self.read(ask)
         if self.spoil:
             reply = self.spoil.pop(0)(reply)
@@ -145,6 +147,7 @@
 
     async def test_truncated_and_empty_chunks(self):
         await self.check_spoiled(cut, replace(data=b''))
+        self.assertEqual(self.peers.asked[:4], [0, 0, 0, answers.CHUNK_BYTES])
 
     async def test_chunk_of_another_answer(self):
         await self.check_spoiled(
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -114,6 +114,30 @@
         self.listener.reply(request_id, b'y' * 1_000_000)
         await self.wait_for_free_contexts()
 
+    async def test_peer_that_does_not_read_holds_no_context(self):
+        limit = unittest.mock.patch.object(nng, 'SEND_LIMIT_MS', SHORT_MS)
+        with limit:
+            self.listener = self.transport.listen('127.0.0.1:0').unwrap()
+        self.addCleanup(self.listener.close)
+        self.start()
+        host, port = self.listener.address.split(':')
+        _, writer = await asyncio.open_connection(host, port, limit=1)
+        self.addCleanup(writer.close)
+        # The greeting of a requester, and requests with a request id each.
+        writer.write(b'\0SP\0\0\x30\0\0')
+        for number in range(nng.LISTENER_CONTEXTS):
+            request = (0x80000000 + number).to_bytes(4, 'big') + b'x'
+            writer.write(len(request).to_bytes(8, 'big') + request)
+        for _ in range(nng.LISTENER_CONTEXTS):
+            request_id, _ = await self.requests.get()
+            self.listener.reply(request_id, b'y' * 1_000_000)
+        self.assertTrue(self.listener.sending)
+        await self.wait_for_free_contexts()
+        asked = self.ask(b'z', peer=self.connect(self.listener.address))
+        request_id, _ = await self.requests.get()
+        self.listener.reply(request_id, b'answer')
+        self.assertEqual((await asked).unwrap(), b'answer')
+
     async def test_address_in_use_is_an_error(self):
         self.assertTrue(self.transport.listen(self.listener.address).is_err())
 
--- a/yuccarelay/adapters/nng.py
+++ b/yuccarelay/adapters/nng.py
@@ -22,6 +22,8 @@
 # nng does not tell when a slow connection has taken a reply, unless one of its
 # threads calls into Python.
 SENDING_CHECK_S = 0.01
+# A peer that does not read must not hold the contexts that others need.
+SEND_LIMIT_MS = 10_000
 RECONNECT_FIRST_MS = 100
 RECONNECT_LONGEST_MS = 2_000
 NO_RESEND = -1
@@ -151,6 +153,7 @@
         operation = ffi.new('nng_aio **')
         check_err(lib.nng_aio_alloc(operation, ffi.NULL, ffi.NULL))
         self.operation = operation[0]
+        lib.nng_aio_set_timeout(self.operation, SEND_LIMIT_MS)
 
     def receive(self) -> bytes | None:
         """Return a request that waits, or None."""
