End requests that wait for a connection when their peer is closed

Such requests waited for their deadline although the port promises that they end with a failure. Closing now lets them go on, and they find the socket closed. A connection that is removed after the event loop was closed no longer raises in a thread of nng.

--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -154,6 +154,19 @@
         peer = self.connect(self.listener.address)
         self.assertTrue((await self.ask(b'x', SHORT_MS, peer)).is_err())
 
+    async def test_closed_peer_ends_its_requests_at_once(self):
+        self.start()
+        sent = self.ask(b'x')
+        await self.requests.get()
+        unreachable = self.connect('127.0.0.1:1')
+        waiting = self.ask(b'x', peer=unreachable)
+        await asyncio.sleep(0)
+        unreachable.close()
+        self.peer.close()
+        async with asyncio.timeout(LONG_MS / 2000):
+            self.assertTrue((await sent).is_err())
+            self.assertTrue((await waiting).is_err())
+
     async def test_request_is_not_sent_again_after_a_lost_connection(self):
         self.start()
         asked = self.ask(b'once')
--- a/yuccarelay/adapters/nng.py
+++ b/yuccarelay/adapters/nng.py
@@ -1,6 +1,7 @@
 """The transport port over the request/reply sockets of nng on TCP."""
 
 import asyncio
+import contextlib
 
 import pynng
 from pynng.exceptions import check_err
@@ -214,7 +215,8 @@
 
     def _note_pipe_from_thread(self, _pipe: pynng.Pipe) -> None:
         """Pass a change of the connection from nng's thread to the event loop."""
-        if not self.loop.is_closed():
+        # The event loop may be closed before the last connection is removed.
+        with contextlib.suppress(RuntimeError):
             self.loop.call_soon_threadsafe(self._update_connected)
 
     def _update_connected(self) -> None:
@@ -255,6 +257,8 @@
     def close(self) -> None:
         """Close the socket; open requests end with a failure."""
         self.socket.close()
+        # Requests that wait for a connection go on and find the socket closed.
+        self.connected.set()
 
 
 class NngTransport:
