Keep the number of call connections in the target port

The adapter and the runner must agree on how many of the target's connections are kept for short calls; both had their own constant.

--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -22,7 +22,13 @@
     TaskStarted,
 )
 from yuccarelay.core.messages import AnswerChunk, NoAnswer
-from yuccarelay.ports.target import TargetFailure, TargetTask, TaskAnswer, TaskState
+from yuccarelay.ports.target import (
+    CALL_CONNECTIONS,
+    TargetFailure,
+    TargetTask,
+    TaskAnswer,
+    TaskState,
+)
 from yuccarelay.standins.target import StandInTarget
 from yuccarelay.tasks import runner
 from yuccarelay.tasks.mailbox import Mailbox
@@ -177,7 +183,7 @@
             machine=self.machine,
             listener=self.listener,
             clock=self.clock,
-            connection_limit=runner.CALL_CONNECTIONS + 1,
+            connection_limit=CALL_CONNECTIONS + 1,
             answer_memory_bytes=300_000,
         )
         self.addAsyncCleanup(stop_task, asyncio.create_task(self.task.run()))
--- a/yuccarelay/adapters/target_http.py
+++ b/yuccarelay/adapters/target_http.py
@@ -7,12 +7,16 @@
 from tornado.httpclient import HTTPError, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from yuccarelay.ports.target import TargetFailure, TargetTask, TaskAnswer, TaskState
+from yuccarelay.ports.target import (
+    CALL_CONNECTIONS,
+    TargetFailure,
+    TargetTask,
+    TaskAnswer,
+    TaskState,
+)
 
 # Below the lease of 3 s, so that a renewal can be repeated in time.
 CALL_TIMEOUT_MS = 1_000
-# Connections for calls other than the held ones that wait for an answer.
-CALL_CONNECTIONS = 8
 NO_TIMEOUT = 0
 STATE_HEADER = 'X-Task-State'
 # Its value is percent-encoded, because headers cannot hold all characters.
--- a/yuccarelay/ports/target.py
+++ b/yuccarelay/ports/target.py
@@ -11,6 +11,10 @@
 
 from result import Result
 
+# Connections kept for starting, renewing and stopping; each running task holds
+# one of the others.
+CALL_CONNECTIONS = 8
+
 
 class TaskState(enum.Enum):
     """How a target says that a task ended."""
--- a/yuccarelay/tasks/runner.py
+++ b/yuccarelay/tasks/runner.py
@@ -18,13 +18,16 @@
 )
 from yuccarelay.core.messages import AnswerChunk, NoAnswer
 from yuccarelay.ports.clock import Clock
-from yuccarelay.ports.target import Target, TargetTask, TaskAnswer, TaskState
+from yuccarelay.ports.target import (
+    CALL_CONNECTIONS,
+    Target,
+    TargetTask,
+    TaskAnswer,
+    TaskState,
+)
 from yuccarelay.tasks.mailbox import Mailbox
 
 CONNECTION_LIMIT = 64
-# Connections kept for starting, renewing and stopping; each running task holds
-# one of the others.
-CALL_CONNECTIONS = 8
 ANSWER_MEMORY_BYTES = 32_000_000
 CHUNK_LIMIT_BYTES = 256 * 1024
 # The target counts a lease from the arrival of a call, which is at most the
