--- a/yuccarelay/ports/store.py
+++ b/yuccarelay/ports/store.py
@@ -10,6 +10,8 @@
 
 from result import Result
 
+VALUE_LIMIT_BYTES = 1_000_000  # the largest value that the platform's store holds
+
 
 class StoredValue(NamedTuple):
     """A key with its value and the revisions of its creation and last change."""
@@ -82,11 +84,13 @@
 
     `ambiguous` is true when a write may have taken effect: the request was sent
     and no answer came. It is false when the store refused the call or could not
-    be reached at all.
+    be reached at all. `refused` is true when the store is reachable and would
+    refuse the same call again; such a failure says nothing about its health.
     """
 
     reason: str
     ambiguous: bool
+    refused: bool = False
 
 
 class Store(Protocol):
