Make the store client robust against bad answers and cancelled callers

An answer with a key that is not UTF-8, or without a field, raised out of the client; it is now a failure like any other. asyncio.wait_for of Python 3.11 can lose a cancellation that arrives together with its timeout, which left a store keeper running after it was cancelled; asyncio.timeout does not. A cancelled call leaves its request to the deadline, as tornado cannot end it, and drops its end.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -94,6 +94,13 @@
         self.assertTrue(failure.refused)
         self.assertEqual(self.standin.counts['kv/txn'], 1)
 
+    async def test_bad_answer_is_a_failure(self):
+        """Guards against an answer of the wrong shape that stops the process."""
+        self.standin.memory.put(b'p/\xff', b'', 0)
+        failure = (await self.store.read_prefix('p/')).unwrap_err()
+        self.assertIn('bad answer', failure.reason)
+        self.assertEqual([item async for item in self.store.watch('p/', 1)], [])
+
 
 class LeaseTest(StoreCase):
     """Guards against keys that outlive their lease, or go before it."""
--- a/yuccarelay/adapters/etcd.py
+++ b/yuccarelay/adapters/etcd.py
@@ -6,14 +6,14 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 from urllib.parse import urlsplit
 
 import msgspec
 from result import Err, Ok, Result
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httpclient import HTTPError, HTTPRequest
+from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
@@ -27,6 +27,7 @@
     TxnAnswer,
     WatchLine,
     convert_change,
+    convert_page,
     convert_transaction,
     convert_value,
     find_prefix_end,
@@ -67,6 +68,10 @@
 # tornado words the timeouts that pass before a request is sent this way.
 UNSENT_TIMEOUTS = ('while connecting', 'in request queue')
 
+CONTENT_TYPE = 'application/json'
+# Answers of another shape, missing fields, and keys that are not UTF-8.
+BAD_ANSWER = (msgspec.MsgspecError, KeyError, ValueError)
+
 
 def judge_error(error: Exception, writes: bool) -> StoreFailure:
     """Return the failure for an error of the HTTP client."""
@@ -154,20 +159,15 @@
             'range_end': find_prefix_end(prefix.encode()),
             'limit': str(limit),
         }
-        answer = await self.call('/v3/kv/range', body, RangeAnswer)
-        return answer.map(
-            lambda found: Page(
-                values=tuple(convert_value(value) for value in found.get('kvs', [])),
-                revision=found.get('header', {}).get('revision', 0),
-                more=found.get('more', False),
-            )
-        )
+        return await self.call('/v3/kv/range', body, RangeAnswer, convert_page)
 
     async def read(self, key: str) -> Result[StoredValue | None, StoreFailure]:
         """Read one key."""
-        answer = await self.call('/v3/kv/range', {'key': key.encode()}, RangeAnswer)
-        return answer.map(
-            lambda found: next(map(convert_value, found.get('kvs', [])), None)
+        return await self.call(
+            '/v3/kv/range',
+            {'key': key.encode()},
+            RangeAnswer,
+            lambda found: next(map(convert_value, found.get('kvs', [])), None),
         )
 
     async def transact(
@@ -186,53 +186,85 @@
             'success': [make_operation(write) for write in writes],
             'failure': ranges,
         }
-        answer = await self.call('/v3/kv/txn', body, TxnAnswer, writes=True)
-        return answer.map(convert_transaction)
+        return await self.call(
+            '/v3/kv/txn',
+            body,
+            TxnAnswer,
+            convert_transaction,
+            writes=True,
+        )
 
     async def grant_lease(self, ttl_s: int) -> Result[int, StoreFailure]:
         """Create a lease and return its id."""
         body = {'TTL': str(ttl_s)}
-        answer = await self.call('/v3/lease/grant', body, GrantAnswer, writes=True)
-        return answer.map(lambda granted: granted['ID'])
+        return await self.call(
+            '/v3/lease/grant',
+            body,
+            GrantAnswer,
+            lambda granted: granted['ID'],
+            writes=True,
+        )
 
     async def keep_lease(self, lease: int) -> Result[bool, StoreFailure]:
         """Renew a lease; false means that it no longer exists."""
         body = {'ID': str(lease)}
-        answer = await self.call('/v3/lease/keepalive', body, KeepAnswer, writes=True)
-        return answer.map(lambda kept: kept['result'].get('TTL', 0) > 0)
+        return await self.call(
+            '/v3/lease/keepalive',
+            body,
+            KeepAnswer,
+            lambda kept: kept['result'].get('TTL', 0) > 0,
+            writes=True,
+        )
 
     async def revoke_lease(self, lease: int) -> Result[None, StoreFailure]:
         """End a lease and delete its keys."""
         body = {'ID': str(lease)}
-        answer = await self.call('/v3/lease/revoke', body, dict, writes=True)
-        return answer.map(lambda _: None)
+        return await self.call(
+            '/v3/lease/revoke',
+            body,
+            dict,
+            lambda _: None,
+            writes=True,
+        )
 
     async def call(
         self,
         path: str,
         body: dict[str, Any],
         answer_type: Any,
+        convert: Callable[[Any], Any],
         writes: bool = False,
     ) -> Result[Any, StoreFailure]:
-        """Send one call and decode its answer."""
+        """Send one call, decode its answer and convert it to the port's form."""
         request = HTTPRequest(
             url=self.url + path,
             method='POST',
+            headers={'Content-Type': CONTENT_TYPE},
             body=msgspec.json.encode(body),
             connect_timeout=self.deadline_s,
             request_timeout=self.deadline_s,
         )
         try:
-            response = await self.client.fetch(request, raise_error=False)
+            response = await self.fetch(request)
         except (HTTPError, OSError) as error:
             return Err(judge_error(error, writes))
         if response.code != 200:
             return Err(judge_status(response.code, response.body, writes))
         try:
             answer = msgspec.json.decode(response.body, type=answer_type, strict=False)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return Ok(convert(answer))
+        except BAD_ANSWER as error:
             return Err(StoreFailure(reason=f'bad answer: {error}', ambiguous=writes))
-        return Ok(answer)
+
+    async def fetch(self, request: HTTPRequest) -> HTTPResponse:
+        """
+        Send a request; tornado cannot end it early.
+
+        A cancelled caller leaves it to its deadline, and its late end is dropped.
+        """
+        sending = self.client.fetch(request, raise_error=False)
+        sending.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await asyncio.shield(sending)
 
     async def watch(
         self,
@@ -241,8 +273,8 @@
     ) -> AsyncIterator[tuple[WatchEvent, ...]]:
         """Yield the changes of a prefix until the connection ends."""
         try:
-            connecting = self.connector.connect(self.host, self.port)
-            stream = await asyncio.wait_for(connecting, self.deadline_s)
+            async with asyncio.timeout(self.deadline_s):
+                stream = await self.connector.connect(self.host, self.port)
         except (OSError, TimeoutError):
             return
         reader = LineReader()
@@ -251,7 +283,8 @@
         )
         try:
             # The first line says that the watch exists; a silent store ends it.
-            line = await asyncio.wait_for(reader.lines.get(), self.deadline_s)
+            async with asyncio.timeout(self.deadline_s):
+                line = await reader.lines.get()
             while line is not None:
                 result = msgspec.json.decode(line, type=WatchLine, strict=False)
                 if result['result'].get('canceled', False):
@@ -259,7 +292,7 @@
                 if events := result['result'].get('events'):
                     yield tuple(convert_change(change) for change in events)
                 line = await reader.lines.get()
-        except (TimeoutError, msgspec.MsgspecError):
+        except (TimeoutError, *BAD_ANSWER):
             return
         finally:
             stream.close()
@@ -280,7 +313,13 @@
             'start_revision': str(start_revision),
         }
         body = msgspec.json.encode({'create_request': create})
-        headers = HTTPHeaders({'Host': self.host, 'Content-Length': str(len(body))})
+        headers = HTTPHeaders(
+            {
+                'Host': f'{self.host}:{self.port}',
+                'Content-Type': CONTENT_TYPE,
+                'Content-Length': str(len(body)),
+            }
+        )
         limits = HTTP1ConnectionParameters(max_body_size=WATCH_BODY_LIMIT_BYTES)
         try:
             enable_keepalive(stream.socket)
--- a/yuccarelay/adapters/etcd_wire.py
+++ b/yuccarelay/adapters/etcd_wire.py
@@ -5,6 +5,7 @@
 from yuccarelay.ports.store import (
     Delete,
     Guard,
+    Page,
     Put,
     StoredValue,
     TransactionResult,
@@ -140,6 +141,15 @@
             return {'request_delete_range': {'key': key.encode()}}
 
 
+def convert_page(answer: RangeAnswer) -> Page:
+    """Return the port's form of a range's answer."""
+    return Page(
+        values=tuple(convert_value(value) for value in answer.get('kvs', [])),
+        revision=answer.get('header', {}).get('revision', 0),
+        more=answer.get('more', False),
+    )
+
+
 def convert_transaction(answer: TxnAnswer) -> TransactionResult:
     """Return the port's form of a transaction's answer."""
     parts = [part.get('response_range', {}) for part in answer.get('responses', [])]
