Add the registration and the watch on the configuration

The registration's key holds a random token, so repeating the creation settles a lost answer; the incarnation is the create revision. Past it, the registration is lost even if a late answer says otherwise.

The watch covers manifest, plan and entries with one store call. It is given up when the breaker opens, because a hanging connection shows nothing, and the prefix is read again afterwards. Reads from an older revision, generations and epochs that are not the highest seen are not passed on.

--- /dev/null
+++ b/yuccarelay/tasks/config_watch.py
@@ -0,0 +1,194 @@
+"""The one watch on `config/`: manifest, guarantee plan and live entries."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import aclosing
+from typing import NamedTuple
+
+from result import Result
+
+from yuccarelay.adapters.records import (
+    decode_document,
+    decode_entry,
+    decode_manifest,
+    decode_plan,
+)
+from yuccarelay.core.events import EntriesSeen, ManifestSeen, PlanSeen
+from yuccarelay.core.manifest import FieldError, Manifest
+from yuccarelay.core.models import EntryRef
+from yuccarelay.ports.journal import Journal
+from yuccarelay.ports.randomness import RandomSource
+from yuccarelay.ports.store import Page, StoredValue
+from yuccarelay.tasks.breaker import GuardedStore, jitter
+from yuccarelay.tasks.mailbox import Mailbox
+from yuccarelay.tasks.registration import ENTRIES_PREFIX
+
+CONFIG_PREFIX = 'config/'
+MANIFEST_KEY = 'config/manifest'
+PLAN_KEY = 'config/plan'
+RECONNECT_FIRST_MS = 250
+RECONNECT_LAST_MS = 5_000
+OUTAGE_CHECK_S = 60
+
+ManifestCheck = Callable[[object], Result[Manifest, tuple[FieldError, ...]]]
+
+
+class Mark(NamedTuple):
+    """The highest generation or epoch seen, and the revision that holds it."""
+
+    number: int = 0
+    mod_revision: int = 0
+
+
+class ConfigWatch:
+    """
+    Passes on what the store holds under `config/`; part of the store keeper.
+
+    Nothing older than what was passed on before is passed on again, whatever
+    the store serves.
+    """
+
+    def __init__(
+        self,
+        store: GuardedStore,
+        rng: RandomSource,
+        machine: Mailbox,
+        journal: Journal,
+        check_manifest: ManifestCheck,
+        reconnect_ms: int = RECONNECT_FIRST_MS,
+    ) -> None:
+        self.store = store
+        self.rng = rng
+        self.machine = machine
+        self.journal = journal
+        self.check_manifest = check_manifest
+        self.reconnect_ms = reconnect_ms
+        self.manifest = Mark()
+        self.plan = Mark()
+        self.revision = 0
+        self.entries: dict[str, EntryRef] = {}
+        self.announced: tuple[EntryRef, ...] | None = None
+
+    async def run(self) -> None:
+        """Read the prefix and watch it, again after each loss, until cancelled."""
+        mean_ms = self.reconnect_ms
+        while True:
+            page = await self.store.read_prefix(CONFIG_PREFIX)
+            if page.is_ok() and self.take_page(page.unwrap()):
+                mean_ms = self.reconnect_ms
+                await self.follow()
+            await asyncio.sleep(jitter(self.rng, mean_ms))
+            mean_ms = min(2 * mean_ms, RECONNECT_LAST_MS)
+            while self.store.is_open:
+                await self.store.wait_closed(OUTAGE_CHECK_S)
+
+    async def follow(self) -> None:
+        """
+        Take the watch's changes until it ends or the breaker opens.
+
+        A watch over a connection that hangs shows nothing, so it is given up in
+        an outage and opened anew afterwards.
+        """
+        taking = asyncio.create_task(self.take_changes())
+        opening = asyncio.create_task(self.store.opened.wait())
+        both = (taking, opening)
+        try:
+            await asyncio.wait(both, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in both:
+                task.cancel()
+            await asyncio.wait(both)
+        if not taking.cancelled():
+            taking.result()
+
+    async def take_changes(self) -> None:
+        """Take the changes after the revision that was read."""
+        watch = self.store.watch(CONFIG_PREFIX, self.revision + 1)
+        async with aclosing(watch):
+            async for events in watch:
+                for event in events:
+                    if event.value is None:
+                        self.entries.pop(event.key, None)
+                    else:
+                        self.take_value(event.value)
+                    self.revision = max(self.revision, event.revision)
+                self.announce_entries()
+
+    def take_page(self, page: Page) -> bool:
+        """Take the whole prefix; false when it is older than what was seen."""
+        if page.revision < self.revision:
+            fields = {'revision': page.revision, 'seen': self.revision}
+            self.journal.write('stale_read_ignored', fields)
+            return False
+        self.revision = page.revision
+        self.entries.clear()
+        for value in page.values:
+            self.take_value(value)
+        self.announce_entries()
+        return True
+
+    def take_value(self, value: StoredValue) -> None:
+        """Take one value."""
+        if value.key == MANIFEST_KEY:
+            self.take_manifest(value)
+        elif value.key == PLAN_KEY:
+            self.take_plan(value)
+        elif value.key.startswith(ENTRIES_PREFIX):
+            self.take_entry(value)
+
+    def take_manifest(self, value: StoredValue) -> None:
+        """Pass the manifest on if its generation is new and its text is valid."""
+        decoded = decode_manifest(value.value)
+        if decoded.is_err():
+            self.report_malformed(value.key, decoded.unwrap_err())
+            return
+        generation = decoded.unwrap().generation
+        if not self.is_new(value, generation, self.manifest):
+            return
+        self.manifest = Mark(generation, value.mod_revision)
+        document = decode_document(decoded.unwrap().text)
+        if document.is_err():
+            self.report_malformed(value.key, document.unwrap_err())
+            return
+        checked = self.check_manifest(document.unwrap())
+        if checked.is_err():
+            self.report_malformed(value.key, str(checked.unwrap_err()))
+            return
+        self.machine.put_nowait(ManifestSeen(generation, checked.unwrap()))
+
+    def take_plan(self, value: StoredValue) -> None:
+        """Pass the plan on if its epoch is new."""
+        decoded = decode_plan(value.value)
+        if decoded.is_err():
+            self.report_malformed(value.key, decoded.unwrap_err())
+            return
+        plan = decoded.unwrap()
+        if self.is_new(value, plan.epoch, self.plan):
+            self.plan = Mark(plan.epoch, value.mod_revision)
+            self.machine.put_nowait(PlanSeen(plan))
+
+    def take_entry(self, value: StoredValue) -> None:
+        """Note a live entry."""
+        decoded = decode_entry(value.value, value.create_revision)
+        if decoded.is_err():
+            self.report_malformed(value.key, decoded.unwrap_err())
+            return
+        self.entries[value.key] = decoded.unwrap()
+
+    def is_new(self, value: StoredValue, number: int, seen: Mark) -> bool:
+        """Return whether a generation or epoch is the highest so far."""
+        if number < seen.number:
+            fields = {'key': value.key, 'number': number, 'seen': seen.number}
+            self.journal.write('older_value_ignored', fields)
+        return number > seen.number
+
+    def announce_entries(self) -> None:
+        """Pass the live entries on if they changed."""
+        entries = tuple(sorted(self.entries.values()))
+        if entries != self.announced:
+            self.announced = entries
+            self.machine.put_nowait(EntriesSeen(entries))
+
+    def report_malformed(self, key: str, reason: str) -> None:
+        """Log a value that cannot be used."""
+        self.journal.write('malformed_value', {'key': key, 'reason': reason})
--- /dev/null
+++ b/yuccarelay/tasks/registration.py
@@ -0,0 +1,143 @@
+"""The entry's registration: a leased key, kept alive and renewed when lost."""
+
+import asyncio
+from contextlib import suppress
+
+from yuccarelay.adapters.records import EntryValue, encode_entry
+from yuccarelay.core.events import Registered, RegistrationLost
+from yuccarelay.core.models import EntryRef
+from yuccarelay.ports.clock import Clock
+from yuccarelay.ports.journal import Journal
+from yuccarelay.ports.randomness import RandomSource
+from yuccarelay.ports.store import Guard, Put
+from yuccarelay.tasks.breaker import GuardedStore, jitter
+from yuccarelay.tasks.mailbox import Mailbox
+
+ENTRIES_PREFIX = 'config/entries/'
+LEASE_S = 10
+KEEP_ALIVE_MS = 3_000
+# A lost keep-alive is repeated sooner than the next one is due, so that a lease
+# survives several lost answers.
+RETRY_MS = 500
+
+
+def make_token(rng: RandomSource) -> str:
+    """Return a token of 104 random bits that names one write."""
+    return ''.join(f'{int(rng.random() * (1 << 52)):013x}' for _ in range(2))
+
+
+class Registration:
+    """
+    Keeps one registration; part of the store keeper.
+
+    `deadline_ms` is the time by which the lease may have lapsed, counted from
+    before the last call that renewed it was sent.
+    """
+
+    def __init__(
+        self,
+        store: GuardedStore,
+        entry: EntryRef,
+        clock: Clock,
+        rng: RandomSource,
+        machine: Mailbox,
+        journal: Journal,
+        lease_s: int = LEASE_S,
+        keep_alive_ms: int = KEEP_ALIVE_MS,
+    ) -> None:
+        self.store = store
+        self.entry = entry
+        self.clock = clock
+        self.rng = rng
+        self.machine = machine
+        self.journal = journal
+        self.lease_s = lease_s
+        self.keep_alive_ms = keep_alive_ms
+        self.lease = 0
+        self.deadline_ms = 0
+        self.leaving = asyncio.Event()
+
+    async def run(self) -> None:
+        """Register, keep the lease, and register anew whenever it is lost."""
+        while not self.leaving.is_set():
+            incarnation = await self.register()
+            if incarnation == 0:
+                await self.pause()
+                continue
+            self.machine.put_nowait(Registered(incarnation))
+            await self.keep()
+            if not self.leaving.is_set():
+                self.journal.write('registration_lost', {'incarnation': incarnation})
+                self.machine.put_nowait(RegistrationLost())
+            await self.drop_lease()
+
+    def leave(self) -> None:
+        """Ask for the end of the registration."""
+        self.leaving.set()
+
+    async def register(self) -> int:
+        """Return the new incarnation, or 0 when the attempt failed."""
+        sent_ms = self.clock.now_ms()
+        granted = await self.store.grant_lease(self.lease_s)
+        if granted.is_err():
+            return 0
+        self.lease = granted.unwrap()
+        self.deadline_ms = sent_ms + self.lease_s * 1000
+        token = make_token(self.rng)
+        key = ENTRIES_PREFIX + token
+        value = EntryValue(token, self.entry.region, self.entry.address)
+        put = Put(key, encode_entry(value), self.lease)
+        while self.clock.now_ms() < self.deadline_ms:
+            # The key holds the token, so only this registration can have created
+            # it: repeating the write settles a lost answer.
+            result = await self.store.transact((Guard(key, 0),), (put,))
+            if result.is_ok():
+                done = result.unwrap()
+                if self.clock.now_ms() >= self.deadline_ms:
+                    break
+                if done.succeeded:
+                    return done.revision
+                return done.current[0].create_revision if done.current else 0
+            if result.unwrap_err().refused or self.leaving.is_set():
+                break
+            await self.pause()
+        await self.drop_lease()
+        return 0
+
+    async def keep(self) -> None:
+        """Renew the lease until it is lost or the entry leaves."""
+        wait_ms = self.keep_alive_ms
+        while await self.wait_leaving(wait_ms):
+            sent_ms = self.clock.now_ms()
+            if sent_ms >= self.deadline_ms:
+                return
+            kept = await self.store.keep_lease(self.lease)
+            if self.clock.now_ms() >= self.deadline_ms:
+                return
+            if kept.is_ok():
+                if not kept.unwrap():
+                    return
+                self.deadline_ms = sent_ms + self.lease_s * 1000
+                wait_ms = self.keep_alive_ms
+                continue
+            wait_ms = min(RETRY_MS, self.keep_alive_ms)
+
+    async def wait_leaving(self, wait_ms: float) -> bool:
+        """Wait, at most to the deadline; return false when the entry leaves."""
+        left_ms = min(wait_ms, self.deadline_ms - self.clock.now_ms())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(max(0, left_ms) / 1000):
+                await self.leaving.wait()
+        return not self.leaving.is_set()
+
+    async def drop_lease(self) -> None:
+        """Delete the registration's key at once; the lease would do so later."""
+        lease, self.lease = self.lease, 0
+        if lease:
+            await self.store.revoke_lease(lease)
+
+    async def pause(self) -> None:
+        """Wait before another attempt, longer while the store is down."""
+        await asyncio.sleep(jitter(self.rng, min(RETRY_MS, self.keep_alive_ms)))
+        if self.store.is_open:
+            await self.store.wait_closed(self.lease_s)
