--- /dev/null
+++ b/yuccarelay/tasks/retention.py
@@ -0,0 +1,41 @@
+"""
+Leases under which the records of ended jobs are kept.
+
+All jobs that end within an hour share one lease, which costs one store call an
+hour for each entry. A lease for each job would cost one more call a job, and a
+clean-up would have to read the records page by page and delete them.
+"""
+
+from result import Ok, Result
+
+from yuccarelay.ports.clock import Clock
+from yuccarelay.ports.store import StoreFailure
+from yuccarelay.tasks.breaker import GuardedStore
+
+KEEP_ENDED_S = 24 * 3600
+SHARED_FOR_S = 3600
+
+
+class Retention:
+    """Hands out the current shared lease; part of the store keeper."""
+
+    def __init__(self, store: GuardedStore, clock: Clock) -> None:
+        self.store = store
+        self.clock = clock
+        self.lease = 0
+        self.deadline_ms = 0
+
+    async def find_lease(self) -> Result[int, StoreFailure]:
+        """Return a lease that lasts at least 24 h from now."""
+        now_ms = self.clock.now_ms()
+        if self.lease and now_ms < self.deadline_ms:
+            return Ok(self.lease)
+        granted = await self.store.grant_lease(KEEP_ENDED_S + SHARED_FOR_S)
+        if granted.is_ok():
+            self.lease = granted.unwrap()
+            self.deadline_ms = now_ms + SHARED_FOR_S * 1000
+        return granted
+
+    def forget(self) -> None:
+        """Use a new lease from now on, because the store refused the old one."""
+        self.lease = 0
