Add the store keeper with manifest commits, and its tests

The store keeper is the one task of an entry that talks to the store. It carries out the store effects and commits, and reports to the state machine. Commits are compare-and-swaps on the generation; a lost answer is settled by the writer token, and a commit hidden behind a later generation is undecided.

The manifest check is a constructor argument until core.manifest has it.

--- a/tests/store_fixture.py
+++ b/tests/store_fixture.py
@@ -1,12 +1,23 @@
-"""Parts that the store tests share: a clock to set, a journal, the stand-in."""
+"""Parts that the store tests share: a clock to set, the stand-in, a store keeper."""
 
+import asyncio
+import random
 import unittest
 from collections.abc import Mapping
 
+from result import Err, Ok
+
 from yuccarelay.adapters.etcd import EtcdStore
+from yuccarelay.core.events import StoreReplied
+from yuccarelay.core.manifest import FieldError, Manifest
+from yuccarelay.core.models import EntryRef, JobRecord, JobState
 from yuccarelay.standins.store import StoreStandin
+from yuccarelay.tasks.mailbox import CommitManifest
+from yuccarelay.tasks.storekeeper import StorekeeperTask, StoreTimes
 
 SHORT_DEADLINE_MS = 200
+TIMES = StoreTimes(keep_alive_ms=5, probe_first_ms=10, reconnect_ms=2)
+HANG_GUARD_S = 20  # no assertion; ends a test that waits for a message in vain
 
 
 class FakeClock:
@@ -43,3 +54,81 @@
         store = EtcdStore(self.standin.url, deadline_ms)
         self.addCleanup(store.close)
         return store
+
+
+def check_manifest(document):
+    """Stand for the manifest's check: a document with `bad` is refused."""
+    if 'bad' in document:
+        return Err((FieldError('bad', 'must not be there'),))
+    return Ok(Manifest((), (document.get('text', ''),), {}))
+
+
+def make_record(number: int, **fields: object) -> JobRecord:
+    record = JobRecord(
+        job_id=f'7-{number}',
+        organisation='a',
+        job_name='n',
+        key='',
+        owner=7,
+        payload=b'x',
+        state=JobState.QUEUED,
+    )
+    return record._replace(**fields)
+
+
+class KeeperCase(StoreCase):
+    """Starts a store keeper and reads what it reports."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.journal = ListJournal()
+        self.inbox, self.machine, self.front = (asyncio.Queue() for _ in range(3))
+        self.running = self.start_keeper(self.inbox, self.machine)
+
+    def start_keeper(self, inbox, machine, deadline_ms=5_000, seed=1, times=TIMES):
+        keeper = StorekeeperTask(
+            self.open_store(deadline_ms),
+            EntryRef(0, 'south', f'tcp://127.0.0.1:{seed}'),
+            self.clock,
+            random.Random(seed),
+            inbox,
+            machine,
+            journal=self.journal,
+            check_manifest=check_manifest,
+            times=times,
+        )
+        running = asyncio.create_task(keeper.run())
+        self.addAsyncCleanup(self.stop_keeper, running)
+        return running
+
+    async def stop_keeper(self, running):
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    async def expect(self, kind, mailbox=None):
+        """Return the next message of a kind and drop those before it."""
+        mailbox = mailbox or self.machine
+        while True:
+            message = await asyncio.wait_for(mailbox.get(), HANG_GUARD_S)
+            if isinstance(message, kind):
+                return message
+
+    async def ask(self, *effects):
+        """Send effects together and return the results by tag."""
+        for effect in effects:
+            self.inbox.put_nowait(effect)
+        replies = [await self.expect(StoreReplied) for _ in effects]
+        return {reply.tag: reply.result for reply in replies}
+
+    async def commit(self, text: bytes, replaces: int):
+        self.inbox.put_nowait(CommitManifest(1, text, replaces, self.front))
+        return (await asyncio.wait_for(self.front.get(), HANG_GUARD_S)).result
+
+    async def wait_event(self, event: str):
+        async with asyncio.timeout(HANG_GUARD_S):
+            while event not in self.journal.events:
+                await asyncio.sleep(0.001)
+
+    async def list_keys(self, prefix: str) -> list[str]:
+        page = (await self.store.read_prefix(prefix)).unwrap()
+        return [value.key for value in page.values]
--- /dev/null
+++ b/tests/test_storekeeper.py
@@ -0,0 +1,364 @@
+"""The store keeper over HTTP against the stand-in."""
+
+import asyncio
+
+from tests.store_fixture import (
+    HANG_GUARD_S,
+    SHORT_DEADLINE_MS,
+    TIMES,
+    KeeperCase,
+    make_record,
+)
+from yuccarelay.adapters.records import ManifestValue, encode_manifest, encode_plan
+from yuccarelay.core.events import (
+    Conflict,
+    CreateRecord,
+    Deregister,
+    EntriesSeen,
+    KeyTaken,
+    Loaded,
+    LoadedMany,
+    LoadOpenRecords,
+    LoadRecord,
+    ManifestSeen,
+    Missing,
+    PlanSeen,
+    ProposePlan,
+    Registered,
+    RegistrationLost,
+    ReplaceRecord,
+    Stored,
+    StoreHealthChanged,
+    StoreReplied,
+    Unavailable,
+)
+from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES
+from yuccarelay.core.models import JobState
+from yuccarelay.core.shape import Plan
+from yuccarelay.ports.store import Put
+from yuccarelay.tasks.breaker import FAILURE_LIMIT
+from yuccarelay.tasks.mailbox import (
+    CommitManifest,
+    CommitRefused,
+    Committed,
+    CommitUndecided,
+)
+from yuccarelay.tasks.storekeeper import PAGE_LIMIT
+
+WEEK_MS = 7 * 24 * 3_600_000
+
+
+class RegistrationTest(KeeperCase):
+    """Guards against an entry that acts without a registration, or with two."""
+
+    async def test_lost_answer_is_one_registration(self):
+        """Guards against a second incarnation when the first answer is lost."""
+        await self.expect(Registered)
+        self.standin.set_faults(lose_answers=1)
+        machine = asyncio.Queue()
+        self.start_keeper(asyncio.Queue(), machine, seed=2)
+        incarnation = (await self.expect(Registered, machine)).incarnation
+        page = (await self.store.read_prefix('config/entries/')).unwrap()
+        created = [value.create_revision for value in page.values]
+        self.assertEqual(len(created), 2)
+        self.assertIn(incarnation, created)
+
+    async def test_lapse_while_paused(self):
+        """Guards against a paused entry that resumes under its old incarnation."""
+        old = (await self.expect(Registered)).incarnation
+        self.clock.time_ms += 11_000
+        await self.expect(RegistrationLost)
+        new = (await self.expect(Registered)).incarnation
+        self.assertGreater(new, old)
+        self.assertEqual(len(await self.list_keys('config/entries/')), 1)
+
+    async def test_outage_longer_than_the_lease(self):
+        """Guards against an entry that trusts a lease it could not renew."""
+        old = (await self.expect(Registered)).incarnation
+        self.standin.set_faults(down='refuse')
+        while (await self.expect(StoreHealthChanged)).up:
+            pass
+        self.clock.time_ms += 10_000
+        await self.expect(RegistrationLost)
+        self.standin.set_faults(down='')
+        self.assertGreater((await self.expect(Registered)).incarnation, old)
+
+    async def test_deregistration_deletes_the_key(self):
+        """Guards against a stopped entry that counts as live until its lease ends."""
+        await self.expect(Registered)
+        self.inbox.put_nowait(Deregister())
+        while (await self.expect(EntriesSeen)).entries:
+            pass
+        self.assertEqual(await self.list_keys('config/entries/'), [])
+        self.assertFalse(self.running.done())
+
+    async def test_cancelling_leaves_nothing_behind(self):
+        """Guards against parts that go on after the task was cancelled."""
+        await self.expect(EntriesSeen)
+        await self.stop_keeper(self.running)
+        left = [task.get_coro().cr_code.co_filename for task in asyncio.all_tasks()]
+        self.assertFalse([name for name in left if 'yuccarelay/tasks' in name])
+
+
+class ConfigTest(KeeperCase):
+    """Guards against a manifest, plan or entry that reverts or is missed."""
+
+    async def put_manifest(self, generation: int, text: bytes = b'{}'):
+        data = encode_manifest(ManifestValue(generation, 'w', text))
+        await self.store.transact((), (Put('config/manifest', data),))
+
+    async def test_old_read_after_a_newer_one(self):
+        """Guards against a store that serves an old generation after a newer one."""
+        await self.put_manifest(1)
+        old = self.standin.memory.revision
+        await self.put_manifest(2)
+        while (await self.expect(ManifestSeen)).generation < 2:
+            pass
+        self.standin.set_faults(stale_revision=old, down='refuse')
+        while (await self.expect(StoreHealthChanged)).up:
+            pass
+        self.standin.set_faults(down='')
+        await self.wait_event('stale_read_ignored')
+        self.standin.set_faults(stale_revision=0)
+        await self.put_manifest(3)
+        self.assertEqual((await self.expect(ManifestSeen)).generation, 3)
+
+    async def test_lower_generation_and_epoch_are_not_passed_on(self):
+        """Guards against an older manifest or plan written over a newer one."""
+        await self.put_manifest(5)
+        plan = Put('config/plan', encode_plan(Plan(5, 5, ())))
+        await self.store.transact((), (plan,))
+        await self.expect(PlanSeen)
+        await self.put_manifest(4)
+        plan = Put('config/plan', encode_plan(Plan(4, 5, ())))
+        await self.store.transact((), (plan,))
+        await self.put_manifest(6)
+        self.assertEqual((await self.expect(ManifestSeen)).generation, 6)
+        self.assertEqual(self.journal.events.count('older_value_ignored'), 2)
+
+    async def test_changes_during_an_outage_are_read_afterwards(self):
+        """Guards against a change missed while the watch was lost."""
+        await self.expect(EntriesSeen)
+        self.standin.set_faults(down='refuse')
+        while (await self.expect(StoreHealthChanged)).up:
+            pass
+        data = encode_manifest(ManifestValue(1, 'w', b'{}'))
+        self.standin.memory.revision += 1
+        self.standin.memory.put(b'config/manifest', data, 0)
+        self.standin.set_faults(down='', compact=True)
+        self.assertEqual((await self.expect(ManifestSeen)).generation, 1)
+
+    async def test_malformed_values_are_logged(self):
+        """Guards against one damaged value that stops the entry."""
+        for name in ('manifest', 'plan', 'entries/x'):
+            await self.store.transact((), (Put(f'config/{name}', b'{'),))
+        await self.put_manifest(1, b'{"bad": 1}')
+        await self.put_manifest(2)
+        self.assertEqual((await self.expect(ManifestSeen)).generation, 2)
+        self.assertEqual(self.journal.events.count('malformed_value'), 4)
+
+    async def test_plan_race(self):
+        """Guards against two entries whose plans overwrite each other."""
+        for generation in (1, 2):
+            self.inbox.put_nowait(ProposePlan(Plan(1, generation, ())))
+        seen = (await self.expect(PlanSeen)).plan
+        await self.wait_event('plan_outdated')
+        self.inbox.put_nowait(ProposePlan(Plan(2, 9, ())))
+        self.assertEqual((await self.expect(PlanSeen)).plan, Plan(2, 9, ()))
+        self.assertEqual(seen.epoch, 1)
+
+
+class RecordTest(KeeperCase):
+    """Guards against records that are lost, doubled or reported wrongly."""
+
+    async def test_key_binds_one_job(self):
+        """Guards against a repeated submission that becomes a second job."""
+        first, second = (make_record(n, key='k') for n in (1, 2))
+        results = await self.ask(CreateRecord('1', first), CreateRecord('2', second))
+        self.assertIsInstance(results['1'], Stored)
+        self.assertEqual(results['2'], KeyTaken('7-1'))
+        self.assertEqual(await self.list_keys('jobs/'), ['jobs/7-1'])
+
+    async def test_lost_answers_are_settled(self):
+        """Guards against a stored record that is reported as not stored."""
+        self.standin.set_faults(lose_answers=2)
+        record = make_record(1, key='k')
+        created = (await self.ask(CreateRecord('1', record)))['1']
+        self.standin.set_faults(lose_answers=2)
+        changed = record._replace(state=JobState.LAUNCHING, attempt=1)
+        effect = ReplaceRecord('2', changed, created.revision)
+        replaced = (await self.ask(effect))['2']
+        loaded = (await self.ask(LoadRecord('3', '7-1')))['3']
+        self.assertEqual(loaded, Loaded(changed, replaced.revision))
+
+    async def test_two_writers_race(self):
+        """Guards against an old owner that overwrites its adopter's record."""
+        created = (await self.ask(CreateRecord('1', make_record(1))))['1']
+        adopted = make_record(1, owner=8)
+        other_inbox, other_machine = asyncio.Queue(), asyncio.Queue()
+        self.start_keeper(other_inbox, other_machine, seed=2)
+        other_inbox.put_nowait(ReplaceRecord('2', adopted, created.revision))
+        winner = (await self.expect(StoreReplied, other_machine)).result
+        # The late writer's answer is lost as well; that must not look like a win.
+        self.standin.set_faults(lose_answers=1)
+        late = ReplaceRecord('3', make_record(1, attempt=1), created.revision)
+        result = (await self.ask(late))['3']
+        self.assertEqual(result, Conflict(adopted, winner.revision))
+
+    async def test_missing_record(self):
+        """Guards against a change that creates a record which was never there."""
+        change = ReplaceRecord('1', make_record(1), 3)
+        results = await self.ask(change, LoadRecord('2', '7-1'))
+        self.assertEqual(results, {'1': Missing(), '2': Missing()})
+
+    async def test_one_failed_guard_leaves_the_group(self):
+        """Guards against one conflict that fails all writes of its group."""
+        await self.expect(Registered)
+        await self.ask(CreateRecord('0', make_record(0)))
+        before = self.standin.counts['kv/txn']
+        effects = [CreateRecord(str(n), make_record(n)) for n in range(20)]
+        results = await self.ask(*effects)
+        self.assertIsInstance(results.pop('0'), Conflict)
+        self.assertEqual({type(result) for result in results.values()}, {Stored})
+        self.assertLessEqual(self.standin.counts['kv/txn'] - before, 2)
+
+    async def test_silent_store_leaves_doubt(self):
+        """Guards against a record reported as not stored that is stored later."""
+        inbox, machine = asyncio.Queue(), asyncio.Queue()
+        times = TIMES._replace(settle_ms=0)
+        self.start_keeper(inbox, machine, SHORT_DEADLINE_MS, seed=2, times=times)
+        await self.expect(Registered, machine)
+        self.standin.set_faults(down='hang')
+        inbox.put_nowait(CreateRecord('1', make_record(1)))
+        result = (await self.expect(StoreReplied, machine)).result
+        self.assertEqual(result, Unavailable(ambiguous=True))
+        self.standin.set_faults(down='')
+        await self.store.transact((), ())
+        self.assertEqual(await self.list_keys('jobs/'), ['jobs/7-1'])
+
+    async def test_record_over_the_limit(self):
+        """Guards against one large record that fails the others of its group."""
+        large = make_record(1, payload=bytes(900_000))
+        effects = [CreateRecord('1', large), CreateRecord('2', make_record(2))]
+        results = await self.ask(*effects)
+        self.assertEqual(results['1'], Unavailable(ambiguous=False))
+        self.assertIsInstance(results['2'], Stored)
+
+    async def test_ended_records_lapse_together_with_their_keys(self):
+        """Guards against a store that fills up, and against a lease for each job."""
+        await self.expect(Registered)
+        created = await self.ask(
+            *[CreateRecord(str(n), make_record(n, key=f'k{n}')) for n in range(5)]
+        )
+        before = self.standin.counts['lease/grant']
+        for n in range(4):
+            ended = make_record(n, key=f'k{n}', state=JobState.ENDED)
+            revision = created[str(n)].revision
+            self.assertIsInstance(
+                (await self.ask(ReplaceRecord('e', ended, revision)))['e'], Stored
+            )
+        self.assertEqual(self.standin.counts['lease/grant'] - before, 1)
+        await self.stop_keeper(self.running)
+        self.clock.time_ms += 24 * 3_600_000
+        self.assertEqual(len(await self.list_keys('jobs/')), 5)
+        self.clock.time_ms += WEEK_MS
+        self.assertEqual(await self.list_keys('jobs/'), ['jobs/7-4'])
+        self.assertEqual(await self.list_keys('keys/'), ['keys/a/k4'])
+
+    async def test_open_records_come_from_all_pages(self):
+        """Guards against adoption that misses the jobs after the first page."""
+        count = PAGE_LIMIT + 3
+        states = [JobState.QUEUED, JobState.ENDED]
+        await self.ask(
+            *[
+                CreateRecord(str(n), make_record(n, state=states[n % 2]))
+                for n in range(count)
+            ]
+        )
+        await self.store.transact((), (Put('jobs/7-0x', b'damaged'),))
+        loaded = (await self.ask(LoadOpenRecords('l')))['l']
+        self.assertIsInstance(loaded, LoadedMany)
+        found = {item.record.job_id for item in loaded.records}
+        self.assertEqual(found, {f'7-{n}' for n in range(0, count, 2)})
+
+
+class CommitTest(KeeperCase):
+    """Guards against commits that are lost, doubled or answered wrongly."""
+
+    async def test_race_names_the_winner(self):
+        """Guards against two racing operators that both believe they won."""
+        first = await self.commit(b'{"text": "1"}', 0)
+        second = await self.commit(b'{"text": "2"}', 0)
+        self.assertEqual(first, Committed(1))
+        self.assertEqual(second, CommitRefused('generation_conflict', generation=1))
+        self.assertEqual(await self.commit(b'{"text": "3"}', 1), Committed(2))
+
+    async def test_simultaneous_commits(self):
+        """Guards against a race that is decided outside the store."""
+        for text in (b'{"text": "1"}', b'{"text": "2"}'):
+            self.inbox.put_nowait(CommitManifest(1, text, 0, self.front))
+        results = [(await self.front.get()).result for _ in range(2)]
+        refused = CommitRefused('generation_conflict', generation=1)
+        self.assertCountEqual(results, [Committed(1), refused])
+
+    async def test_lost_answer_is_settled(self):
+        """Guards against a commit in force that its operator believes refused."""
+        await self.expect(Registered)
+        self.standin.set_faults(lose_answers=2)
+        self.assertEqual(await self.commit(b'{"text": "1"}', 0), Committed(1))
+        self.assertEqual((await self.expect(ManifestSeen)).generation, 1)
+
+    async def test_silent_store_is_undecided(self):
+        """Guards against a definite answer that nothing proves."""
+        inbox, machine = asyncio.Queue(), asyncio.Queue()
+        times = TIMES._replace(settle_ms=0)
+        self.start_keeper(inbox, machine, SHORT_DEADLINE_MS, seed=2, times=times)
+        await self.expect(EntriesSeen, machine)
+        self.standin.set_faults(down='hang')
+        inbox.put_nowait(CommitManifest(1, b'{}', 0, self.front))
+        result = (await asyncio.wait_for(self.front.get(), HANG_GUARD_S)).result
+        self.assertIsInstance(result, CommitUndecided)
+
+    async def test_unreachable_store_is_a_refusal(self):
+        """Guards against needless doubt when nothing can have been written."""
+        await self.expect(EntriesSeen)
+        self.standin.set_faults(down='refuse')
+        result = await self.commit(b'{}', 0)
+        self.assertEqual(result, CommitRefused('store_unavailable'))
+
+    async def test_invalid_texts_write_nothing(self):
+        """Guards against a manifest that no entry can put in force."""
+        await self.expect(Registered)
+        before = self.standin.counts['kv/txn']
+        over = b'{"text": "' + b'x' * MANIFEST_LIMIT_BYTES + b'"}'
+        codes = [
+            (await self.commit(text, 0)).code for text in (over, b'{', b'{"bad": 1}')
+        ]
+        self.assertEqual(
+            codes, ['manifest_too_large', 'manifest_not_json', 'manifest_invalid']
+        )
+        self.assertEqual(self.standin.counts['kv/txn'], before)
+
+
+class BreakerTest(KeeperCase):
+    """Guards against an outage made worse by its clients."""
+
+    async def test_outage_costs_few_calls_and_recovery_no_stampede(self):
+        """Guards against calls to a store that is down, and a burst afterwards."""
+        await self.expect(EntriesSeen)
+        self.standin.set_faults(down='refuse')
+        while (await self.expect(StoreHealthChanged)).up:
+            pass
+        before = self.standin.counts.copy()
+        effects = [CreateRecord(str(n), make_record(n)) for n in range(100)]
+        results = await self.ask(*effects)
+        self.assertEqual(set(results.values()), {Unavailable(ambiguous=False)})
+        calls = self.standin.counts - before
+        self.assertEqual(calls['kv/txn'], 0)
+        self.assertLessEqual(calls.total(), FAILURE_LIMIT)
+        self.standin.set_faults(down='')
+        self.assertTrue((await self.expect(StoreHealthChanged)).up)
+        before = self.standin.counts.copy()
+        results = await self.ask(*effects)
+        self.assertEqual({type(result) for result in results.values()}, {Stored})
+        self.assertLessEqual((self.standin.counts - before)['kv/txn'], 5)
--- /dev/null
+++ b/yuccarelay/tasks/committing.py
@@ -0,0 +1,161 @@
+"""Commits of the manifest: checks, compare-and-swap, and lost answers."""
+
+import asyncio
+
+from yuccarelay.adapters.records import (
+    ManifestValue,
+    decode_document,
+    decode_manifest,
+    encode_manifest,
+)
+from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES, FieldError
+from yuccarelay.ports.clock import Clock
+from yuccarelay.ports.randomness import RandomSource
+from yuccarelay.ports.store import (
+    VALUE_LIMIT_BYTES,
+    Guard,
+    Put,
+    StoredValue,
+    StoreFailure,
+    TransactionResult,
+)
+from yuccarelay.tasks.breaker import GuardedStore, jitter
+from yuccarelay.tasks.config_watch import MANIFEST_KEY, ConfigWatch, Mark
+from yuccarelay.tasks.mailbox import (
+    CommitManifest,
+    CommitRefused,
+    Committed,
+    CommitUndecided,
+)
+from yuccarelay.tasks.registration import make_token
+
+SETTLE_MS = 8_000
+SETTLE_PAUSE_MS = 200
+
+CommitResult = Committed | CommitRefused | CommitUndecided
+
+
+def refuse_field(code: str, rule: str) -> CommitRefused:
+    """Return the refusal of the whole text."""
+    return CommitRefused(code, (FieldError('manifest', rule),))
+
+
+class Committer:
+    """Carries out commits; part of the store keeper."""
+
+    def __init__(
+        self,
+        store: GuardedStore,
+        clock: Clock,
+        rng: RandomSource,
+        config: ConfigWatch,
+        settle_ms: int = SETTLE_MS,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.rng = rng
+        self.config = config
+        self.settle_ms = settle_ms
+
+    async def commit(self, request: CommitManifest) -> CommitResult:
+        """Check the manifest and write it if the store has the named generation."""
+        text = request.text.strip()
+        refusal = self.check(text)
+        if refusal is not None:
+            return refusal
+        token = make_token(self.rng)
+        value = ManifestValue(request.replaces + 1, token, text)
+        data = encode_manifest(value)
+        if len(data) > VALUE_LIMIT_BYTES:
+            return self.refuse_size()
+        found = await self.find_mark(request.replaces)
+        if isinstance(found, CommitRefused):
+            return found
+        return await self.write(value, data, Guard(MANIFEST_KEY, found.mod_revision))
+
+    def refuse_size(self) -> CommitRefused:
+        """Return the refusal of a text that does not fit into one value."""
+        rule = f'must be at most {MANIFEST_LIMIT_BYTES} bytes with its header'
+        return refuse_field('manifest_too_large', rule)
+
+    def check(self, text: bytes) -> CommitRefused | None:
+        """Return the refusal of a text that is no valid manifest."""
+        if len(text) > MANIFEST_LIMIT_BYTES:
+            return self.refuse_size()
+        document = decode_document(text)
+        if document.is_err():
+            return refuse_field('manifest_not_json', document.unwrap_err())
+        checked = self.config.check_manifest(document.unwrap())
+        if checked.is_err():
+            return CommitRefused('manifest_invalid', checked.unwrap_err())
+        return None
+
+    async def find_mark(self, replaces: int) -> Mark | CommitRefused:
+        """Return where the store holds the generation that is to be replaced."""
+        seen = self.config.manifest
+        if seen.number < replaces or not self.config.revision:
+            read = await self.store.read(MANIFEST_KEY)
+            if read.is_err():
+                return CommitRefused('store_unavailable')
+            seen = max(seen, self.read_mark(read.unwrap()))
+        if seen.number != replaces:
+            return CommitRefused('generation_conflict', generation=seen.number)
+        return seen
+
+    def read_mark(self, stored: StoredValue | None) -> Mark:
+        """Return the generation of a stored value; 0 if there is none."""
+        if stored is None:
+            return Mark()
+        decoded = decode_manifest(stored.value)
+        if decoded.is_err():
+            self.config.report_malformed(stored.key, decoded.unwrap_err())
+            return Mark()
+        return Mark(decoded.unwrap().generation, stored.mod_revision)
+
+    async def write(
+        self,
+        value: ManifestValue,
+        data: bytes,
+        guard: Guard,
+    ) -> CommitResult:
+        """Write the value, repeatedly until the end of the write is known."""
+        deadline_ms = self.clock.now_ms() + self.settle_ms
+        put = Put(MANIFEST_KEY, data)
+        doubtful = False
+        while True:
+            result = await self.store.transact((guard,), (put,))
+            if result.is_ok():
+                return self.judge(value, result.unwrap(), doubtful)
+            failure = result.unwrap_err()
+            doubtful = doubtful or failure.ambiguous
+            if not doubtful:
+                return self.refuse_failure(failure)
+            if self.clock.now_ms() >= deadline_ms:
+                return CommitUndecided(failure.reason)
+            await asyncio.sleep(jitter(self.rng, SETTLE_PAUSE_MS))
+            await self.store.wait_closed((deadline_ms - self.clock.now_ms()) / 1000)
+
+    def refuse_failure(self, failure: StoreFailure) -> CommitRefused:
+        """Return the refusal when nothing was written."""
+        if failure.refused:
+            return refuse_field('store_refused', failure.reason)
+        return CommitRefused('store_unavailable')
+
+    def judge(
+        self,
+        value: ManifestValue,
+        done: TransactionResult,
+        doubtful: bool,
+    ) -> CommitResult:
+        """Return the end of a commit by what the store holds now."""
+        if done.succeeded:
+            return Committed(value.generation)
+        stored = done.current[0] if done.current else None
+        winner = self.read_mark(stored).number
+        if stored is not None and winner == value.generation:
+            if decode_manifest(stored.value).unwrap().writer == value.writer:
+                return Committed(value.generation)
+        elif doubtful and winner > value.generation:
+            # A later generation hides whether this write was the one before it.
+            return CommitUndecided(f'generation {winner} has been committed since')
+        return CommitRefused('generation_conflict', generation=winner)
