--- a/tests/store_fixture.py
+++ b/tests/store_fixture.py
@@ -85,11 +85,19 @@
         self.inbox, self.machine, self.front = (asyncio.Queue() for _ in range(3))
         self.running = self.start_keeper(self.inbox, self.machine)
 
-    def start_keeper(self, inbox, machine, deadline_ms=5_000, seed=1, times=TIMES):
+    def start_keeper(
+        self,
+        inbox,
+        machine,
+        deadline_ms=5_000,
+        seed=1,
+        times=TIMES,
+        clock=None,
+    ):
         keeper = StorekeeperTask(
             self.open_store(deadline_ms),
             EntryRef(0, 'south', f'tcp://127.0.0.1:{seed}'),
-            self.clock,
+            clock or self.clock,
             random.Random(seed),
             inbox,
             machine,
@@ -129,6 +137,12 @@
             while event not in self.journal.events:
                 await asyncio.sleep(0.001)
 
+    def write_directly(self, key: str, value: bytes):
+        """Write past the HTTP server, so that the faults do not touch the write."""
+        self.standin.memory.revision += 1
+        self.standin.memory.put(key.encode(), value, 0)
+        self.standin.notify()
+
     async def list_keys(self, prefix: str) -> list[str]:
         page = (await self.store.read_prefix(prefix)).unwrap()
         return [value.key for value in page.values]
--- a/tests/test_storekeeper.py
+++ b/tests/test_storekeeper.py
@@ -6,34 +6,25 @@
     HANG_GUARD_S,
     SHORT_DEADLINE_MS,
     TIMES,
+    FakeClock,
     KeeperCase,
     make_record,
 )
 from yuccarelay.adapters.records import ManifestValue, encode_manifest, encode_plan
 from yuccarelay.core.events import (
-    Conflict,
     CreateRecord,
     Deregister,
     EntriesSeen,
-    KeyTaken,
-    Loaded,
-    LoadedMany,
-    LoadOpenRecords,
-    LoadRecord,
     ManifestSeen,
-    Missing,
     PlanSeen,
     ProposePlan,
     Registered,
     RegistrationLost,
-    ReplaceRecord,
     Stored,
     StoreHealthChanged,
-    StoreReplied,
     Unavailable,
 )
 from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES
-from yuccarelay.core.models import JobState
 from yuccarelay.core.shape import Plan
 from yuccarelay.ports.store import Put
 from yuccarelay.tasks.breaker import FAILURE_LIMIT
@@ -43,9 +34,6 @@
     Committed,
     CommitUndecided,
 )
-from yuccarelay.tasks.storekeeper import PAGE_LIMIT
-
-WEEK_MS = 7 * 24 * 3_600_000
 
 
 class RegistrationTest(KeeperCase):
@@ -72,6 +60,15 @@
         self.assertGreater(new, old)
         self.assertEqual(len(await self.list_keys('config/entries/')), 1)
 
+    async def test_late_renewal(self):
+        """Guards against a renewal whose answer comes after the stored deadline."""
+        clock, machine = FakeClock(), asyncio.Queue()
+        self.start_keeper(asyncio.Queue(), machine, seed=2, clock=clock)
+        old = (await self.expect(Registered, machine)).incarnation
+        clock.time_ms += 10_000  # the store's clock does not move: it would renew
+        await self.expect(RegistrationLost, machine)
+        self.assertGreater((await self.expect(Registered, machine)).incarnation, old)
+
     async def test_outage_longer_than_the_lease(self):
         """Guards against an entry that trusts a lease it could not renew."""
         old = (await self.expect(Registered)).incarnation
@@ -143,11 +140,25 @@
         while (await self.expect(StoreHealthChanged)).up:
             pass
         data = encode_manifest(ManifestValue(1, 'w', b'{}'))
-        self.standin.memory.revision += 1
-        self.standin.memory.put(b'config/manifest', data, 0)
+        self.write_directly('config/manifest', data)
         self.standin.set_faults(down='', compact=True)
         self.assertEqual((await self.expect(ManifestSeen)).generation, 1)
 
+    async def test_silent_watch_is_given_up(self):
+        """Guards against a watch over a dead connection that is trusted for ever."""
+        machine = asyncio.Queue()
+        await self.stop_keeper(self.running)
+        self.start_keeper(asyncio.Queue(), machine, SHORT_DEADLINE_MS, seed=2)
+        await self.expect(Registered, machine)
+        before = self.standin.counts['watch']
+        self.standin.set_faults(down='hang')
+        while (await self.expect(StoreHealthChanged, machine)).up:
+            pass
+        self.standin.set_faults(down='')
+        async with asyncio.timeout(HANG_GUARD_S):
+            while self.standin.counts['watch'] == before:
+                await asyncio.sleep(0.001)
+
     async def test_malformed_values_are_logged(self):
         """Guards against one damaged value that stops the entry."""
         for name in ('manifest', 'plan', 'entries/x'):
@@ -168,120 +179,6 @@
         self.assertEqual(seen.epoch, 1)
 
 
-class RecordTest(KeeperCase):
-    """Guards against records that are lost, doubled or reported wrongly."""
-
-    async def test_key_binds_one_job(self):
-        """Guards against a repeated submission that becomes a second job."""
-        first, second = (make_record(n, key='k') for n in (1, 2))
-        results = await self.ask(CreateRecord('1', first), CreateRecord('2', second))
-        self.assertIsInstance(results['1'], Stored)
-        self.assertEqual(results['2'], KeyTaken('7-1'))
-        self.assertEqual(await self.list_keys('jobs/'), ['jobs/7-1'])
-
-    async def test_lost_answers_are_settled(self):
-        """Guards against a stored record that is reported as not stored."""
-        self.standin.set_faults(lose_answers=2)
-        record = make_record(1, key='k')
-        created = (await self.ask(CreateRecord('1', record)))['1']
-        self.standin.set_faults(lose_answers=2)
-        changed = record._replace(state=JobState.LAUNCHING, attempt=1)
-        effect = ReplaceRecord('2', changed, created.revision)
-        replaced = (await self.ask(effect))['2']
-        loaded = (await self.ask(LoadRecord('3', '7-1')))['3']
-        self.assertEqual(loaded, Loaded(changed, replaced.revision))
-
-    async def test_two_writers_race(self):
-        """Guards against an old owner that overwrites its adopter's record."""
-        created = (await self.ask(CreateRecord('1', make_record(1))))['1']
-        adopted = make_record(1, owner=8)
-        other_inbox, other_machine = asyncio.Queue(), asyncio.Queue()
-        self.start_keeper(other_inbox, other_machine, seed=2)
-        other_inbox.put_nowait(ReplaceRecord('2', adopted, created.revision))
-        winner = (await self.expect(StoreReplied, other_machine)).result
-        # The late writer's answer is lost as well; that must not look like a win.
-        self.standin.set_faults(lose_answers=1)
-        late = ReplaceRecord('3', make_record(1, attempt=1), created.revision)
-        result = (await self.ask(late))['3']
-        self.assertEqual(result, Conflict(adopted, winner.revision))
-
-    async def test_missing_record(self):
-        """Guards against a change that creates a record which was never there."""
-        change = ReplaceRecord('1', make_record(1), 3)
-        results = await self.ask(change, LoadRecord('2', '7-1'))
-        self.assertEqual(results, {'1': Missing(), '2': Missing()})
-
-    async def test_one_failed_guard_leaves_the_group(self):
-        """Guards against one conflict that fails all writes of its group."""
-        await self.expect(Registered)
-        await self.ask(CreateRecord('0', make_record(0)))
-        before = self.standin.counts['kv/txn']
-        effects = [CreateRecord(str(n), make_record(n)) for n in range(20)]
-        results = await self.ask(*effects)
-        self.assertIsInstance(results.pop('0'), Conflict)
-        self.assertEqual({type(result) for result in results.values()}, {Stored})
-        self.assertLessEqual(self.standin.counts['kv/txn'] - before, 2)
-
-    async def test_silent_store_leaves_doubt(self):
-        """Guards against a record reported as not stored that is stored later."""
-        inbox, machine = asyncio.Queue(), asyncio.Queue()
-        times = TIMES._replace(settle_ms=0)
-        self.start_keeper(inbox, machine, SHORT_DEADLINE_MS, seed=2, times=times)
-        await self.expect(Registered, machine)
-        self.standin.set_faults(down='hang')
-        inbox.put_nowait(CreateRecord('1', make_record(1)))
-        result = (await self.expect(StoreReplied, machine)).result
-        self.assertEqual(result, Unavailable(ambiguous=True))
-        self.standin.set_faults(down='')
-        await self.store.transact((), ())
-        self.assertEqual(await self.list_keys('jobs/'), ['jobs/7-1'])
-
-    async def test_record_over_the_limit(self):
-        """Guards against one large record that fails the others of its group."""
-        large = make_record(1, payload=bytes(900_000))
-        effects = [CreateRecord('1', large), CreateRecord('2', make_record(2))]
-        results = await self.ask(*effects)
-        self.assertEqual(results['1'], Unavailable(ambiguous=False))
-        self.assertIsInstance(results['2'], Stored)
-
-    async def test_ended_records_lapse_together_with_their_keys(self):
-        """Guards against a store that fills up, and against a lease for each job."""
-        await self.expect(Registered)
-        created = await self.ask(
-            *[CreateRecord(str(n), make_record(n, key=f'k{n}')) for n in range(5)]
-        )
-        before = self.standin.counts['lease/grant']
-        for n in range(4):
-            ended = make_record(n, key=f'k{n}', state=JobState.ENDED)
-            revision = created[str(n)].revision
-            self.assertIsInstance(
-                (await self.ask(ReplaceRecord('e', ended, revision)))['e'], Stored
-            )
-        self.assertEqual(self.standin.counts['lease/grant'] - before, 1)
-        await self.stop_keeper(self.running)
-        self.clock.time_ms += 24 * 3_600_000
-        self.assertEqual(len(await self.list_keys('jobs/')), 5)
-        self.clock.time_ms += WEEK_MS
-        self.assertEqual(await self.list_keys('jobs/'), ['jobs/7-4'])
-        self.assertEqual(await self.list_keys('keys/'), ['keys/a/k4'])
-
-    async def test_open_records_come_from_all_pages(self):
-        """Guards against adoption that misses the jobs after the first page."""
-        count = PAGE_LIMIT + 3
-        states = [JobState.QUEUED, JobState.ENDED]
-        await self.ask(
-            *[
-                CreateRecord(str(n), make_record(n, state=states[n % 2]))
-                for n in range(count)
-            ]
-        )
-        await self.store.transact((), (Put('jobs/7-0x', b'damaged'),))
-        loaded = (await self.ask(LoadOpenRecords('l')))['l']
-        self.assertIsInstance(loaded, LoadedMany)
-        found = {item.record.job_id for item in loaded.records}
-        self.assertEqual(found, {f'7-{n}' for n in range(0, count, 2)})
-
-
 class CommitTest(KeeperCase):
     """Guards against commits that are lost, doubled or answered wrongly."""
 
@@ -319,6 +216,19 @@
         result = (await asyncio.wait_for(self.front.get(), HANG_GUARD_S)).result
         self.assertIsInstance(result, CommitUndecided)
 
+    async def test_loss_hidden_by_a_later_generation_is_undecided(self):
+        """Guards against a refusal of a commit that was in force for a while."""
+        await self.expect(Registered)
+        self.standin.set_faults(lose_answers=1_000)
+        request = CommitManifest(1, b'{"text": "1"}', 0, self.front)
+        self.inbox.put_nowait(request)
+        await self.expect(ManifestSeen)
+        later = encode_manifest(ManifestValue(2, 'other', b'{}'))
+        self.write_directly('config/manifest', later)
+        self.standin.set_faults(lose_answers=0)
+        result = (await asyncio.wait_for(self.front.get(), HANG_GUARD_S)).result
+        self.assertIsInstance(result, CommitUndecided)
+
     async def test_unreachable_store_is_a_refusal(self):
         """Guards against needless doubt when nothing can have been written."""
         await self.expect(EntriesSeen)
