--- a/tests/test_storekeeper.py
+++ b/tests/test_storekeeper.py
@@ -123,11 +123,11 @@
     async def test_lower_generation_and_epoch_are_not_passed_on(self):
         """Guards against an older manifest or plan written over a newer one."""
         await self.put_manifest(5)
-        plan = Put('config/plan', encode_plan(Plan(5, 5, ())))
+        plan = Put('config/plan/south', encode_plan(Plan(5, 5, ())))
         await self.store.transact((), (plan,))
         await self.expect(PlanSeen)
         await self.put_manifest(4)
-        plan = Put('config/plan', encode_plan(Plan(4, 5, ())))
+        plan = Put('config/plan/south', encode_plan(Plan(4, 5, ())))
         await self.store.transact((), (plan,))
         await self.put_manifest(6)
         self.assertEqual((await self.expect(ManifestSeen)).generation, 6)
--- a/yuccarelay/tasks/config_watch.py
+++ b/yuccarelay/tasks/config_watch.py
@@ -25,7 +25,7 @@
 
 CONFIG_PREFIX = 'config/'
 MANIFEST_KEY = 'config/manifest'
-PLAN_KEY = 'config/plan'
+PLAN_PREFIX = 'config/plan/'
 RECONNECT_FIRST_MS = 250
 RECONNECT_LAST_MS = 5_000
 OUTAGE_CHECK_S = 60
@@ -51,6 +51,7 @@
     def __init__(
         self,
         store: GuardedStore,
+        region: str,
         rng: RandomSource,
         machine: Mailbox,
         journal: Journal,
@@ -64,6 +65,8 @@
         self.check_manifest = check_manifest
         self.reconnect_ms = reconnect_ms
         self.manifest = Mark()
+        # Each region has its own plan, proposed by the entries that see its workers.
+        self.plan_key = PLAN_PREFIX + region
         self.plan = Mark()
         self.revision = 0
         self.entries: dict[str, EntryRef] = {}
@@ -131,7 +134,7 @@
         """Take one value."""
         if value.key == MANIFEST_KEY:
             self.take_manifest(value)
-        elif value.key == PLAN_KEY:
+        elif value.key == self.plan_key:
             self.take_plan(value)
         elif value.key.startswith(ENTRIES_PREFIX):
             self.take_entry(value)
--- a/yuccarelay/tasks/storekeeper.py
+++ b/yuccarelay/tasks/storekeeper.py
@@ -33,7 +33,7 @@
 from yuccarelay.tasks import breaker, config_watch, grouping, registration
 from yuccarelay.tasks.breaker import GuardedStore
 from yuccarelay.tasks.committing import Committer
-from yuccarelay.tasks.config_watch import PLAN_KEY, ConfigWatch, ManifestCheck
+from yuccarelay.tasks.config_watch import ConfigWatch, ManifestCheck
 from yuccarelay.tasks.grouping import JOBS_PREFIX, RecordWriter
 from yuccarelay.tasks.mailbox import CommitManifest, CommitReplied, Mailbox
 from yuccarelay.tasks.registration import Registration
@@ -94,6 +94,7 @@
         )
         self.config = ConfigWatch(
             self.store,
+            entry.region,
             rng,
             machine,
             journal,
@@ -216,10 +217,9 @@
         if plan.epoch != seen.number + 1:
             self.journal.write('plan_outdated', fields)
             return
-        guard = Guard(PLAN_KEY, seen.mod_revision)
-        result = await self.store.transact(
-            (guard,), (Put(PLAN_KEY, encode_plan(plan)),)
-        )
+        guard = Guard(self.config.plan_key, seen.mod_revision)
+        write = Put(self.config.plan_key, encode_plan(plan))
+        result = await self.store.transact((guard,), (write,))
         if result.is_err():
             reason = result.unwrap_err().reason
             self.journal.write('plan_not_written', fields | {'reason': reason})
