--- /dev/null
+++ b/yuccarelay/adapters/eliot_journal.py
@@ -0,0 +1,77 @@
+"""Journal over eliot that writes one key=value line for each event."""
+
+import datetime
+import itertools
+import json
+import re
+from collections.abc import Mapping
+from typing import TextIO
+
+import eliot
+
+PLAIN_VALUE = re.compile(r'[^\s"=\\\x00-\x1f\x7f]+')
+FIELD_NAME = re.compile(r'[^A-Za-z0-9_.]')
+
+_numbers = itertools.count(1)
+
+
+def format_value(value: object) -> str:
+    """Return a value as it is, or as a JSON string when it has to be quoted."""
+    if isinstance(value, bool):
+        return 'true' if value else 'false'
+    text = 'none' if value is None else str(value)
+    return text if PLAIN_VALUE.fullmatch(text) else json.dumps(text)
+
+
+def format_time(seconds: float) -> str:
+    """Return a time of the epoch in UTC with milliseconds."""
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.strftime('%Y-%m-%dT%H:%M:%S.') + f'{moment.microsecond // 1000:03}Z'
+
+
+def format_line(seconds: float, event: str, fields: Mapping[str, object]) -> str:
+    """Return a line such as `time=2026-12-04T09:00:00.000Z event=job_ended id=7-1`."""
+    pairs = [f'time={format_time(seconds)}', f'event={format_value(event)}']
+    pairs += [
+        f'{FIELD_NAME.sub("_", name)}={format_value(value)}'
+        for name, value in fields.items()
+    ]
+    return ' '.join(pairs) + '\n'
+
+
+class EliotJournal:
+    """
+    Journal of one role.
+
+    eliot's destinations are global to the process. Each journal therefore marks
+    its messages with a number, and its destination passes over the others, so
+    that several roles in one process do not write each other's lines.
+    """
+
+    def __init__(self, stream: TextIO):
+        self.stream = stream
+        self._number = next(_numbers)
+        eliot.add_destinations(self._write_message)
+
+    def write(self, event: str, fields: Mapping[str, object]) -> None:
+        """Write the event with its fields."""
+        eliot.log_message(
+            message_type=event,
+            journal=self._number,
+            fields=dict(fields),
+        )
+
+    def close(self) -> None:
+        """Stop writing; the stream stays open."""
+        eliot.remove_destination(self._write_message)
+
+    def _write_message(self, message: Mapping[str, object]) -> None:
+        if message.get('journal') != self._number:
+            return
+        line = format_line(
+            seconds=message['timestamp'],
+            event=message['message_type'],
+            fields=message['fields'],
+        )
+        self.stream.write(line)
+        self.stream.flush()
