Add the HTTP front end of an entry

Callers and operators need HTTP, but decisions must not depend on it. The front end turns requests into events, matches responses by request id and drops and counts late ones. Tokens are checked before a body is read, and bodies are bounded while they arrive; up to 8 MiB of an oversized body is dropped so that the client gets the 413. A submission or commit without a response is reported as undecided, never as refused. Draining fails /healthz only.

--- /dev/null
+++ b/yuccarelay/adapters/bodies.py
@@ -0,0 +1,111 @@
+"""Reading of request bodies and parameters."""
+
+from typing import NamedTuple
+
+import msgspec
+from result import Err, Ok, Result
+
+from yuccarelay.core.manifest import FieldError
+
+PAYLOAD_LIMIT_BYTES = 512 * 1024
+# Room for the job name and the JSON around a payload of the largest size.
+ENVELOPE_LIMIT_BYTES = 4 * 1024
+KEY_LIMIT_CHARS = 128
+WAIT_LIMIT_MS = 60_000
+
+SUBMISSION_FIELDS = ('job', 'payload')
+
+
+class Submission(NamedTuple):
+    """A job name with its payload as the target gets it."""
+
+    job_name: str
+    payload: bytes
+
+
+class Refused(NamedTuple):
+    """A request that breaks the rules, with its HTTP status and stable code."""
+
+    status: int
+    code: str
+    errors: tuple[FieldError, ...] = ()
+    retry_ms: int = 0
+
+
+def refuse_field(field: str, rule: str, code: str = 'invalid') -> Refused:
+    """Return the refusal of one field with status 400."""
+    return Refused(status=400, code=code, errors=(FieldError(field, rule),))
+
+
+def read_submission(body: bytes, job_name: str) -> Result[Submission, Refused]:
+    """
+    Read a job from a body.
+
+    With `job_name`, from the query, the body is the payload as it is. Otherwise
+    it is `{"job": name, "payload": any JSON}`, and the payload keeps its text.
+    """
+    if job_name:
+        return check_payload(Submission(job_name=job_name, payload=body))
+    try:
+        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except msgspec.ValidationError:
+        return Err(refuse_field('body', 'must be a JSON object', 'wrong_type'))
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Err(refuse_field('body', 'must be well-formed JSON', 'malformed_json'))
+    errors = [
+        FieldError(name, 'is not a known field')
+        for name in fields
+        if name not in SUBMISSION_FIELDS
+    ]
+    errors += [
+        FieldError(name, 'is required')
+        for name in SUBMISSION_FIELDS
+        if name not in fields
+    ]
+    if errors:
+        return Err(Refused(status=400, code='invalid', errors=tuple(errors)))
+    try:
+        name = msgspec.json.decode(fields['job'], type=str)
+    except msgspec.MsgspecError:
+        return Err(refuse_field('job', 'must be a string', 'wrong_type'))
+    if not name:
+        return Err(refuse_field('job', 'must not be empty'))
+    return check_payload(Submission(job_name=name, payload=bytes(fields['payload'])))
+
+
+def check_payload(submission: Submission) -> Result[Submission, Refused]:
+    """Refuse a payload above the limit."""
+    if len(submission.payload) <= PAYLOAD_LIMIT_BYTES:
+        return Ok(submission)
+    return Err(refuse_size('payload', PAYLOAD_LIMIT_BYTES))
+
+
+def refuse_size(field: str, limit: int) -> Refused:
+    """Return the refusal of an oversized body."""
+    error = FieldError(field, f'must have at most {limit} bytes')
+    return Refused(status=413, code='too_large', errors=(error,))
+
+
+def read_key(text: str) -> Result[str, Refused]:
+    """Read an idempotency key; an empty one means none."""
+    if len(text) <= KEY_LIMIT_CHARS and (not text or text.isprintable()):
+        return Ok(text)
+    rule = f'must have at most {KEY_LIMIT_CHARS} printable characters'
+    return Err(refuse_field('Idempotency-Key', rule))
+
+
+def read_wait(text: str) -> Result[int, Refused]:
+    """Read `wait_ms`."""
+    accepted = text.isascii() and text.isdecimal() and len(text) <= 9
+    if accepted and int(text) <= WAIT_LIMIT_MS:
+        return Ok(int(text))
+    return Err(refuse_field('wait_ms', f'must be a number from 0 to {WAIT_LIMIT_MS}'))
+
+
+def read_generation(text: str) -> Result[int, Refused]:
+    """Read the generation in `If-Match`, with or without quotes."""
+    bare = text.strip().strip('"')
+    if bare.isascii() and bare.isdecimal() and len(bare) <= 18:
+        return Ok(int(bare))
+    rule = 'must be the generation that the manifest replaces, 0 for the first'
+    return Err(refuse_field('If-Match', rule))
--- /dev/null
+++ b/yuccarelay/adapters/handlers.py
@@ -0,0 +1,426 @@
+"""Tornado handlers of the front end, one class for each endpoint."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from result import Err, Ok
+from tornado.web import RequestHandler, stream_request_body
+
+from yuccarelay.adapters import bodies, replies
+from yuccarelay.adapters.bodies import Refused
+from yuccarelay.adapters.replies import HttpReply, make_reply, reply_error
+from yuccarelay.adapters.tokens import Caller, parse_bearer
+from yuccarelay.core.events import (
+    CancelRequested,
+    IdRequested,
+    NotAccepted,
+    Queried,
+    StatusRequested,
+    Submitted,
+)
+from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES, FieldError
+from yuccarelay.core.messages import JobStatus
+from yuccarelay.tasks.mailbox import CommitManifest, FetchWhole
+
+if TYPE_CHECKING:
+    from yuccarelay.adapters.web import FrontEnd
+
+# An oversized body up to this size is read and dropped, so that the client gets
+# the 413 instead of a reset connection. A larger one ends the connection.
+DISCARD_LIMIT_BYTES = 8 * 1024 * 1024
+
+UNAUTHENTICATED = Refused(
+    status=401,
+    code='unauthenticated',
+    errors=(FieldError('Authorization', 'must be a known bearer token'),),
+)
+NOT_OPERATOR = Refused(
+    status=403,
+    code='forbidden',
+    errors=(FieldError('Authorization', 'must be the token of an operator'),),
+)
+NOT_ORGANISATION = Refused(
+    status=403,
+    code='forbidden',
+    errors=(FieldError('Authorization', 'must be the token of an organisation'),),
+)
+
+
+def make_routes(front: 'FrontEnd') -> list[tuple]:
+    """Return the routes of all endpoints."""
+    arguments = {'front': front}
+    job_id = r'([0-9A-Za-z-]{1,64})'
+    return [
+        (r'/v1/ids', IdsHandler, arguments),
+        (r'/v1/jobs', JobsHandler, arguments),
+        (rf'/v1/jobs/{job_id}', JobHandler, arguments),
+        (rf'/v1/jobs/{job_id}/answer', AnswerHandler, arguments),
+        (r'/v1/manifest', ManifestHandler, arguments),
+        (r'/v1/status', StatusHandler, arguments),
+        (r'/v1/histograms', HistogramsHandler, arguments),
+        (r'/healthz', HealthHandler, arguments),
+    ]
+
+
+def count_request(handler: RequestHandler) -> None:
+    """Count a finished request by its status; there is no log line for each."""
+    handler.front.metrics.count(f'http.status.{handler.get_status()}', 1)
+
+
+@stream_request_body
+class BaseHandler(RequestHandler):
+    """
+    Authentication, bounded bodies and error bodies.
+
+    A handler names who may use it in `audience`: `organisation`, `operator` or
+    `anyone`. The token is checked before the body is read.
+    """
+
+    audience = 'organisation'
+    body_limit = 0
+
+    def initialize(self, front: 'FrontEnd') -> None:
+        """Keep the front end and open the request."""
+        self.front = front
+        self.caller = Caller(organisation='', operator=False)
+        self.body = bytearray()
+        self.oversized = False
+        self.opened = True
+        self.work: asyncio.Task | None = None
+        front.open_request()
+
+    def set_default_headers(self) -> None:
+        """Do not name the server and its version."""
+        self.clear_header('Server')
+
+    def prepare(self) -> None:
+        """Refuse strangers before their body is read."""
+        token = parse_bearer(self.request.headers.get('Authorization', ''))
+        self.caller = self.front.identify(token)
+        refused = self.check_audience() or self.check_length()
+        if refused is not None:
+            self.send(reply_error(refused))
+
+    def check_audience(self) -> Refused | None:
+        """Return why the caller may not use the endpoint, if so."""
+        if self.audience == 'anyone':
+            return None
+        if not self.caller.known:
+            return UNAUTHENTICATED
+        if self.audience == 'operator' and not self.caller.operator:
+            return NOT_OPERATOR
+        if self.audience == 'organisation' and not self.caller.organisation:
+            return NOT_ORGANISATION
+        return None
+
+    def check_length(self) -> Refused | None:
+        """Return the refusal of a body that is too large even to be dropped."""
+        text = self.request.headers.get('Content-Length', '')
+        length = int(text) if text.isascii() and text.isdecimal() else 0
+        if length <= DISCARD_LIMIT_BYTES:
+            return None
+        # tornado would answer 400 without a body; the reply closes the connection.
+        self.request.connection.set_max_body_size(length)
+        return bodies.refuse_size('body', self.body_limit)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body up to the limit and drop the rest."""
+        if len(self.body) + len(chunk) > self.body_limit:
+            self.oversized = True
+            self.body.clear()
+        if not self.oversized:
+            self.body += chunk
+
+    async def serve(self, respond, *arguments) -> None:
+        """Refuse an oversized body, else send the reply of `respond`."""
+        if self.oversized:
+            self.send(reply_error(bodies.refuse_size('body', self.body_limit)))
+            return
+        self.work = asyncio.current_task()
+        try:
+            self.send(await respond(*arguments))
+        except asyncio.CancelledError:
+            # The client has gone; `on_connection_close` closed the request.
+            if self.opened:
+                raise
+
+    async def ask_machine(self, make_event, wait_ms: int = 0):
+        """Put an event into the state machine's mailbox and wait."""
+        return await self.front.ask(self.front.machine, make_event, wait_ms)
+
+    def send(self, reply: HttpReply) -> None:
+        """Send a whole reply."""
+        self.set_status(reply.status)
+        self.set_header('Content-Type', reply.content_type)
+        for name, value in reply.headers:
+            self.set_header(name, value)
+        self.finish(reply.body)
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Write errors of tornado and of handlers as JSON."""
+        codes = {404: 'no_such_path', 405: 'method_not_allowed'}
+        code = codes.get(status_code, 'internal' if status_code >= 500 else 'invalid')
+        self.send(reply_error(Refused(status=status_code, code=code)))
+
+    def close_once(self) -> None:
+        """Close the request; later calls do nothing."""
+        if self.opened:
+            self.opened = False
+            self.front.close_request()
+
+    def on_finish(self) -> None:
+        """Close the request after the reply was written."""
+        self.close_once()
+
+    def on_connection_close(self) -> None:
+        """Stop waiting when the client has gone."""
+        super().on_connection_close()
+        self.close_once()
+        if self.work is not None:
+            self.work.cancel()
+
+
+class UnknownHandler(BaseHandler):
+    """Any path that is not an endpoint."""
+
+    audience = 'anyone'
+
+    def prepare(self) -> None:
+        """Answer 404 to every method."""
+        self.send_error(404)
+
+
+class IdsHandler(BaseHandler):
+    """`POST /v1/ids`."""
+
+    async def post(self) -> None:
+        """Mint a job id."""
+        await self.serve(self.mint)
+
+    async def mint(self) -> HttpReply:
+        """Ask for an id."""
+        organisation = self.caller.organisation
+        response = await self.ask_machine(lambda n: IdRequested(n, organisation))
+        return reply_or_undecided(response)
+
+
+class SubmitHandler(BaseHandler):
+    """What `POST /v1/jobs` and `PUT /v1/jobs/<id>` have in common."""
+
+    body_limit = bodies.PAYLOAD_LIMIT_BYTES + bodies.ENVELOPE_LIMIT_BYTES
+
+    async def submit(self, job_id: str) -> HttpReply:
+        """Read the body and submit the job."""
+        read = bodies.read_submission(
+            bytes(self.body),
+            self.get_query_argument('job', ''),
+        )
+        key = bodies.read_key(self.request.headers.get('Idempotency-Key', ''))
+        match read, key:
+            case Err(refused), _:
+                return reply_error(refused)
+            case _, Err(refused):
+                return reply_error(refused)
+        submission, key = read.ok_value, key.ok_value
+        response = await self.ask_machine(
+            lambda request_id: Submitted(
+                request_id=request_id,
+                organisation=self.caller.organisation,
+                job_name=submission.job_name,
+                payload=submission.payload,
+                key=key,
+                job_id=job_id,
+            ),
+        )
+        if response is None:
+            return replies.reply_undecided(job_id=job_id)
+        return replies.reply_response(response)
+
+
+class JobsHandler(SubmitHandler):
+    """`POST /v1/jobs`."""
+
+    async def post(self) -> None:
+        """Submit a job under a new id."""
+        await self.serve(self.submit, '')
+
+
+class JobHandler(SubmitHandler):
+    """`PUT`, `GET` and `DELETE /v1/jobs/<id>`."""
+
+    async def put(self, job_id: str) -> None:
+        """Submit a job under an id that was asked for before."""
+        await self.serve(self.submit, job_id)
+
+    async def get(self, job_id: str) -> None:
+        """Report where a job stands."""
+        await self.serve(self.report, job_id)
+
+    async def delete(self, job_id: str) -> None:
+        """Cancel a job."""
+        await self.serve(self.cancel, job_id)
+
+    async def report(self, job_id: str) -> HttpReply:
+        """Ask for the job, waiting for its end if the caller wants."""
+        wait = bodies.read_wait(self.get_query_argument('wait_ms', '0'))
+        match wait:
+            case Err(refused):
+                return reply_error(refused)
+            case Ok(wait_ms):
+                response = await query_job(self, job_id, wait_ms)
+                return reply_or_undecided(response)
+
+    async def cancel(self, job_id: str) -> HttpReply:
+        """Ask for the cancellation."""
+        organisation = self.caller.organisation
+        response = await self.ask_machine(
+            lambda n: CancelRequested(n, organisation, job_id),
+        )
+        return reply_or_undecided(hide_foreign(response, organisation))
+
+
+class AnswerHandler(BaseHandler):
+    """`GET /v1/jobs/<id>/answer`."""
+
+    async def get(self, job_id: str) -> None:
+        """Send the whole answer."""
+        await self.serve(self.fetch, job_id)
+
+    async def fetch(self, job_id: str) -> HttpReply:
+        """Ask where the answer is kept and fetch it."""
+        status = await query_job(self, job_id, wait_ms=0)
+        if not isinstance(status, JobStatus) or not status.found:
+            return reply_or_undecided(status)
+        if status.outcome is None:
+            rule = 'must have ended; its state is ' + status.state
+            return reply_no_answer('not_ended', rule)
+        if status.outcome.kind != 'completed':
+            rule = 'must have completed; its outcome is ' + status.outcome.kind
+            return reply_no_answer('no_answer', rule)
+        front = self.front
+        answer = await front.ask(
+            front.answers,
+            lambda n: FetchWhole(n, status.outcome.parts, front.inbox),
+        )
+        return reply_unanswered() if answer is None else replies.reply_answer(answer)
+
+
+class ManifestHandler(BaseHandler):
+    """`GET` and `PUT /v1/manifest`."""
+
+    audience = 'operator'
+    body_limit = MANIFEST_LIMIT_BYTES
+
+    async def get(self) -> None:
+        """Send the manifest in force here with its generation."""
+        if self.front.manifest is None:
+            error = FieldError('manifest', 'has not been committed yet')
+            self.send(reply_error(Refused(404, 'no_manifest', (error,))))
+            return
+        generation = self.front.generation
+        document = {
+            'generation': generation,
+            'manifest': replies.render_record(self.front.manifest),
+        }
+        self.send(make_reply(200, document, (('ETag', f'"{generation}"'),)))
+
+    async def put(self) -> None:
+        """Commit a manifest."""
+        await self.serve(self.commit)
+
+    async def commit(self) -> HttpReply:
+        """Hand the text to the store keeper, which checks it as a whole."""
+        match bodies.read_generation(self.request.headers.get('If-Match', '')):
+            case Err(refused):
+                return reply_error(refused)
+            case Ok(generation):
+                front = self.front
+                text = bytes(self.body)
+                result = await front.ask(
+                    front.storekeeper,
+                    lambda n: CommitManifest(n, text, generation, front.inbox),
+                )
+                if result is None:
+                    return replies.reply_undecided()
+                return replies.reply_commit(result)
+
+
+class StatusHandler(BaseHandler):
+    """`GET /v1/status`."""
+
+    audience = 'operator'
+
+    async def get(self) -> None:
+        """Send the state of the entry."""
+        await self.serve(self.describe)
+
+    async def describe(self) -> HttpReply:
+        """Ask for the state."""
+        return reply_or_undecided(await self.ask_machine(StatusRequested))
+
+
+class HistogramsHandler(BaseHandler):
+    """`GET /v1/histograms`, as JSON or with `?format=text` as a table."""
+
+    audience = 'operator'
+
+    async def get(self) -> None:
+        """Send the histograms."""
+        metrics = self.front.metrics
+        if self.get_query_argument('format', 'json') == 'text':
+            table = metrics.format_histograms().encode()
+            self.send(HttpReply(200, table, (), 'text/plain; charset=utf-8'))
+            return
+        rows = [row._asdict() for row in metrics.list_histograms()]
+        self.send(make_reply(200, {'histograms': rows}))
+
+
+class HealthHandler(BaseHandler):
+    """`GET /healthz`, for the load balancer."""
+
+    audience = 'anyone'
+
+    async def get(self) -> None:
+        """Answer 200, or 503 while draining."""
+        if self.front.draining:
+            self.send(reply_error(Refused(status=503, code='draining')))
+            return
+        self.send(make_reply(200, {'status': 'ok'}))
+
+
+async def query_job(handler: BaseHandler, job_id: str, wait_ms: int):
+    """Ask where a job of the caller's organisation stands."""
+    organisation = handler.caller.organisation
+    response = await handler.ask_machine(
+        lambda n: Queried(n, organisation, job_id, wait_ms),
+        wait_ms,
+    )
+    return hide_foreign(response, organisation)
+
+
+def hide_foreign(response: object, organisation: str) -> object:
+    """Replace the status of another organisation's job by *not found*."""
+    match response:
+        case JobStatus(job_id=job_id, organisation=owner) if owner != organisation:
+            return JobStatus(job_id=job_id, found=False)
+        case NotAccepted(code='forbidden'):
+            return JobStatus(job_id='', found=False)
+    return response
+
+
+def reply_or_undecided(response: object | None) -> HttpReply:
+    """Return the reply for a response, or 503 when none came."""
+    if response is None:
+        return reply_unanswered()
+    return replies.reply_response(response)
+
+
+def reply_unanswered() -> HttpReply:
+    """Return the reply to a request that can be repeated without harm."""
+    retry_ms = replies.UNDECIDED_RETRY_MS
+    return reply_error(Refused(status=503, code='no_response', retry_ms=retry_ms))
+
+
+def reply_no_answer(code: str, rule: str) -> HttpReply:
+    """Return the reply for a job that has no answer."""
+    return reply_error(Refused(409, code, (FieldError('job_id', rule),)))
--- /dev/null
+++ b/yuccarelay/adapters/web.py
@@ -0,0 +1,181 @@
+"""
+HTTP front end of an entry.
+
+The front end decides nothing about jobs. It turns requests into events, matches
+the responses by request id and encodes them. Deadlines are in milliseconds of
+the monotonic clock.
+"""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from yuccarelay.adapters import handlers
+from yuccarelay.adapters.tokens import Caller, identify_caller
+from yuccarelay.core.events import Publish, Respond
+from yuccarelay.core.manifest import Manifest
+from yuccarelay.tasks.mailbox import (
+    AnswerUnavailable,
+    CommitReplied,
+    Mailbox,
+    WholeAnswer,
+)
+
+if TYPE_CHECKING:
+    from yuccarelay.adapters.statsd_metrics import StatsdMetrics
+
+# The entry's own deadlines (store calls, forwarding) end well before this one,
+# so it passes only when a task is stuck or a response was lost.
+RESPONSE_LIMIT_MS = 20_000
+# A keep-alive connection without a request is closed after this time.
+IDLE_LIMIT_S = 300
+
+
+def read_clock_ms() -> int:
+    """Return the monotonic clock in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+class FrontEnd:
+    """
+    Task that owns the callers' connections and the requests in flight.
+
+    `late_responses` counts the responses that no request waited for any more.
+    """
+
+    def __init__(
+        self,
+        machine: Mailbox,
+        storekeeper: Mailbox,
+        answers: Mailbox,
+        inbox: Mailbox,
+        metrics: 'StatsdMetrics',
+        bootstrap_digests: tuple[str, ...],
+    ):
+        self.machine = machine
+        self.storekeeper = storekeeper
+        self.answers = answers
+        self.inbox = inbox
+        self.metrics = metrics
+        self.bootstrap_digests = bootstrap_digests
+        self.generation = 0
+        self.manifest: Manifest | None = None
+        self.draining = False
+        self.open_requests = 0
+        self.late_responses = 0
+        self.response_limit_ms = RESPONSE_LIMIT_MS
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def run(self) -> None:
+        """Read the inbox until cancelled."""
+        while True:
+            self.take(await self.inbox.get())
+
+    def take(self, message: object) -> None:
+        """Match a message to its request, or take over a manifest."""
+        match message:
+            case Publish(generation, manifest):
+                # A manifest never reverts, even if messages are reordered.
+                if generation > self.generation:
+                    self.generation = generation
+                    self.manifest = manifest
+            case Respond(request_id, response):
+                self._resolve(request_id, response)
+            case CommitReplied(request_id, result):
+                self._resolve(request_id, result)
+            case WholeAnswer(request_id) | AnswerUnavailable(request_id):
+                self._resolve(request_id, message)
+            case other:
+                raise TypeError(f'front end cannot take {type(other).__name__}')
+
+    def _resolve(self, request_id: int, response: object) -> None:
+        future = self._waiting.get(request_id)
+        if future is None or future.done():
+            self.late_responses += 1
+            self.metrics.count('http.late_responses', 1)
+            return
+        future.set_result(response)
+
+    async def ask(
+        self,
+        mailbox: Mailbox,
+        make_message: Callable[[int], object],
+        wait_ms: int = 0,
+    ) -> object | None:
+        """
+        Put a message into a mailbox and wait for the response.
+
+        `make_message` gets the request id. The result is None when no response
+        came by the deadline, `wait_ms` later than usual for a long poll.
+        """
+        request_id = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = future
+        try:
+            async with asyncio.timeout((self.response_limit_ms + wait_ms) / 1_000):
+                await mailbox.put(make_message(request_id))
+                return await future
+        except TimeoutError:
+            self.metrics.count('http.response_timeouts', 1)
+            return None
+        finally:
+            del self._waiting[request_id]
+
+    def identify(self, token: str) -> Caller:
+        """Return whose token this is under the manifest in force."""
+        return identify_caller(token, self.manifest, self.bootstrap_digests)
+
+    def open_request(self) -> None:
+        """Count a request that `drain` must wait for."""
+        self.open_requests += 1
+        self._idle.clear()
+
+    def close_request(self) -> None:
+        """Note the end of a request."""
+        self.open_requests -= 1
+        if not self.open_requests:
+            self._idle.set()
+
+    def start_draining(self) -> None:
+        """Fail the health check from now on; everything else goes on."""
+        self.draining = True
+
+    async def drain(self, deadline_ms: int) -> bool:
+        """
+        Fail the health check and wait for the open requests until the deadline.
+
+        The result is false when some were still open at the deadline.
+        """
+        self.start_draining()
+        remaining_s = max(0, deadline_ms - read_clock_ms()) / 1_000
+        try:
+            async with asyncio.timeout(remaining_s):
+                await self._idle.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def make_application(self) -> Application:
+        """Return the tornado application with all endpoints."""
+        return Application(
+            handlers.make_routes(self),
+            default_handler_class=handlers.UnknownHandler,
+            default_handler_args={'front': self},
+            log_function=handlers.count_request,
+        )
+
+    def make_server(self) -> HTTPServer:
+        """Return a server of the application; the caller binds it."""
+        return HTTPServer(
+            self.make_application(),
+            max_body_size=handlers.DISCARD_LIMIT_BYTES,
+            idle_connection_timeout=IDLE_LIMIT_S,
+        )
