--- /dev/null
+++ b/yuccarelay/cli.py
@@ -0,0 +1,83 @@
+"""The command line as data."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cyclopts import App
+
+from yuccarelay import __version__, commands
+from yuccarelay.context import Environment
+from yuccarelay.status import ExitStatus
+
+HELP = """
+Scheduler for jobs that span several accelerators, under guarantees held by
+organisations.
+
+A first look: `yuccarelay local --demo` runs the whole system in one process.
+Tools call the entry at $YUCCARELAY_URL (default http://127.0.0.1:8080) with the
+token in $YUCCARELAY_TOKEN.
+"""
+
+EPILOGUE = """
+Exit statuses: 0 done, 1 refused, 2 wrong command line, 3 invalid file,
+4 unavailable (try again), 5 undecided (may have taken effect).
+"""
+
+
+class Command(NamedTuple):
+    """A command with the words that name it."""
+
+    words: tuple[str, ...]
+    function: Callable[..., ExitStatus]
+
+
+GROUPS = {
+    'manifest': "Check, commit and show the manifest, the operators' one control.",
+    'job': 'Submit, follow and cancel jobs.',
+    'settings': 'Check settings files.',
+    'token': 'Make digests of tokens.',
+}
+
+COMMANDS = (
+    Command(('entry',), commands.run_entry),
+    Command(('agent',), commands.run_agent),
+    Command(('store',), commands.run_store),
+    Command(('target',), commands.run_target),
+    Command(('local',), commands.run_local),
+    Command(('settings', 'check'), commands.check_settings),
+    Command(('manifest', 'check'), commands.check_manifest),
+    Command(('manifest', 'commit'), commands.commit_manifest),
+    Command(('manifest', 'show'), commands.show_manifest),
+    Command(('job', 'submit'), commands.submit_job),
+    Command(('job', 'status'), commands.show_job),
+    Command(('job', 'answer'), commands.fetch_answer),
+    Command(('job', 'cancel'), commands.cancel_job),
+    Command(('status',), commands.show_status),
+    Command(('token', 'digest'), commands.digest_token),
+)
+
+
+def make_console(env: Environment):
+    """Return a console on standard output."""
+    from rich.console import Console
+
+    return Console(file=env.stdout)
+
+
+def make_app(env: Environment) -> App:
+    """Return the parser of the command line."""
+    app = App(
+        name='yuccarelay',
+        help=HELP,
+        help_epilogue=EPILOGUE,
+        help_format='markdown',
+        version=__version__,
+        console=make_console(env),
+    )
+    groups = {name: App(name=name, help=text) for name, text in GROUPS.items()}
+    for group in groups.values():
+        app.command(group)
+    for words, function in COMMANDS:
+        parent = groups[words[0]] if len(words) > 1 else app
+        parent.command(function, name=words[-1])
+    return app
