Build the program as one file and check it without disk or processes

Instances have no disks and a process may start no other. make dist stages the pinned libraries of the environment and builds one reproducible shiv file; make check-dist runs it under an audit hook that refuses processes and writes outside SHIV_ROOT.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-SOURCES := yuccarelay tests
+SOURCES := yuccarelay tests tools
+# Python that runs the built file; the libraries are built for its version.
+SYSTEM_PYTHON ?= /usr/bin/python3
 
 all: help  ## Same as help
 
@@ -33,7 +35,16 @@
 demo: install  ## Run the whole path in one process on embedded stand-ins
 	$(BIN)/yuccarelay local --demo
 
+dist: install  ## Build dist/yuccarelay, one file with all libraries
+	mkdir -p dist
+	$(BIN)/python tools/stage.py build/site
+	$(BIN)/shiv --site-packages build/site --entry-point yuccarelay.main:run \
+		--reproducible --output-file dist/yuccarelay
+
+check-dist: dist  ## Run the built file with no process and no writable disk
+	$(BIN)/python tools/check_dist.py dist/yuccarelay $(SYSTEM_PYTHON)
+
 clean:  ## Remove what the other targets create
 	rm -rf $(VENV) build dist *.egg-info .ruff_cache .hypothesis
 
-.PHONY: all help install test lint format demo clean
+.PHONY: all help install test lint format demo dist check-dist clean
