Refuse deeply nested and wrongly encoded JSON, and close drained connections

Found by trying bodies by hand: deep nesting raised RecursionError in msgspec and ended as 500, and a payload that is not UTF-8 passed as JSON. Both are 400 now, and the same holds for settings and manifest files. tornado replaced the manifest's ETag by a hash of the body; it no longer computes any. While draining, replies close their connections, so that a kept connection is not cut with a request under way, and a body must arrive within 60 s. The base of the handlers moved to adapters/exchange.py.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -155,7 +155,7 @@
         self.assertEqual(self.check_manifest('{}', Err(errors)), ExitStatus.INVALID)
         self.assertEqual(self.errors.count('\n'), 2)
         self.assertIn('a is required', self.errors)
-        for text in ('{', ' ' * (manifest.MANIFEST_LIMIT_BYTES + 1)):
+        for text in ('{', '[' * 100_000, ' ' * (manifest.MANIFEST_LIMIT_BYTES + 1)):
             status = self.check_manifest(text, Ok(None))
             self.assertEqual(status, ExitStatus.INVALID)
             self.assert_one_line_error('input.json')
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -92,7 +92,7 @@
         self.assertEqual(config.split_address(settings.listen), ('::1', 0))
 
     def test_texts_that_are_no_settings(self):
-        for text in (b'', b'{"listen":', b'\xff', b'[]', b'null'):
+        for text in (b'', b'{"listen":', b'\xff', b'[]', b'null', b'[' * 100_000):
             with self.subTest(text=text):
                 errors = config.decode_settings('entry', text).unwrap_err()
                 self.assertEqual([error.field for error in errors], ['file'])
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -10,7 +10,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from tests.utils import FakeMetrics, make_manifest
-from yuccarelay.adapters import bodies, handlers, web
+from yuccarelay.adapters import bodies, exchange, web
 from yuccarelay.adapters.statsd_metrics import StatsdMetrics
 from yuccarelay.adapters.tokens import make_digest
 from yuccarelay.core import events
@@ -110,6 +110,9 @@
         cases = [
             (b'{"job":', 'malformed_json', 'body'),
             (b'\xff\xfe', 'malformed_json', 'body'),
+            (b'{"job": "a", "payload": "\xff"}', 'malformed_json', 'body'),
+            (b'{"job": "a", "payload": [1,}', 'malformed_json', 'body'),
+            (b'{"payload": ' + b'[' * 100_000, 'malformed_json', 'body'),
             (b'[1]', 'wrong_type', 'body'),
             (b'{"job": 7, "payload": 1}', 'wrong_type', 'job'),
             (b'{"payload": 1}', 'invalid', 'job'),
@@ -342,6 +345,7 @@
             )
         ]
         self.assertEqual([reply.code for reply in replies], [200] * 4)
+        self.assertEqual(replies[0].headers['ETag'], '"1"')
         manifest = json.loads(replies[0].body)
         self.assertEqual(manifest['generation'], 1)
         self.assertIn('kanem', manifest['manifest']['organisations'])
@@ -362,7 +366,8 @@
         await self.expect(503, 'draining', 'GET', '/healthz', token='')
         self.assertFalse(drain.done())
         await self.inbox.put(events.Respond(self.seen[0].request_id, JOB))
-        self.assertEqual((await call).code, 200)
+        reply = await call
+        self.assertEqual((reply.code, reply.headers['Connection']), (200, 'close'))
         self.assertTrue(await drain)
 
     async def test_client_that_leaves_ends_its_request(self):
@@ -389,7 +394,7 @@
 
     async def test_body_beyond_the_discard_limit_ends_the_connection(self):
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
-        size = handlers.DISCARD_LIMIT_BYTES + 1
+        size = exchange.DISCARD_LIMIT_BYTES + 1
         head = f'POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n'
         writer.write(f'{head}Authorization: Bearer guild-token\r\n\r\n'.encode())
         reply = await reader.read()
--- a/yuccarelay/adapters/bodies.py
+++ b/yuccarelay/adapters/bodies.py
@@ -47,11 +47,15 @@
     if job_name:
         return check_payload(Submission(job_name=job_name, payload=body))
     try:
+        # msgspec does not check the encoding inside of a raw value.
+        body.decode()
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
     except msgspec.ValidationError:
         return Err(refuse_field('body', 'must be a JSON object', 'wrong_type'))
     except (msgspec.DecodeError, UnicodeDecodeError):
         return Err(refuse_field('body', 'must be well-formed JSON', 'malformed_json'))
+    except RecursionError:
+        return Err(refuse_field('body', 'is nested too deeply', 'malformed_json'))
     errors = [
         FieldError(name, 'is not a known field')
         for name in fields
--- /dev/null
+++ b/yuccarelay/adapters/exchange.py
@@ -0,0 +1,169 @@
+"""One exchange with a client: who it is, its body and the reply."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from tornado.web import RequestHandler, stream_request_body
+
+from yuccarelay.adapters import bodies
+from yuccarelay.adapters.bodies import Refused
+from yuccarelay.adapters.replies import HttpReply, reply_error
+from yuccarelay.adapters.tokens import Caller, parse_bearer
+from yuccarelay.core.manifest import FieldError
+
+if TYPE_CHECKING:
+    from yuccarelay.adapters.web import FrontEnd
+
+# An oversized body up to this size is read and dropped, so that the client gets
+# the 413 instead of a reset connection. A larger one ends the connection.
+DISCARD_LIMIT_BYTES = 8 * 1024 * 1024
+
+UNAUTHENTICATED = Refused(
+    status=401,
+    code='unauthenticated',
+    errors=(FieldError('Authorization', 'must be a known bearer token'),),
+)
+NOT_OPERATOR = Refused(
+    status=403,
+    code='forbidden',
+    errors=(FieldError('Authorization', 'must be the token of an operator'),),
+)
+NOT_ORGANISATION = Refused(
+    status=403,
+    code='forbidden',
+    errors=(FieldError('Authorization', 'must be the token of an organisation'),),
+)
+
+
+def count_request(handler: RequestHandler) -> None:
+    """Count a finished request by its status; there is no log line for each."""
+    handler.front.metrics.count(f'http.status.{handler.get_status()}', 1)
+
+
+@stream_request_body
+class BaseHandler(RequestHandler):
+    """
+    Authentication, bounded bodies and error bodies.
+
+    A handler names who may use it in `audience`: `organisation`, `operator` or
+    `anyone`. The token is checked before the body is read.
+    """
+
+    audience = 'organisation'
+    body_limit = 0
+
+    def initialize(self, front: 'FrontEnd') -> None:
+        """Keep the front end and open the request."""
+        self.front = front
+        self.caller = Caller(organisation='', operator=False)
+        self.body = bytearray()
+        self.oversized = False
+        self.opened = True
+        self.work: asyncio.Task | None = None
+        front.open_request()
+
+    def set_default_headers(self) -> None:
+        """Do not name the server and its version."""
+        self.clear_header('Server')
+
+    def compute_etag(self) -> None:
+        """Return none: only a manifest has an `ETag`, its generation."""
+
+    def prepare(self) -> None:
+        """Refuse strangers before their body is read."""
+        token = parse_bearer(self.request.headers.get('Authorization', ''))
+        self.caller = self.front.identify(token)
+        refused = self.check_audience() or self.check_length()
+        if refused is not None:
+            self.send(reply_error(refused))
+
+    def check_audience(self) -> Refused | None:
+        """Return why the caller may not use the endpoint, if so."""
+        if self.audience == 'anyone':
+            return None
+        if not self.caller.known:
+            return UNAUTHENTICATED
+        if self.audience == 'operator' and not self.caller.operator:
+            return NOT_OPERATOR
+        if self.audience == 'organisation' and not self.caller.organisation:
+            return NOT_ORGANISATION
+        return None
+
+    def check_length(self) -> Refused | None:
+        """Return the refusal of a body that is too large even to be dropped."""
+        text = self.request.headers.get('Content-Length', '')
+        length = int(text) if text.isascii() and text.isdecimal() else 0
+        if length <= DISCARD_LIMIT_BYTES:
+            return None
+        # tornado would answer 400 without a body; the reply closes the connection.
+        self.request.connection.set_max_body_size(length)
+        return bodies.refuse_size('body', self.body_limit)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body up to the limit and drop the rest."""
+        if len(self.body) + len(chunk) > self.body_limit:
+            self.oversized = True
+            self.body.clear()
+        if not self.oversized:
+            self.body += chunk
+
+    async def serve(
+        self,
+        respond: Callable[..., Awaitable[HttpReply]],
+        *arguments: object,
+    ) -> None:
+        """Refuse an oversized body, else send the reply of `respond`."""
+        if self.oversized:
+            self.send(reply_error(bodies.refuse_size('body', self.body_limit)))
+            return
+        self.work = asyncio.current_task()
+        try:
+            self.send(await respond(*arguments))
+        except asyncio.CancelledError:
+            # The client has gone; `on_connection_close` closed the request.
+            if self.opened:
+                raise
+
+    async def ask_machine(
+        self,
+        make_event: Callable[[int], object],
+        wait_ms: int = 0,
+    ) -> object | None:
+        """Put an event into the state machine's mailbox and wait."""
+        return await self.front.ask(self.front.machine, make_event, wait_ms)
+
+    def send(self, reply: HttpReply) -> None:
+        """Send a whole reply."""
+        self.set_status(reply.status)
+        self.set_header('Content-Type', reply.content_type)
+        for name, value in reply.headers:
+            self.set_header(name, value)
+        if self.front.draining:
+            # A connection kept for more requests would be cut at the end of the
+            # drain, perhaps with a request under way.
+            self.set_header('Connection', 'close')
+        self.finish(reply.body)
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Write errors of tornado and of handlers as JSON."""
+        codes = {404: 'no_such_path', 405: 'method_not_allowed'}
+        code = codes.get(status_code, 'internal' if status_code >= 500 else 'invalid')
+        self.send(reply_error(Refused(status=status_code, code=code)))
+
+    def close_once(self) -> None:
+        """Close the request; later calls do nothing."""
+        if self.opened:
+            self.opened = False
+            self.front.close_request()
+
+    def on_finish(self) -> None:
+        """Close the request after the reply was written."""
+        self.close_once()
+
+    def on_connection_close(self) -> None:
+        """Stop waiting when the client has gone."""
+        super().on_connection_close()
+        self.close_once()
+        if self.work is not None:
+            self.work.cancel()
--- a/yuccarelay/adapters/web.py
+++ b/yuccarelay/adapters/web.py
@@ -15,7 +15,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
-from yuccarelay.adapters import handlers
+from yuccarelay.adapters import exchange, handlers
 from yuccarelay.adapters.tokens import Caller, identify_caller
 from yuccarelay.core.events import Publish, Respond
 from yuccarelay.core.manifest import Manifest
@@ -34,6 +34,8 @@
 RESPONSE_LIMIT_MS = 20_000
 # A keep-alive connection without a request is closed after this time.
 IDLE_LIMIT_S = 300
+# A body that arrives more slowly holds memory and would hold up a drain.
+BODY_LIMIT_S = 60
 
 
 def read_clock_ms() -> int:
@@ -152,7 +154,9 @@
         """
         Fail the health check and wait for the open requests until the deadline.
 
-        The result is false when some were still open at the deadline.
+        The caller first keeps serving after `start_draining` until the load
+        balancer has noticed, and stops the server from accepting connections. The
+        result is false when some requests were still open at the deadline.
         """
         self.start_draining()
         remaining_s = max(0, deadline_ms - read_clock_ms()) / 1_000
@@ -169,13 +173,14 @@
             handlers.make_routes(self),
             default_handler_class=handlers.UnknownHandler,
             default_handler_args={'front': self},
-            log_function=handlers.count_request,
+            log_function=exchange.count_request,
         )
 
     def make_server(self) -> HTTPServer:
         """Return a server of the application; the caller binds it."""
         return HTTPServer(
             self.make_application(),
-            max_body_size=handlers.DISCARD_LIMIT_BYTES,
+            max_body_size=exchange.DISCARD_LIMIT_BYTES,
             idle_connection_timeout=IDLE_LIMIT_S,
+            body_timeout=BODY_LIMIT_S,
         )
--- a/yuccarelay/client.py
+++ b/yuccarelay/client.py
@@ -15,6 +15,7 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.simple_httpclient import HTTPTimeoutError, SimpleAsyncHTTPClient
 
+from yuccarelay.adapters.replies import DIGEST_HEADER
 from yuccarelay.status import ExitStatus
 
 CONNECT_LIMIT_S = 5.0
@@ -24,7 +25,6 @@
 READ_PAUSE_S = 0.2
 # An answer is held in memory to be checked before any of it is written.
 BODY_LIMIT_BYTES = 1024 * 1024 * 1024
-DIGEST_HEADER = 'X-Content-SHA256'
 
 
 class Entry(NamedTuple):
@@ -138,7 +138,7 @@
     """Return the error that an entry replied."""
     try:
         document = msgspec.json.decode(body, type=dict[str, Any])
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         document = {}
     code = str(document.get('code', f'http_{http_status}'))
     parts = [f'{call.method} {call.path}: {http_status} {code}']
--- a/yuccarelay/commands.py
+++ b/yuccarelay/commands.py
@@ -176,7 +176,7 @@
         return Err((f'has {len(text)} bytes; at most {limit} are accepted',))
     try:
         document = msgspec.json.decode(text)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Err((f'not well-formed JSON: {error}',))
     checked = manifest.check_manifest(document)
     if isinstance(checked, Err):
--- a/yuccarelay/config.py
+++ b/yuccarelay/config.py
@@ -258,7 +258,7 @@
     """
     try:
         document = msgspec.json.decode(text)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         shown = show_value(text[:VALUE_LIMIT_CHARS].decode(errors='replace'))
         return Err((SettingError('file', shown, f'well-formed JSON ({error})'),))
     if not isinstance(document, dict):
