--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -101,5 +101,5 @@
 
     def test_unknown_outcome_kind(self):
         outcome = models.OutcomeRecord(kind='maybe')
-        fate = messages.Fate('17-4.1', messages.FateState.ENDED, outcome=outcome)
-        self.check(codec.encode(fate, ''), 'malformed_body', 'maybe')
+        status = messages.JobStatus('17-4', found=True, outcome=outcome)
+        self.check(codec.encode(status, ''), 'malformed_body', 'maybe')
--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -192,7 +192,7 @@
         rate = admission.StartRate(starts=10, span_ms=100_000)
         self.assertEqual(self.check(ahead=6, rate=rate), Ok(None))
         refusal = self.check(ahead=7, rate=rate).unwrap_err()
-        self.assertEqual(refusal, ('deadline_unreachable', 10_000))
+        self.assertEqual(refusal, ('deadline', 10_000))
 
     def test_full_queue_is_refused(self):
         refusal = self.check(depth=10).unwrap_err()
--- a/tests/test_storekeeper.py
+++ b/tests/test_storekeeper.py
@@ -161,7 +161,7 @@
 
     async def test_malformed_values_are_logged(self):
         """Guards against one damaged value that stops the entry."""
-        for name in ('manifest', 'plan', 'entries/x'):
+        for name in ('manifest', 'plan/south', 'entries/x'):
             await self.store.transact((), (Put(f'config/{name}', b'{'),))
         await self.put_manifest(1, b'{"bad": 1}')
         await self.put_manifest(2)
--- a/yuccarelay/core/admission.py
+++ b/yuccarelay/core/admission.py
@@ -102,7 +102,7 @@
     wait_ms = estimate_wait_ms(ahead, rate)
     if wait_ms is not None and now_ms + wait_ms > start_deadline_ms:
         late_ms = now_ms + wait_ms - start_deadline_ms
-        return Err(AdmissionRefusal('deadline_unreachable', _bound_retry(late_ms)))
+        return Err(AdmissionRefusal('deadline', _bound_retry(late_ms)))
     return Ok(None)
 
 
--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -285,7 +285,7 @@
     def _find_fate(self, attempt_id: str, incarnation: int) -> Fate:
         if attempt_id in self.ended:
             report = self.ended[attempt_id].report
-            return Fate(attempt_id, FateState.ENDED, report.end, report.outcome)
+            return Fate(attempt_id, FateState.ENDED, report.end, report.detail)
         if attempt_id in self.gangs:
             return Fate(attempt_id, FateState.RUNNING)
         if incarnation != self.incarnation:
@@ -322,7 +322,7 @@
             del self.gangs[attempt_id]
             self.outbox.log('ended', attempt_id=attempt_id, end=gang.end.value)
             self.ended[attempt_id] = Ended(
-                report=AttemptReport(attempt_id, gang.end, gang.outcome),
+                report=AttemptReport(attempt_id, gang.end, gang.detail),
                 owner_address=gang.owner_address,
                 acknowledged=False,
                 next_report_ms=now_ms,
--- a/yuccarelay/core/follow.py
+++ b/yuccarelay/core/follow.py
@@ -16,13 +16,12 @@
     StopAttempt,
 )
 from yuccarelay.core.models import (
-    CHECKPOINTED,
     CancelledAfterStart,
     CancelledBeforeStart,
     Completed,
+    EndDetail,
     Failed,
     JobState,
-    OutcomeRecord,
     Unknown,
 )
 from yuccarelay.core.ordering import NO_DEADLINE_MS
@@ -115,8 +114,8 @@
             case Fate(state=FateState.RUNNING):
                 if job.state is JobState.SETTLING:
                     self.take_running(job, now_ms)
-            case Fate(state=FateState.ENDED, end=EndState() as end, outcome=outcome):
-                self.take_end(job, end, outcome, now_ms)
+            case Fate(state=FateState.ENDED, end=EndState() as end, detail=detail):
+                self.take_end(job, end, detail or EndDetail(), now_ms)
             case Fate(state=FateState.UNKNOWN):
                 self._end_lost(job, 'the agent restarted', now_ms)
 
@@ -129,20 +128,20 @@
         if job.state is JobState.ENDED:
             self._correct_unknown(job, report, now_ms)
         elif job.state in (JobState.LAUNCHING, JobState.RUNNING, JobState.SETTLING):
-            self.take_end(job, report.end, report.outcome, now_ms)
+            self.take_end(job, report.end, report.detail, now_ms)
         return True
 
     def _correct_unknown(self, job: Job, report: AttemptReport, now_ms: int) -> None:
         # A proof that arrives late replaces an outcome that was unknown.
         if isinstance(job.outcome, Unknown) and report.end is EndState.COMPLETED:
             self.state.update(job.job_id, recorded=False)
-            self.recorder.decide(job.job_id, Completed(report.outcome.parts), now_ms)
+            self.recorder.decide(job.job_id, Completed(report.detail.parts), now_ms)
 
     def take_end(
         self,
         job: Job,
         end: EndState,
-        outcome: OutcomeRecord,
+        detail: EndDetail,
         now_ms: int,
     ) -> None:
         """Decide what follows from the end of an attempt."""
@@ -150,27 +149,27 @@
         match end:
             case EndState.COMPLETED:
                 self._record_success(job, now_ms)
-                completed = Completed(outcome.parts)
+                completed = Completed(detail.parts)
                 self.recorder.decide(job.job_id, completed, now_ms)
             case EndState.FAILED:
-                self._end_failed(job, outcome.reason, now_ms)
+                self._end_failed(job, detail.reason, now_ms)
             case EndState.NOT_STARTED:
                 self._end_not_started(job, now_ms)
             case EndState.PREEMPTED:
-                self._end_preempted(job, outcome, now_ms)
+                self._end_preempted(job, detail, now_ms)
             case EndState.STOPPED:
-                stopped = CancelledAfterStart(outcome.reason)
+                stopped = CancelledAfterStart(detail.reason)
                 self.recorder.decide(job.job_id, stopped, now_ms)
             case EndState.LOST:
-                self._end_lost(job, outcome.reason, now_ms)
+                self._end_lost(job, detail.reason, now_ms)
 
-    def _end_preempted(self, job: Job, outcome: OutcomeRecord, now_ms: int) -> None:
+    def _end_preempted(self, job: Job, detail: EndDetail, now_ms: int) -> None:
         self.state.outbox.count('preemptions')
-        if job.spec.repeatable or outcome.proof == CHECKPOINTED:
+        if job.spec.repeatable or detail.checkpointed:
             self.requeue(job, now_ms, delay_ms=0)
         else:
             # Another attempt would do the first part of the work twice.
-            reason = f'{outcome.reason}, without a checkpoint'
+            reason = f'{detail.reason}, without a checkpoint'
             self.recorder.decide(job.job_id, Failed(reason), now_ms)
 
     def _end_failed(self, job: Job, reason: str, now_ms: int) -> None:
--- a/yuccarelay/core/gang.py
+++ b/yuccarelay/core/gang.py
@@ -26,7 +26,7 @@
     Started,
     StopMember,
 )
-from yuccarelay.core.models import CHECKPOINTED, MemberRef, OutcomeRecord
+from yuccarelay.core.models import EndDetail, MemberRef
 from yuccarelay.core.timing import (
     HOLD_MS,
     LEASE_MS,
@@ -96,7 +96,7 @@
         self.wanted_end: EndState | None = None
         self.reason = ''
         self.end: EndState | None = None
-        self.outcome = OutcomeRecord(kind='')
+        self.detail = EndDetail()
         self.start_sent = False
 
     def begin(self, now_ms: int) -> list[Outgoing]:
@@ -162,7 +162,7 @@
             self._finish_stop(now_ms)
             return []
         if report.end is not EndState.COMPLETED:
-            reason = f'{report.worker_id}: {report.outcome.reason}'
+            reason = f'{report.worker_id}: {report.detail.reason}'
             # Other members may have run, whatever this one says of its own.
             end = EndState.LOST if not_started else report.end
             return self._stop(end, reason, now_ms)
@@ -311,18 +311,16 @@
                 part
                 for status in self.members
                 if status.report
-                for part in status.report.outcome.parts
+                for part in status.report.detail.parts
             ]
             parts.sort(key=lambda part: part.member)
-            self.outcome = OutcomeRecord(kind='completed', parts=tuple(parts))
+            self.detail = EndDetail(parts=tuple(parts))
         else:
             saved = [
-                status.report is not None
-                and status.report.outcome.proof == CHECKPOINTED
+                status.report is not None and status.report.detail.checkpointed
                 for status in self.members
             ]
-            proof = CHECKPOINTED if all(saved) else ''
-            self.outcome = OutcomeRecord(end.value, self.reason, proof)
+            self.detail = EndDetail(self.reason, checkpointed=all(saved))
 
     def _arm_message(self, ref: MemberRef) -> Message:
         return Prepare(
--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -68,7 +68,7 @@
     def mint(self, event: IdRequested) -> None:
         """Give a caller an id that this entry accepts once."""
         if not self.state.is_serving:
-            self._refuse(event.request_id, 'not_serving')
+            self._refuse(event.request_id, 'not_ready')
             return
         job_id = self.state.mint_job_id()
         self.minted[job_id] = event.organisation
@@ -81,7 +81,7 @@
             self._repeat_submission(event)
             return
         if not state.is_serving or state.fenced:
-            self._refuse(event.request_id, 'not_serving')
+            self._refuse(event.request_id, 'not_ready')
             return
         if event.job_id and self.minted.get(event.job_id) != event.organisation:
             rule = 'this entry did not give out this id, or not to this organisation'
@@ -159,7 +159,7 @@
         if status.found:
             self.state.respond(event.request_id, status)
         else:
-            self._refuse(event.request_id, 'no_record')
+            self._refuse(event.request_id, 'not_found')
 
     def cancel_here(self, organisation: str, job_id: str, now_ms: int) -> JobStatus:
         """Cancel a job that this entry owns and return its state."""
@@ -198,7 +198,7 @@
             case Unavailable():
                 self._refuse(forward.request_id, 'store_unavailable')
             case Loaded() | Missing() | _:
-                self._refuse(forward.request_id, 'no_record')
+                self._refuse(forward.request_id, 'not_found')
 
     def tick(self, now_ms: int) -> None:
         """Answer callers whose wait is over and ask other entries again."""
@@ -210,7 +210,7 @@
                 if job is not None:
                     self.state.respond(waiter.request_id, job.make_status())
                 else:
-                    self._refuse(waiter.request_id, 'not_serving')
+                    self._refuse(waiter.request_id, 'not_ready')
             if not waiters:
                 del self.state.waiters[job_id]
         due_polls = [forward for due_ms, forward in self.polls if now_ms >= due_ms]
@@ -223,7 +223,7 @@
         same = (job.spec.organisation, job.spec.name, job.payload)
         if same != (event.organisation, event.job_name, event.payload):
             rule = 'this id is in use for another submission'
-            refusal = NotAccepted('id_conflict', (FieldError('job_id', rule),))
+            refusal = NotAccepted('id_taken', (FieldError('job_id', rule),))
             self.state.respond(event.request_id, refusal)
         elif job.state is JobState.RECORDING:
             self._refuse(event.request_id, 'in_progress')
@@ -232,7 +232,7 @@
 
     def _answer_query(self, job: Job, event: Queried, now_ms: int) -> None:
         if job.spec.organisation != event.organisation:
-            self._refuse(event.request_id, 'no_record')
+            self._refuse(event.request_id, 'not_found')
         elif job.state is JobState.ENDED or not event.wait_ms:
             self.state.respond(event.request_id, job.make_status())
         else:
@@ -288,5 +288,5 @@
                 self.state.respond(forward.request_id, status)
 
     def _refuse(self, request_id: int, code: str) -> None:
-        retry_ms = 0 if code == 'no_record' else NOT_SERVING_RETRY_MS
+        retry_ms = 0 if code == 'not_found' else NOT_SERVING_RETRY_MS
         self.state.respond(request_id, NotAccepted(code, retry_ms=retry_ms))
--- a/yuccarelay/core/member.py
+++ b/yuccarelay/core/member.py
@@ -30,7 +30,7 @@
     Started,
     StopMember,
 )
-from yuccarelay.core.models import CHECKPOINTED, AnswerPart, Claim, OutcomeRecord
+from yuccarelay.core.models import AnswerPart, Claim, EndDetail
 from yuccarelay.core.outbox import Outbox
 from yuccarelay.core.reservation import (
     Admitted,
@@ -371,10 +371,9 @@
             attempt_id=attempt_id,
             worker_id=self.worker_id,
             end=entry.end,
-            outcome=OutcomeRecord(
-                kind=entry.end.value,
+            detail=EndDetail(
                 reason=entry.reason,
-                proof=CHECKPOINTED if all_saved else '',
+                checkpointed=all_saved,
                 parts=entry.parts,
             ),
         )
--- a/yuccarelay/core/messages.py
+++ b/yuccarelay/core/messages.py
@@ -11,6 +11,7 @@
 
 from yuccarelay.core.models import (
     Claim,
+    EndDetail,
     EntryRef,
     MemberRef,
     OutcomeRecord,
@@ -227,17 +228,17 @@
     attempt_id: str
     state: FateState
     end: EndState | None = None
-    outcome: OutcomeRecord | None = None
+    detail: EndDetail | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class MemberReport:
-    """Member to leader: its members ended. `parts` is set when they completed."""
+    """Member to leader: its members ended."""
 
     attempt_id: str
     worker_id: str
     end: EndState
-    outcome: OutcomeRecord
+    detail: EndDetail
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,7 +256,7 @@
 
     attempt_id: str
     end: EndState
-    outcome: OutcomeRecord
+    detail: EndDetail
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/core/models.py
+++ b/yuccarelay/core/models.py
@@ -124,10 +124,6 @@
 )
 
 
-# Proof of an attempt that was stopped after all of its members saved their progress.
-CHECKPOINTED = 'checkpointed'
-
-
 class OutcomeRecord(NamedTuple):
     """Flat form of an outcome for records, messages and answers to callers."""
 
@@ -173,6 +169,18 @@
             raise ValueError(f'no outcome of kind {other!r}')
 
 
+class EndDetail(NamedTuple):
+    """
+    How an attempt, or one agent's members of it, ended.
+
+    `checkpointed` is true when every member completed or saved its progress.
+    """
+
+    reason: str = ''
+    checkpointed: bool = False
+    parts: tuple[AnswerPart, ...] = ()
+
+
 class Claim(NamedTuple):
     """
     What the members of an attempt ask of one worker.
--- /dev/null
+++ b/yuccarelay/roles.py
@@ -0,0 +1,331 @@
+"""
+Puts the tasks of each role together and runs them until the role ends.
+
+A role ends on SIGTERM or SIGINT, after a graceful shutdown.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+import signal
+import time
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, NamedTuple
+
+from result import Err, Ok
+
+from yuccarelay.adapters.eliot_journal import EliotJournal
+from yuccarelay.adapters.statsd_metrics import StatsdMetrics
+from yuccarelay.config import AgentSettings, EntrySettings, split_address
+from yuccarelay.context import Environment, open_log
+from yuccarelay.core.agent import AgentCore
+from yuccarelay.core.entry import EntryCore
+from yuccarelay.core.events import DrainRequested
+from yuccarelay.core.models import EntryRef, WorkerState
+from yuccarelay.core.ordering import JobQueue
+from yuccarelay.core.timing import TICK_MS
+from yuccarelay.status import ExitStatus
+from yuccarelay.tasks.machine import MachineTask, Routes, TickTask
+from yuccarelay.tasks.mailbox import Mailbox
+
+if TYPE_CHECKING:
+    from yuccarelay.config import LocalSettings, StoreSettings, TargetSettings
+
+# The load balancer notices a failed health check within this time.
+BALANCER_MS = 5_000
+# A job that became ready between two events is placed at the next tick.
+ENTRY_TICK_MS = 100
+
+
+class Role(NamedTuple):
+    """
+    A role that is running.
+
+    `address` is for processes and `url` for callers. `drain` shuts it down
+    gracefully; `run` returns when it has ended.
+    """
+
+    address: str
+    url: str
+    run: Coroutine
+    stop: asyncio.Event
+    machine: MachineTask | None = None
+
+
+class PortInUseError(OSError):
+    """An address of the settings cannot be listened on."""
+
+
+def run_entry(settings: EntrySettings, env: Environment) -> ExitStatus:
+    """Run an entry until it is asked to stop."""
+    return asyncio.run(_run_until_signal(build_entry(settings, env)))
+
+
+def run_agent(settings: AgentSettings, env: Environment) -> ExitStatus:
+    """Run an agent until it is asked to stop."""
+    return asyncio.run(_run_until_signal(build_agent(settings, env)))
+
+
+def run_store(settings: 'StoreSettings', env: Environment) -> ExitStatus:
+    """Run the stand-in of the store until it is asked to stop."""
+    return asyncio.run(_run_until_signal(build_store(settings, env)))
+
+
+def run_target(settings: 'TargetSettings', env: Environment) -> ExitStatus:
+    """Run the stand-in of a target until it is asked to stop."""
+    return asyncio.run(_run_until_signal(build_target(settings, env)))
+
+
+def run_local(settings: 'LocalSettings', env: Environment) -> ExitStatus:
+    """Run the whole system in one process."""
+    from yuccarelay.demo import run_demo
+    from yuccarelay.local import run_system
+
+    run = run_demo if settings.demo else run_system
+    return asyncio.run(run(settings, env))
+
+
+async def _run_until_signal(build: Coroutine) -> ExitStatus:
+    role = await build
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, role.stop.set)
+    await role.run
+    return ExitStatus.OK
+
+
+async def build_entry(settings: EntrySettings, env: Environment) -> Role:
+    """Return an entry that listens already; `run` serves until `stop` is set."""
+    from yuccarelay.adapters.etcd import EtcdStore
+    from yuccarelay.adapters.nng import NngTransport
+    from yuccarelay.adapters.web import FrontEnd
+    from yuccarelay.tasks.answers import AnswersTask
+    from yuccarelay.tasks.links import LinksTask
+    from yuccarelay.tasks.listener import ListenerTask
+    from yuccarelay.tasks.storekeeper import StorekeeperTask
+
+    journal = EliotJournal(open_log(settings.log, env))
+    metrics = make_metrics(settings.statsd)
+    rng = random.Random(os.urandom(16))
+    transport = NngTransport(env.clock)
+    listener = open_listener(transport, settings.listen)
+    entry = EntryRef(0, settings.region, listener.address)
+    machine_box, listener_box, links_box = Mailbox(), Mailbox(), Mailbox()
+    store_box, front_box, answers_box = Mailbox(), Mailbox(), Mailbox()
+    machine = MachineTask(
+        core=EntryCore(entry, rng, JobQueue()),
+        clock=env.clock,
+        inbox=machine_box,
+        routes=Routes(
+            listener=listener_box,
+            links=links_box,
+            storekeeper=store_box,
+            front=front_box,
+        ),
+        journal=journal,
+        metrics=metrics,
+    )
+    front = FrontEnd(
+        machine_box,
+        store_box,
+        answers_box,
+        front_box,
+        metrics,
+        settings.bootstrap_operator_digests,
+    )
+    host, port = split_address(settings.http)
+    server = front.make_server()
+    server.listen(port, address=host)
+    http_port = next(iter(server._sockets.values())).getsockname()[1]
+    tasks = [
+        machine,
+        TickTask(machine_box, ENTRY_TICK_MS),
+        ListenerTask(listener, listener_box, machine_box, env.clock, journal, metrics),
+        LinksTask(
+            entry.address,
+            links_box,
+            machine_box,
+            env.clock,
+            transport,
+            journal,
+        ),
+        AnswersTask(entry.address, answers_box, transport, env.clock, journal),
+        StorekeeperTask(
+            EtcdStore(settings.store[0]),
+            entry,
+            env.clock,
+            rng,
+            store_box,
+            machine_box,
+            journal=journal,
+        ),
+        front,
+    ]
+    stop = asyncio.Event()
+
+    async def run() -> None:
+        journal.write('entry_started', {'address': entry.address, 'http': http_port})
+        async with running(tasks):
+            await stop.wait()
+            front.start_draining()
+            await asyncio.sleep(BALANCER_MS / 1000)
+            deadline_ms = env.clock.now_ms() + settings.drain_s * 1000
+            machine_box.put_nowait(DrainRequested(deadline_ms))
+            await machine.exited.wait()
+            server.stop()
+            await front.drain(deadline_ms)
+            await server.close_all_connections()
+        journal.write('entry_stopped', {'address': entry.address})
+        journal.close()
+
+    url = f'http://{host}:{http_port}'
+    return Role(entry.address, url, run(), stop, machine)
+
+
+async def build_agent(settings: AgentSettings, env: Environment) -> Role:
+    """Return an agent that listens already; `run` serves until `stop` is set."""
+    from yuccarelay.adapters.nng import NngTransport
+    from yuccarelay.adapters.target_http import HttpTarget
+    from yuccarelay.tasks.links import LinksTask
+    from yuccarelay.tasks.listener import ListenerTask
+    from yuccarelay.tasks.runner import RunnerTask
+
+    journal = EliotJournal(open_log(settings.log, env))
+    metrics = make_metrics(settings.statsd)
+    rng = random.Random(os.urandom(16))
+    transport = NngTransport(env.clock)
+    listener = open_listener(transport, settings.listen)
+    machine_box, listener_box, links_box = Mailbox(), Mailbox(), Mailbox()
+    runner_box = Mailbox()
+    state = WorkerState(
+        worker_id=settings.worker,
+        incarnation=make_incarnation(rng),
+        version=0,
+        address=listener.address,
+        service=settings.service,
+        region=settings.region,
+        domain=settings.domain,
+        rack=settings.rack,
+        accelerators=settings.accelerators,
+        slots=settings.slots,
+    )
+    machine = MachineTask(
+        core=AgentCore(state, settings.entries, rng),
+        clock=env.clock,
+        inbox=machine_box,
+        routes=Routes(listener=listener_box, links=links_box, runner=runner_box),
+        journal=journal,
+        metrics=metrics,
+    )
+    target = HttpTarget(settings.target, settings.connections)
+    tasks = [
+        machine,
+        TickTask(machine_box, TICK_MS),
+        ListenerTask(listener, listener_box, machine_box, env.clock, journal, metrics),
+        LinksTask(
+            state.address,
+            links_box,
+            machine_box,
+            env.clock,
+            transport,
+            journal,
+        ),
+        RunnerTask(
+            target,
+            runner_box,
+            machine_box,
+            listener_box,
+            env.clock,
+            settings.connections,
+            settings.answer_memory_mb * 1_000_000,
+        ),
+    ]
+    stop = asyncio.Event()
+
+    async def run() -> None:
+        journal.write(
+            'agent_started',
+            {'worker': state.worker_id, 'address': state.address},
+        )
+        async with running(tasks):
+            await stop.wait()
+            deadline_ms = env.clock.now_ms() + settings.drain_s * 1000
+            machine_box.put_nowait(DrainRequested(deadline_ms))
+            await machine.exited.wait()
+        target.close()
+        journal.write('agent_stopped', {'worker': state.worker_id})
+        journal.close()
+
+    return Role(state.address, '', run(), stop, machine)
+
+
+async def build_store(settings: 'StoreSettings', env: Environment) -> Role:
+    """Return the store stand-in."""
+    from yuccarelay.standins.store import StoreStandin
+
+    host, port = split_address(settings.listen)
+    standin = StoreStandin(env.clock, host, port)
+    standin.set_faults(latency_ms=settings.latency_ms)
+    standin.start()
+    stop = asyncio.Event()
+
+    async def run() -> None:
+        print(f'store stand-in at {standin.url}', file=env.stderr, flush=True)
+        async with running([standin]):
+            await stop.wait()
+        await standin.stop()
+
+    return Role('', standin.url, run(), stop)
+
+
+async def build_target(settings: 'TargetSettings', env: Environment) -> Role:
+    """Return a target stand-in."""
+    from yuccarelay.standins.target import StandInTarget
+
+    host, port = split_address(settings.listen)
+    target = StandInTarget(env.clock)
+    target.listen(host, port)
+    url = f'http://{target.address}'
+    stop = asyncio.Event()
+
+    async def run() -> None:
+        print(f'target stand-in at {url}', file=env.stderr, flush=True)
+        await stop.wait()
+        await target.close()
+
+    return Role('', url, run(), stop)
+
+
+@contextlib.asynccontextmanager
+async def running(tasks: list):
+    """Run tasks until the block ends; a task that fails ends the block."""
+    async with asyncio.TaskGroup() as group:
+        started = [group.create_task(task.run()) for task in tasks]
+        yield
+        for task in started:
+            task.cancel()
+
+
+def make_metrics(address: str) -> StatsdMetrics:
+    """Return the metrics of a role; without an address nothing is sent."""
+    return StatsdMetrics(split_address(address) if address else None)
+
+
+def make_incarnation(rng: random.Random) -> int:
+    """
+    Return a number above that of every earlier run of an agent, below 2**53.
+
+    It is the time of day in milliseconds with ten random bits, because entries
+    keep the state with the highest incarnation.
+    """
+    return (time.time_ns() // 1_000_000 << 10) + int(rng.random() * 1024)
+
+
+def open_listener(transport, address: str):
+    """Return the listening socket of a role."""
+    match transport.listen(address):
+        case Ok(listener):
+            return listener
+        case Err(failure):
+            raise PortInUseError(f'cannot listen on {address}: {failure}')
--- a/yuccarelay/standins/store.py
+++ b/yuccarelay/standins/store.py
@@ -87,7 +87,8 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        self.start()
+        if self.server is None:
+            self.start()
         try:
             while True:
                 await asyncio.sleep(EXPIRY_CHECK_MS / 1000)
