--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -382,6 +382,16 @@
         while not self.front.late_responses:
             await asyncio.sleep(0.001)
 
+    async def test_client_that_leaves_inside_its_body_ends_its_request(self):
+        _reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        head = 'POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n'
+        writer.write(f'{head}Authorization: Bearer guild-token\r\n\r\n1'.encode())
+        while not self.front.open_requests:
+            await asyncio.sleep(0.001)
+        writer.close()
+        self.assertTrue(await self.front.drain(web.read_clock_ms() + 5_000))
+        self.assertEqual(self.seen, [])
+
 
 class ProtocolTest(FrontEndCase):
     """Guards against errors that are not JSON and bodies that are not bounded."""
