Forward submissions to the region that holds the guarantee

A job is run in the entry's own region unless its organisation has guaranteed cells of the service only elsewhere, because the narrow link is paid for by volume. The forwarding entry mints the id, keeps the address that got it, and sends a repeat to the same entry; a second entry could accept the id again while the store is down. Requests about other entries' jobs move from core/intake.py to core/forwarding.py, and an owner that does not have the job is no longer asked again and again.

--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -28,6 +28,7 @@
     Submitted,
     Tick,
 )
+from yuccarelay.core.forwarding import Forwarder
 from yuccarelay.core.handover import Handover
 from yuccarelay.core.intake import Intake
 from yuccarelay.core.messages import (
@@ -40,6 +41,7 @@
     Malformed,
     Message,
     QueryJob,
+    SubmitJob,
     ViewDelta,
 )
 from yuccarelay.core.models import EntryRef, JobState
@@ -78,7 +80,13 @@
         self.state = EntryState(entry, rng, queue, policy)
         self.recorder = Recorder(self.state)
         self.dispatcher = Dispatcher(self.state, self.recorder)
-        self.intake = Intake(self.state, self.recorder, self.dispatcher)
+        self.forwarder = Forwarder(self.state)
+        self.intake = Intake(
+            self.state,
+            self.recorder,
+            self.dispatcher,
+            self.forwarder,
+        )
         self.adopter = Adopter(self.state, self.dispatcher)
         self.sharer = Sharer(self.state)
         self.planner = Planner(self.state)
@@ -102,8 +110,7 @@
             case Tick():
                 self._tick(now_ms)
             case MessageReceived(message, reply_to):
-                reply = self._take_message(message, now_ms)
-                self.state.outbox.reply(reply_to, reply)
+                self._take_message(message, reply_to, now_ms)
             case ReplyArrived(tag, reply):
                 self._take_reply(tag, reply, now_ms)
             case StoreReplied(tag, result):
@@ -175,7 +182,15 @@
             message = ConfigChanged(welcome)
             self.state.outbox.send(worker.address, message, f'config:{worker.address}')
 
-    def _take_message(self, message: Message, now_ms: int) -> Message:
+    def _take_message(self, message: Message, reply_to: int, now_ms: int) -> None:
+        if isinstance(message, SubmitJob):
+            # The reply follows when the store has the job's record.
+            self.intake.submit_forwarded(message, reply_to, now_ms)
+        else:
+            reply = self._make_reply(message, now_ms)
+            self.state.outbox.reply(reply_to, reply)
+
+    def _make_reply(self, message: Message, now_ms: int) -> Message:
         state = self.state
         match message:
             case Announce(worker):
@@ -218,8 +233,10 @@
                 self.dispatcher.acquirer.take_launch_reply(rest, reply, now_ms)
             case 'settle' | 'stop':
                 self.dispatcher.follower.take_fate(rest, reply, now_ms)
+            case 'submit':
+                self.forwarder.take_submit_reply(tag, reply)
             case 'forward':
-                self.intake.take_forward_reply(tag, reply, now_ms)
+                self.forwarder.take_reply(tag, reply, now_ms)
             case 'delta':
                 self.sharer.take_reply(rest, reply)
 
@@ -227,7 +244,7 @@
         kind, _, rest = tag.partition(':')
         match kind:
             case 'lookup':
-                self.intake.take_record(tag, result, now_ms)
+                self.forwarder.take_record(tag, result, now_ms)
             case 'scan':
                 self.adopter.take_scan(result, now_ms)
             case 'adopt':
@@ -242,6 +259,7 @@
             state.outbox.log('worker_absent', worker=worker_id)
         self.dispatcher.tick(now_ms)
         self.intake.tick(now_ms)
+        self.forwarder.tick(now_ms)
         self.adopter.tick(now_ms)
         self.sharer.tick(now_ms)
         self.planner.tick(now_ms)
--- a/yuccarelay/core/messages.py
+++ b/yuccarelay/core/messages.py
@@ -318,8 +318,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SubmitJob:
-    """Entry to entry of another region: a job that only that region can run."""
+    """
+    Entry to entry of another region: a job to run there.
+
+    The sender has minted the job id, so the caller can ask for the job even if
+    the reply is lost.
+    """
 
+    job_id: str
     organisation: str
     job_name: str
     payload: bytes
@@ -331,13 +337,13 @@
     """
     What became of a forwarded submission.
 
-    `code` is empty when the job was accepted under `job_id`.
+    `code` is empty when the job was accepted under `job_id`, and `undecided` when
+    it may have been.
     """
 
     job_id: str
-    durable: bool
+    durable: bool = False
     code: str = ''
-    rule: str = ''
     retry_ms: int = 0
 
 
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -3,13 +3,20 @@
 from typing import NamedTuple
 
 from yuccarelay.core.admission import StartHistory
-from yuccarelay.core.events import Observe, Respond, Response
+from yuccarelay.core.events import (
+    Accepted,
+    NotAccepted,
+    Observe,
+    Respond,
+    Response,
+    Undecided,
+)
 from yuccarelay.core.health import HealthTracker
 from yuccarelay.core.history import RunHistory
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.manifest import Manifest
 from yuccarelay.core.membership import View
-from yuccarelay.core.messages import Welcome
+from yuccarelay.core.messages import JobStatus, SubmitReply, Welcome
 from yuccarelay.core.models import (
     EntryRef,
     JobState,
@@ -24,6 +31,10 @@
 from yuccarelay.core.shape import Plan, owned_shares
 from yuccarelay.ports.randomness import RandomSource
 
+REFUSAL_RETRY_MS = 1_000
+# Code of a `SubmitReply` when the job may have been accepted.
+UNDECIDED = 'undecided'
+
 
 class Waiter(NamedTuple):
     """A caller that waits for a job's end until a deadline."""
@@ -144,9 +155,16 @@
             self.outbox.log('job_handed_over', job_id=job_id)
 
     def respond(self, request_id: int, response: Response) -> None:
-        """Answer a caller."""
-        if request_id:
+        """Answer a caller; a negative id is a submission that an entry forwarded."""
+        if request_id > 0:
             self.outbox.add(Respond(request_id, response))
+        elif request_id < 0:
+            self.outbox.reply(-request_id, _make_submit_reply(response))
+
+    def refuse(self, request_id: int, code: str) -> None:
+        """Refuse a request that may succeed later, or never if nothing is found."""
+        retry_ms = 0 if code == 'not_found' else REFUSAL_RETRY_MS
+        self.respond(request_id, NotAccepted(code, retry_ms=retry_ms))
 
     def publish_end(self, job_id: str, outcome: Outcome, now_ms: int) -> None:
         """Make an outcome visible to callers."""
@@ -189,6 +207,10 @@
             if entry.region == self.entry.region and entry.address != self.entry.address
         ]
 
+    def find_in_region(self, region: str) -> list[EntryRef]:
+        """Return the live entries of a region."""
+        return [entry for entry in self.entries if entry.region == region]
+
     def make_welcome(self, worker_id: str, announce: bool = False) -> Welcome:
         """Return the configuration that an agent needs."""
         owned: tuple[OwnedShare, ...] = ()
@@ -201,3 +223,17 @@
             owned=owned,
             announce=announce,
         )
+
+
+def _make_submit_reply(response: Response) -> SubmitReply:
+    match response:
+        case Accepted(job_id, durable):
+            return SubmitReply(job_id, durable)
+        case NotAccepted(code, _, retry_ms):
+            return SubmitReply('', code=code, retry_ms=retry_ms)
+        case Undecided(job_id):
+            return SubmitReply(job_id, code=UNDECIDED)
+        case JobStatus(job_id, durable=durable):
+            return SubmitReply(job_id, durable)
+        case _:
+            raise TypeError(f'no response to a submission: {response!r}')
