Require the region of a guaranteed cell in a fleet of several regions

Each region has its own guarantee plan, made from the workers that its entries see. A cell without a region would be planned in every region, or in none.

--- a/tests/test_manifest.py
+++ b/tests/test_manifest.py
@@ -207,6 +207,17 @@
             rules = list_errors(document)
             self.assertEqual(list(rules), ['organisations.b.token_digests'])
 
+    def test_cell_names_its_region_when_there_are_several(self):
+        """Guards against a cell that no region's plan would place."""
+        path = EXAMPLES / 'manifest-guild.json'
+        document = json.loads(path.read_text())
+        del document['organisations']['menu-proofs']['guarantee'][0]['region']
+        fields = list(list_errors(document))
+        self.assertEqual(
+            fields[0],
+            'organisations.menu-proofs.guarantee[0].region',
+        )
+
     def test_service_and_region_exist(self):
         organisation = make_organisation(
             guarantee=[make_cell(), make_cell(service='x'), make_cell(region='x')],
--- a/yuccarelay/core/manifest.py
+++ b/yuccarelay/core/manifest.py
@@ -70,7 +70,7 @@
 
 
 class CellDocument(TypedDict):
-    """A guaranteed cell; without a region it may be in any."""
+    """A guaranteed cell; the region may be left out when there is only one."""
 
     count: int
     workers: int
@@ -340,6 +340,7 @@
     """
     found = []
     fleet = fitting.FleetProfiles(manifest.racks)
+    regions = {rack.region for rack in manifest.racks}
     broken = {error.field.partition('[')[0] for error in errors}
     for name, organisation in manifest.organisations.items():
         path = f'organisations.{name}'
@@ -347,6 +348,9 @@
         if known:
             for i, (cell, _) in enumerate(organisation.guarantee):
                 field, rule = fitting.explain_cell(fleet, cell)
+                if not rule and not cell.region and len(regions) > 1:
+                    # Each region has its own guarantee plan.
+                    field, rule = 'region', 'is required in a fleet of several regions'
                 if rule:
                     found.append(FieldError(f'{path}.guarantee[{i}].{field}', rule))
         for job, spec in organisation.jobs.items():
