Start the work of lost instances again without the retry budget

The stateful search found jobs that stayed queued for a minute after two agents were killed: each restart after a loss took from the retry budget, which allows three a minute when few jobs start. A lost failure domain would have waited for hours.

--- /dev/null
+++ b/tests/test_follow.py
@@ -0,0 +1,47 @@
+"""Tests of what follows from the end of an attempt."""
+
+import unittest
+
+from tests.fleet import ENTRIES, make_session
+from yuccarelay.core.follow import LAPSE_MS
+from yuccarelay.core.models import Completed, Failed
+from yuccarelay.core.timing import SETTLE_MS, SUSPECT_MS
+
+RUN_MS = 60_000
+
+
+class LostWorkerTest(unittest.TestCase):
+    """Guards against lost work that waits for the retry budget."""
+
+    def test_all_jobs_of_a_lost_rack_start_elsewhere(self):
+        session = make_session()
+        for _ in range(24):
+            session.submit(ENTRIES[0], 'alder', 'again', run_ms=RUN_MS)
+        session.run(2_000)
+        jobs = session.processes[ENTRIES[0]].core.state.jobs
+        lost = [job for job in jobs.values() if job.members[0].worker_id in 'w3 w4 w5']
+        self.assertGreater(len(lost), 4)
+        for worker in ('w3', 'w4', 'w5'):
+            session.kill(session.workers[worker].address)
+        session.run(SUSPECT_MS + SETTLE_MS + LAPSE_MS + 2 * RUN_MS + 10_000)
+        self.assertEqual({type(job.outcome) for job in jobs.values()}, {Completed})
+
+
+class FailureTest(unittest.TestCase):
+    """Guards against a failing job that is started again without end."""
+
+    def test_failures_are_limited_by_the_job(self):
+        session = make_session()
+        session.submit(ENTRIES[0], 'alder', 'again', run_ms=50, fail=True)
+        session.run(120_000)
+        (job,) = session.processes[ENTRIES[0]].core.state.jobs.values()
+        self.assertIsInstance(job.outcome, Failed)
+        self.assertEqual(job.failures, job.spec.attempt_limit)
+
+    def test_a_job_that_is_not_repeatable_fails_at_once(self):
+        session = make_session()
+        session.submit(ENTRIES[0], 'alder', 'once', run_ms=50, fail=True)
+        session.run(5_000)
+        (job,) = session.processes[ENTRIES[0]].core.state.jobs.values()
+        self.assertIsInstance(job.outcome, Failed)
+        self.assertEqual(job.starts, 1)
--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -27,7 +27,9 @@
 LONG = 'FUZZ_EXAMPLES' in os.environ
 JOBS = {'once': 1, 'again': 1, 'urgent': 1, 'resumable': 1, 'gang': 3, 'soft-gang': 3}
 ONCE = ('once', 'gang')
-SETTLE_TIME_MS = 90_000
+SETTLE_TIME_MS = 60_000
+# The retry budget lets three failed jobs a minute start again.
+END_LIMIT_MS = 1_800_000
 
 
 class SystemMachine(RuleBasedStateMachine):
@@ -202,6 +204,14 @@
                 self.keep_responses(entry)
                 session.add_entry(entry, 'south')
         session.run(SETTLE_TIME_MS)
+        session.run_until(self.has_ended, END_LIMIT_MS)
+
+    def has_ended(self):
+        return all(
+            job.outcome is not None
+            for entry in ENTRIES
+            for job in self.session.processes[entry].core.state.jobs.values()
+        )
 
     def teardown(self):
         self.recover()
--- a/yuccarelay/core/follow.py
+++ b/yuccarelay/core/follow.py
@@ -42,6 +42,8 @@
 LAPSE_MS = LEASE_MS + START_WINDOW_MS + RENEW_INTERVAL_MS + 2 * TICK_MS
 # A running attempt is settled when its leader no longer announces it for so long.
 MISSING_MS = 10_000
+# A job that loses its workers this often is likely to be the cause.
+START_LIMIT = 20
 
 
 class Follower:
@@ -174,11 +176,14 @@
 
     def _end_failed(self, job: Job, reason: str, now_ms: int) -> None:
         self._record_failure(job, reason, now_ms)
-        retry = job.spec.repeatable and job.starts < job.spec.attempt_limit
+        job = self.state.update(job.job_id, failures=job.failures + 1)
+        retry = job.spec.repeatable and job.failures < job.spec.attempt_limit
         if job.cancelling or not retry:
             self.recorder.decide(job.job_id, Failed(reason), now_ms)
-        else:
-            self._retry(job, now_ms, self.find_backoff_ms(job.starts))
+            return
+        self.state.outbox.count('retries')
+        job = self.state.update(job.job_id, retrying=True)
+        self.requeue(job, now_ms, self.find_backoff_ms(job.failures))
 
     def _end_not_started(self, job: Job, now_ms: int) -> None:
         if job.cancelling:
@@ -194,15 +199,14 @@
             self.recorder.decide(job.job_id, Unknown(reason), now_ms)
         elif job.cancelling:
             self.recorder.decide(job.job_id, CancelledAfterStart(reason), now_ms)
-        elif job.starts >= job.spec.attempt_limit:
+        elif job.starts >= START_LIMIT:
             self.recorder.decide(job.job_id, Failed(reason), now_ms)
         else:
-            self._retry(job, now_ms, LAPSE_MS)
-
-    def _retry(self, job: Job, now_ms: int, delay_ms: int) -> None:
-        self.state.outbox.count('retries')
-        job = self.state.update(job.job_id, retrying=True)
-        self.requeue(job, now_ms, delay_ms)
+            # A lost instance is no failure of the job. The retry budget does not
+            # hold such jobs back, or a lost failure domain would take hours to
+            # start its work elsewhere.
+            self.state.outbox.count('restarts')
+            self.requeue(job, now_ms, LAPSE_MS)
 
     def requeue(self, job: Job, now_ms: int, delay_ms: int) -> None:
         """Queue a job for another attempt, or end it when it is cancelled."""
--- a/yuccarelay/core/jobs.py
+++ b/yuccarelay/core/jobs.py
@@ -41,6 +41,7 @@
     attempt: int = 0
     adoptions: int = 0
     starts: int = 0
+    failures: int = 0
     members: tuple[MemberRef, ...] = ()
     ready: frozenset[int] = frozenset()
     asked: int = 0
