Keep short answers in the job record, and free kept answers

The runner reports whether the target saved a stopped task's progress, which the state machines already asked for: without it a reclaimed job that is not repeatable would have ended as failed. The target's protocol has a state for this, so the test of a stop with a checkpoint expects that state instead of 'stopped'.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -135,6 +135,17 @@
         self.assertEqual(self.peers.most_in_flight, answers.CHUNKS_IN_FLIGHT)
 
 
+class ShortAnswerTest(FetchCase):
+    """Guards against a short answer that is lost with its agent."""
+
+    async def test_answer_in_the_record_needs_no_agent(self):
+        sha256 = hashlib.sha256(b'short').hexdigest()
+        part = AnswerPart('7-1.1', 0, '127.0.0.1:1', 5, 5, sha256, b'short')
+        answer = await self.fetch(part)
+        self.assertEqual(answer.data, b'short')
+        self.assertEqual(self.peers.asked, [])
+
+
 class SpoiledChunkTest(FetchCase):
     """Guards against a spoiled chunk that reaches the caller."""
 
--- a/yuccarelay/core/events.py
+++ b/yuccarelay/core/events.py
@@ -60,7 +60,8 @@
 
     `started` is false only when the target is known not to have started it, and
     `checkpointed` is true only when the target confirmed that it saved the
-    task's progress. The runner task keeps a completed task's answer.
+    task's progress. The runner task keeps a completed task's answer; `data` has a
+    short one.
     """
 
     task_id: str
@@ -70,6 +71,7 @@
     reason: str = ''
     length: int = 0
     sha256: str = ''
+    data: bytes = b''
 
 
 # Events of an entry, from callers and operators
--- a/yuccarelay/core/gang.py
+++ b/yuccarelay/core/gang.py
@@ -35,6 +35,9 @@
     TICK_MS,
 )
 
+# Short answers of all members together that are kept in the job's record.
+SHORT_ANSWERS_BYTES = 64_000
+
 
 class GangPhase(enum.Enum):
     """Where the attempt stands."""
@@ -314,6 +317,8 @@
                 for part in status.report.detail.parts
             ]
             parts.sort(key=lambda part: part.member)
+            if sum(len(part.data) for part in parts) > SHORT_ANSWERS_BYTES:
+                parts = [part._replace(data=b'') for part in parts]
             self.detail = EndDetail(parts=tuple(parts))
         else:
             saved = [
--- a/yuccarelay/core/member.py
+++ b/yuccarelay/core/member.py
@@ -6,6 +6,7 @@
 """
 
 from yuccarelay.core.events import (
+    DropAnswer,
     RenewTasks,
     StartTask,
     StopTask,
@@ -220,6 +221,7 @@
                 incarnation=self.incarnation,
                 length=event.length,
                 sha256=event.sha256,
+                data=event.data,
             )
             entry = self._update(attempt_id, parts=(*entry.parts, part))
         entry = self._update(attempt_id, ended=entry.ended | {member})
@@ -272,6 +274,9 @@
     def _expire_ended(self, entry: Reservation, now_ms: int) -> None:
         if now_ms >= entry.ended_ms + KEEP_ENDED_MS:
             del self.reservations[entry.attempt_id]
+            for part in entry.parts:
+                task_id = make_task_id(entry.attempt_id, part.member)
+                self.outbox.add(DropAnswer(task_id))
         elif not entry.reported and now_ms >= entry.next_report_ms:
             self._report(entry.attempt_id, now_ms)
 
--- a/yuccarelay/core/models.py
+++ b/yuccarelay/core/models.py
@@ -66,7 +66,12 @@
 
 
 class AnswerPart(NamedTuple):
-    """Where the answer of one member is kept, with its length in bytes."""
+    """
+    The answer of one member: where it is kept, with its length in bytes.
+
+    A short answer is carried along in `data`, so that it is in the job's record
+    and outlasts the agent. `data` is empty for a long one.
+    """
 
     attempt_id: str
     member: int
@@ -74,6 +79,7 @@
     incarnation: int
     length: int
     sha256: str
+    data: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/ports/target.py
+++ b/yuccarelay/ports/target.py
@@ -17,11 +17,16 @@
 
 
 class TaskState(enum.Enum):
-    """How a target says that a task ended."""
+    """
+    How a target says that a task ended.
+
+    `CHECKPOINTED` is a stop after the task's progress was saved.
+    """
 
     COMPLETED = 'completed'
     FAILED = 'failed'
     STOPPED = 'stopped'
+    CHECKPOINTED = 'checkpointed'
     LAPSED = 'lapsed'
 
 
--- a/yuccarelay/standins/target.py
+++ b/yuccarelay/standins/target.py
@@ -106,7 +106,8 @@
                 return TaskState.LAPSED
             wait_ms = min(end_ms, self.lease_deadline_ms) - now_ms
             await asyncio.wait([stop], timeout=wait_ms / 1000)
-        return TaskState.STOPPED
+        saved = self.run['checkpoint']
+        return TaskState.CHECKPOINTED if saved else TaskState.STOPPED
 
 
 class StandInTarget:
--- a/yuccarelay/tasks/answers.py
+++ b/yuccarelay/tasks/answers.py
@@ -104,6 +104,8 @@
         deadline_ms: int,
     ) -> Result[bytes, str]:
         """Fetch one part from its address, again while its digest is wrong."""
+        if part.data and _has_digest(part.data, part):
+            return Ok(part.data)
         match self.transport.connect(part.address):
             case Err(failure):
                 return Err(failure.reason)
--- a/yuccarelay/tasks/runner.py
+++ b/yuccarelay/tasks/runner.py
@@ -30,6 +30,8 @@
 CONNECTION_LIMIT = 64
 ANSWER_MEMORY_BYTES = 32_000_000
 CHUNK_LIMIT_BYTES = 256 * 1024
+# An answer up to this length also goes into the job's record.
+SHORT_ANSWER_BYTES = 8_000
 # The target counts a lease from the arrival of a call, which is at most the
 # timeout of a call after it was sent.
 LEASE_MARGIN_MS = 1_000
@@ -88,6 +90,7 @@
         self.answer_memory_bytes = answer_memory_bytes
         self.kept: dict[str, KeptAnswer] = {}
         self.kept_bytes = 0
+        self.fetched: set[str] = set()
         self.running: dict[str, RunningTask] = {}
 
     async def run(self) -> None:
@@ -112,8 +115,7 @@
                 reply = Reply(reply_to=reply_to, message=self._read_answer(effect))
                 self.listener.put_nowait(reply)
             case DropAnswer(task_id):
-                dropped = self.kept.pop(task_id, None)
-                self.kept_bytes -= len(dropped.data) if dropped else 0
+                self._drop_answer(task_id)
 
     def _start(self, start: StartTask, group: asyncio.TaskGroup) -> None:
         """Start a task if a connection can be held for it."""
@@ -164,7 +166,8 @@
                 self._keep_answer(task_id, answer)
             case Ok(answer):
                 reason = answer.reason or answer.state.value
-                self._report_end(task_id, True, reason)
+                saved = answer.state is TaskState.CHECKPOINTED
+                self._report_end(task_id, True, reason, checkpointed=saved)
             case Err(reason):
                 await self._await_stopped(task_id, task, trust_stop=True)
                 self._report_end(task_id, True, reason)
@@ -251,6 +254,7 @@
     def _keep_answer(self, task_id: str, answer: TaskAnswer) -> None:
         """Keep a completed task's answer if there is memory for it."""
         length = len(answer.data)
+        self._make_room(length)
         if self.kept_bytes + length > self.answer_memory_bytes:
             reason = f'no memory for an answer of {length} bytes'
             self._report_end(task_id, True, reason)
@@ -265,16 +269,38 @@
             started=True,
             length=length,
             sha256=sha256,
+            data=answer.data if length <= SHORT_ANSWER_BYTES else b'',
         )
         self.machine.put_nowait(ended)
 
-    def _report_end(self, task_id: str, started: bool, reason: str) -> None:
+    def _drop_answer(self, task_id: str) -> None:
+        dropped = self.kept.pop(task_id, None)
+        self.kept_bytes -= len(dropped.data) if dropped else 0
+        self.fetched.discard(task_id)
+
+    def _make_room(self, length: int) -> None:
+        """Drop kept answers, those that were fetched whole first, then the oldest."""
+        fetched = [task_id for task_id in self.kept if task_id in self.fetched]
+        others = [task_id for task_id in self.kept if task_id not in self.fetched]
+        for task_id in fetched + others:
+            if self.kept_bytes + length <= self.answer_memory_bytes:
+                return
+            self._drop_answer(task_id)
+
+    def _report_end(
+        self,
+        task_id: str,
+        started: bool,
+        reason: str,
+        checkpointed: bool = False,
+    ) -> None:
         """Report a task that did not complete."""
         self.running.pop(task_id, None)
         ended = TaskEnded(
             task_id=task_id,
             completed=False,
             started=started,
+            checkpointed=checkpointed,
             reason=reason,
         )
         self.machine.put_nowait(ended)
@@ -285,6 +311,8 @@
         if kept is None or serve.offset < 0 or serve.limit <= 0:
             return NoAnswer(attempt_id=serve.attempt_id, member=serve.member)
         end = serve.offset + min(serve.limit, CHUNK_LIMIT_BYTES)
+        if end >= len(kept.data):
+            self.fetched.add(f'{serve.attempt_id}/{serve.member}')
         return AnswerChunk(
             attempt_id=serve.attempt_id,
             member=serve.member,
