Keep working through an outage that outlasts the registration

An entry that could not renew its lease for 10 s refused every submission and held back all stored jobs, although no other entry can adopt anything while the store is down. It now stops only once the store answers again, until it has registered anew. Records name their region, and only entries of that region adopt them: a region that is cut off from the store goes on with its work, and from another region the fate of its attempts cannot be proved.

--- a/yuccarelay/core/adoption.py
+++ b/yuccarelay/core/adoption.py
@@ -75,6 +75,10 @@
         mine = record.owner == state.entry.incarnation
         if owner_lives or mine or record.job_id in state.jobs:
             return
+        if record.region != state.entry.region:
+            # The region may only be cut off from the store, with its entries and
+            # agents at work; from here the fate of an attempt could not be proved.
+            return
         taken = record._replace(
             owner=state.entry.incarnation,
             adoptions=record.adoptions + 1,
--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -119,7 +119,8 @@
             return False
         if not job.is_stored:
             return True
-        if state.fenced:
+        if state.fenced and state.store_up:
+            # Other entries may have adopted the job.
             return False
         return job.spec.repeatable or (state.store_up and job.record_known)
 
--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -56,7 +56,7 @@
         if event.job_id and event.job_id in state.jobs:
             self._repeat_submission(event)
             return
-        if not state.is_serving or state.fenced:
+        if not state.is_serving or (state.fenced and state.store_up):
             state.refuse(event.request_id, 'not_ready')
             return
         if event.job_id and self.forwarder.repeat_submission(event):
--- a/yuccarelay/core/jobs.py
+++ b/yuccarelay/core/jobs.py
@@ -79,7 +79,7 @@
         """Number of the next attempt."""
         return max(self.attempt + 1, self.adoptions * ATTEMPTS_PER_OWNER)
 
-    def make_record(self, owner: int) -> JobRecord:
+    def make_record(self, owner: int, region: str) -> JobRecord:
         """Return the record for the store."""
         ending = self.decided or self.outcome
         return JobRecord(
@@ -93,6 +93,7 @@
             attempt=self.attempt,
             members=self.members,
             adoptions=self.adoptions,
+            region=region,
             outcome=flatten_outcome(ending) if ending else None,
         )
 
--- a/yuccarelay/core/models.py
+++ b/yuccarelay/core/models.py
@@ -289,7 +289,8 @@
 
     `owner` is the incarnation of the entry that may dispatch it. `attempt` and
     `members` are written before a non-repeatable job is launched. `adoptions`
-    counts the changes of owner and keeps the attempt ids of owners apart.
+    counts the changes of owner and keeps the attempt ids of owners apart. Only
+    entries of the `region` take the job over.
     """
 
     job_id: str
@@ -302,6 +303,7 @@
     attempt: int = 0
     members: tuple[MemberRef, ...] = ()
     adoptions: int = 0
+    region: str = ''
     outcome: OutcomeRecord | None = None
 
 
--- a/yuccarelay/core/recording.py
+++ b/yuccarelay/core/recording.py
@@ -45,7 +45,8 @@
         """Write the record of a job that the store does not have yet."""
         self._begin(job_id, 'create')
         job = self.state.jobs[job_id]
-        record = job.make_record(self.state.entry.incarnation)
+        entry = self.state.entry
+        record = job.make_record(entry.incarnation, entry.region)
         self.state.outbox.add(CreateRecord(f'create:{job_id}', record))
 
     def accept_volatile(self, job_id: str) -> None:
@@ -56,7 +57,7 @@
         """Give up ownership, so that another entry takes the job over at once."""
         self._begin(job_id, 'handover')
         job = self.state.jobs[job_id]
-        record = job.make_record(NO_OWNER)
+        record = job.make_record(NO_OWNER, self.state.entry.region)
         tag = f'handover:{job_id}'
         self.state.outbox.add(ReplaceRecord(tag, record, job.revision))
 
@@ -218,7 +219,8 @@
     def _replace(self, job_id: str, kind: str) -> None:
         self._begin(job_id, kind)
         job = self.state.jobs[job_id]
-        record = job.make_record(self.state.entry.incarnation)
+        entry = self.state.entry
+        record = job.make_record(entry.incarnation, entry.region)
         tag = f'{kind}:{job_id}'
         self.state.outbox.add(ReplaceRecord(tag, record, job.revision))
 
--- a/yuccarelay/standins/session_store.py
+++ b/yuccarelay/standins/session_store.py
@@ -60,6 +60,8 @@
         self.lease_deadlines: dict[str, int] = {}
         self.members: dict[str, Process] = {}
         self.told_up: dict[str, bool] = {}
+        self.renewed_ms: dict[str, int] = {}
+        self.lapsed: set[str] = set()
 
     # Faults and operators
 
@@ -105,6 +107,8 @@
         reference = EntryRef(self.revision, process.region, process.address)
         self.entries[process.address] = reference
         self.lease_deadlines[process.address] = self.session.now_ms + LEASE_MS
+        self.renewed_ms[process.address] = self.session.now_ms
+        self.lapsed.discard(process.address)
         deliver = self.session.deliver
         self._tell_health(process, True)
         deliver(process, Registered(reference.incarnation))
@@ -118,17 +122,28 @@
         if process.paused or not self.up:
             self._tell_health(process, self.up)
             self._watch_lease(process.address, reference)
+            self._tell_lapse(process, reference)
             self.session.at(100, lambda: self._keep_alive(process, reference))
             return
         self.calls += 1
         self._tell_health(process, True)
-        if self.entries.get(process.address) != reference:
+        lapsed = process.address in self.lapsed
+        if self.entries.get(process.address) != reference or lapsed:
             self.session.deliver(process, RegistrationLost())
             self._register(process)
             return
         self.lease_deadlines[process.address] = self.session.now_ms + LEASE_MS
+        self.renewed_ms[process.address] = self.session.now_ms
         self.session.at(KEEP_ALIVE_MS, lambda: self._keep_alive(process, reference))
 
+    def _tell_lapse(self, process: 'Process', reference: EntryRef) -> None:
+        # An entry counts its own lease as lapsed when it could not be renewed,
+        # whatever the store makes of it during an outage.
+        due_ms = self.renewed_ms.get(process.address, 0) + LEASE_MS
+        if self.session.now_ms >= due_ms and process.address not in self.lapsed:
+            self.lapsed.add(process.address)
+            self.session.deliver(process, RegistrationLost())
+
     def _watch_lease(self, address: str, reference: EntryRef) -> None:
         if self.entries.get(address) != reference:
             return
