Let sessions crash a process within a step, lose machines and cut regions

The failures of the invariants could not be induced: a session could only end a process between two events, a task always obeyed its stop although the target documented ignores_stop, and the store was down for all regions or for none. Crash ends a process at its n-th event after a number of effects.

--- a/yuccarelay/standins/session.py
+++ b/yuccarelay/standins/session.py
@@ -17,7 +17,6 @@
 import json
 import random
 from collections.abc import Callable
-from typing import NamedTuple
 
 from yuccarelay.core.agent import AgentCore
 from yuccarelay.core.entry import EntryCore
@@ -46,6 +45,7 @@
 from yuccarelay.core.ordering import JobQueue
 from yuccarelay.core.placement import PlacementPolicy
 from yuccarelay.core.timing import TICK_MS
+from yuccarelay.standins.session_parts import Crash, Faults, Process
 from yuccarelay.standins.session_store import SessionStore
 from yuccarelay.standins.session_target import SessionTarget
 
@@ -53,34 +53,6 @@
 REGION_DELAY_MS = 30
 
 
-class Faults(NamedTuple):
-    """Probabilities of network faults for each message."""
-
-    lose: float = 0.0
-    late: float = 0.0
-    late_ms: int = 5_000
-    duplicate: float = 0.0
-
-
-class Process:
-    """One entry or agent with its address; `held` are events of a paused process."""
-
-    def __init__(self, address: str, region: str, core: EntryCore | AgentCore):
-        self.address = address
-        self.region = region
-        self.core = core
-        self.alive = True
-        self.paused = False
-        self.exited = False
-        self.held: list[object] = []
-        self.responses: dict[int, object] = {}
-
-    @property
-    def is_entry(self) -> bool:
-        """Whether this is an entry."""
-        return isinstance(self.core, EntryCore)
-
-
 class Session:
     """Processes, network, store and targets that share one virtual clock."""
 
@@ -112,6 +84,7 @@
         self.observed: list[Observe] = []
         self.workers: dict[str, WorkerState] = {}
         self.link_messages = 0
+        self.crash: Crash | None = None
         if manifest is not None:
             self.store.put_manifest(manifest)
 
@@ -240,6 +213,15 @@
         self.store.forget(process)
         self.write_line('kill', process=address)
 
+    def kill_worker(self, worker_id: str) -> None:
+        """End an agent and, with its machine, all tasks of its target."""
+        self.kill(self.workers[worker_id].address)
+        self.targets[worker_id].lose_all()
+
+    def crash_at(self, address: str, at_event: int, effects_kept: int = 99) -> None:
+        """End a process within its n-th event from now on, counted without ticks."""
+        self.crash = Crash(address, at_event, effects_kept)
+
     def pause(self, address: str) -> None:
         """Suspend a process; its mailbox fills up."""
         self.processes[address].paused = True
@@ -278,8 +260,21 @@
             if not isinstance(event, Tick):
                 process.held.append(event)
             return
-        for effect in process.core.step(event, self.now_ms):
+        effects = process.core.step(event, self.now_ms)
+        crashes = self._count_down(process, event)
+        if crashes:
+            effects = effects[: self.crash.effects_kept]
+        for effect in effects:
             self._carry_out(process, effect)
+        if crashes:
+            self.kill(process.address)
+
+    def _count_down(self, process: Process, event: object) -> bool:
+        crash = self.crash
+        if crash is None or crash.address != process.address or isinstance(event, Tick):
+            return False
+        self.crash = crash._replace(at_event=crash.at_event - 1)
+        return crash.at_event == 1
 
     def write_line(self, event: str, **fields: object) -> None:
         """Add a line to the transcript."""
--- a/yuccarelay/standins/session_store.py
+++ b/yuccarelay/standins/session_store.py
@@ -34,7 +34,8 @@
 from yuccarelay.core.shape import Plan
 
 if TYPE_CHECKING:
-    from yuccarelay.standins.session import Process, Session
+    from yuccarelay.standins.session import Session
+    from yuccarelay.standins.session_parts import Process
 
 CALL_DELAY_MS = 4
 LEASE_MS = 10_000
@@ -49,6 +50,8 @@
         self.session = session
         self.up = True
         self.lost_answers = 0
+        self.extra_delay_ms = 0
+        self.cut_regions: set[str] = set()
         self.revision = 1
         self.calls = 0
         self.writes = 0
@@ -72,6 +75,19 @@
                 self.lease_deadlines[address] = self.session.now_ms + LEASE_MS
             self._tell_config()
 
+    def reaches(self, process: 'Process') -> bool:
+        """Whether the store answers a process."""
+        return self.up and process.region not in self.cut_regions
+
+    def cut_region(self, region: str, cut: bool) -> None:
+        """Begin or end an outage that only one region sees."""
+        self.session.write_line('store_cut', region=region, cut=cut)
+        if cut:
+            self.cut_regions.add(region)
+        else:
+            self.cut_regions.discard(region)
+            self._tell_config()
+
     def put_manifest(self, manifest: Manifest) -> int:
         """Commit a manifest and return its generation."""
         generation = self.manifest[0] + 1 if self.manifest else 1
@@ -96,7 +112,7 @@
     def _register(self, process: 'Process') -> None:
         if self.members.get(process.address) is not process:
             return
-        if not self.up or process.paused:
+        if not self.reaches(process) or process.paused:
             self.session.at(KEEP_ALIVE_MS, lambda: self._register(process))
             return
         self.calls += 1
@@ -115,8 +131,8 @@
         if self.members.get(process.address) is not process:
             self._watch_lease(process.address, reference)
             return
-        if process.paused or not self.up:
-            self._tell_health(process, self.up)
+        if process.paused or not self.reaches(process):
+            self._tell_health(process, self.reaches(process))
             self._watch_lease(process.address, reference)
             self.session.at(100, lambda: self._keep_alive(process, reference))
             return
@@ -155,7 +171,7 @@
             return
         entries = tuple(sorted(self.entries.values()))
         for process in list(self.members.values()):
-            if self.entries.get(process.address) is None:
+            if self.entries.get(process.address) is None or not self.reaches(process):
                 continue
             deliver = self.session.deliver
             deliver(process, EntriesSeen(entries))
@@ -173,7 +189,7 @@
 
     def _execute(self, process: 'Process', effect: object) -> None:
         self.calls += 1
-        if not self.up:
+        if not self.reaches(process):
             self._reply(process, effect, Unavailable(ambiguous=False))
             self._tell_health(process, False)
             return
@@ -199,7 +215,7 @@
             )
             return
         self.session.at(
-            CALL_DELAY_MS,
+            CALL_DELAY_MS + self.extra_delay_ms,
             lambda: self._reply(process, effect, result),
         )
 
--- a/yuccarelay/standins/session_target.py
+++ b/yuccarelay/standins/session_target.py
@@ -12,7 +12,8 @@
 )
 
 if TYPE_CHECKING:
-    from yuccarelay.standins.session import Process, Session
+    from yuccarelay.standins.session import Session
+    from yuccarelay.standins.session_parts import Process
 
 START_DELAY_MS = 5
 STOP_DELAY_MS = 20
@@ -44,7 +45,8 @@
     The platform's task service on one worker.
 
     It stops a task whose lease lapses, whether or not its agent lives. The work is
-    the payload's JSON: `run_ms`, `fail`, `ignores_stop`.
+    the payload's JSON: `run_ms`, `fail`, `ignores_stop`. A task that ignores its
+    stop runs until its lease lapses.
     """
 
     def __init__(self, session: 'Session', worker_id: str):
@@ -52,6 +54,7 @@
         self.worker_id = worker_id
         self.runs: dict[str, Run] = {}
         self.fails_everything = False
+        self.deaf: set[str] = set()
         self.slow_factor = 1.0
 
     def take(self, agent: 'Process', effect: object) -> None:
@@ -70,6 +73,12 @@
                     if run is not None and run.end_ms is None:
                         self.runs[task_id] = run._replace(lease_deadline_ms=deadline_ms)
 
+    def lose_all(self) -> None:
+        """End all tasks at once, as when the machine is lost."""
+        for task_id, run in self.runs.items():
+            if run.end_ms is None:
+                self.runs[task_id] = run._replace(end_ms=self.session.now_ms)
+
     def _start(self, agent: 'Process', effect: StartTask) -> None:
         if effect.task_id in self.runs:
             return
@@ -85,6 +94,8 @@
             START_DELAY_MS,
             lambda: self.session.deliver(agent, TaskStarted(effect.task_id)),
         )
+        if work.get('ignores_stop'):
+            self.deaf.add(effect.task_id)
         run_ms = int(work.get('run_ms', 100) * self.slow_factor)
         if self.fails_everything:
             run_ms = START_DELAY_MS * 2
@@ -109,7 +120,7 @@
 
     def _stop(self, agent: 'Process', task_id: str, checkpoint: bool) -> None:
         run = self.runs.get(task_id)
-        if run is not None and run.end_ms is None:
+        if run is not None and run.end_ms is None and task_id not in self.deaf:
             self._end(
                 agent,
                 task_id,
