Stop agents from granting or forgetting what an earlier run left behind

It now lets nothing start for QUARANTINE_MS = a lease and two ticks: guaranteed claims are held, others are refused and go elsewhere. Taking over what the target runs was ruled out, because leader, payload and claim of such a task are known to the dead incarnation only and not every target lists its tasks. - An attempt that ended and was dropped after 15 min was answered as not started, which allowed a second run. Unreported ends are kept, and dropped ids answer unknown (core/fates.py). - A refused Start left no tombstone; a repeated Start of a member that had ended was refused, which a leader takes as a proof that it did not run. - A draining agent never stopped members that another agent leads, did not wait for the leader to learn their end, left before answers were fetched, and started held work for as long as the hold was extended. LEAVE_MS now bounds the last. - A victim whose stop is ignored kept its lease for the warning and a whole lease more; its lease is no longer renewed past the warning. - A gang whose leader was cut off before it noticed a loss ran partially for two leases; the leases of the others now follow the oldest sign of life.

--- /dev/null
+++ b/tests/promises.py
@@ -0,0 +1,193 @@
+"""Helpers of the tests of the invariants."""
+
+import random
+
+from tests import oracle
+from tests.fleet import ENTRIES, SERVICE, make_session
+from yuccarelay.core.agent import AgentCore
+from yuccarelay.core.events import (
+    MessageReceived,
+    Queried,
+    Reply,
+    ReplyArrived,
+    Request,
+    StartTask,
+    Tick,
+)
+from yuccarelay.core.messages import ConfigChanged, Launch, Prepare, Welcome
+from yuccarelay.core.models import Claim, MemberRef, OwnedShare, WorkerState
+from yuccarelay.core.timing import HOLD_MS
+from yuccarelay.standins.session import Session
+
+HOME = '127.0.0.1:7001'
+AGENT = '127.0.0.1:9000'
+OTHER_AGENT = '127.0.0.1:9001'
+INCARNATION = 7
+
+
+def make_claim(
+    accelerators: int = 1,
+    guaranteed: bool = False,
+    preemptible: bool = True,
+    organisation: str = 'alder',
+    members: tuple[int, ...] = (0,),
+) -> Claim:
+    """Return a claim of one member."""
+    return Claim(
+        organisation=organisation,
+        job_name='again',
+        members=members,
+        accelerators=accelerators,
+        guaranteed=guaranteed,
+        preemptible=preemptible,
+    )
+
+
+class AgentBench:
+    """One agent without a network: requests go in, effects are kept."""
+
+    def __init__(self, now_ms: int = 0, owned: int = 4, incarnation=INCARNATION):
+        state = WorkerState(
+            worker_id='w0',
+            incarnation=incarnation,
+            version=0,
+            address=AGENT,
+            service=SERVICE,
+            region='south',
+            domain='hobart',
+            rack='r0',
+            accelerators=8,
+            slots=8,
+        )
+        self.incarnation = incarnation
+        self.core = AgentCore(state, (HOME,), random.Random(1))
+        self.now_ms = now_ms
+        self.effects: list[object] = []
+        self.token = 0
+        share = OwnedShare('alder', owned)
+        self.ask(ConfigChanged(Welcome((), 1, 1, (share,))))
+
+    def step(self, event: object) -> list[object]:
+        """Give the agent an event."""
+        effects = self.core.step(event, self.now_ms)
+        self.effects.extend(effects)
+        return effects
+
+    def ask(self, message: object) -> object | None:
+        """Send a request and return the reply, if it comes at once."""
+        self.token += 1
+        for effect in self.step(MessageReceived(message, self.token)):
+            if isinstance(effect, Reply) and effect.reply_to == self.token:
+                return effect.message
+        return None
+
+    def give(self, tag: str, reply: object | None) -> None:
+        """Give the agent the reply to a request of its own."""
+        self.step(ReplyArrived(tag, reply))
+
+    def wait(self, duration_ms: int, tick_ms: int = 250) -> None:
+        """Let time pass with ticks."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms = min(end_ms, self.now_ms + tick_ms)
+            self.step(Tick())
+
+    def prepare(self, attempt_id: str, claim: Claim) -> object | None:
+        """Ask for a hold."""
+        return self.ask(Prepare(attempt_id, self.incarnation, 1, claim, HOLD_MS))
+
+    def launch(
+        self,
+        attempt_id: str,
+        claim: Claim,
+        others: tuple[MemberRef, ...] = (),
+    ) -> object | None:
+        """Launch an attempt whose first member is this agent."""
+        own = MemberRef('w0', AGENT, self.incarnation, claim)
+        return self.ask(
+            Launch(
+                attempt_id=attempt_id,
+                incarnation=self.incarnation,
+                generation=1,
+                members=(own, *others),
+                payload=b'{}',
+                owner_address=HOME,
+                run_ms=60_000,
+            ),
+        )
+
+    def find_started(self) -> list[str]:
+        """Return the tasks that the agent asked its target to start."""
+        return [one.task_id for one in self.effects if isinstance(one, StartTask)]
+
+    def find_requests(self, kind: type) -> list[Request]:
+        """Return the requests of one kind that the agent has sent."""
+        return [
+            one
+            for one in self.effects
+            if isinstance(one, Request) and isinstance(one.message, kind)
+        ]
+
+
+def find_job_id(session: Session, address: str, request_id: int) -> str:
+    """Return the id of an accepted job."""
+    return session.find_response(address, request_id).job_id
+
+
+def accept(session: Session, job: str, entry: str = ENTRIES[0], **fields) -> str:
+    """Submit a job, let it be accepted and return its id."""
+    organisation = fields.pop('organisation', 'alder')
+    request_id = session.submit(entry, organisation, job, **fields)
+    session.run_until(
+        lambda: session.find_response(entry, request_id) is not None,
+        5_000,
+    )
+    return find_job_id(session, entry, request_id)
+
+
+def ask_status(
+    session: Session,
+    job_id: str,
+    entry: str = ENTRIES[0],
+    organisation: str = 'alder',
+) -> object | None:
+    """Return what an entry answers to a query."""
+    request_id = session.request(
+        entry,
+        lambda number: Queried(number, organisation, job_id),
+    )
+    session.run(2_500)
+    return session.find_response(entry, request_id)
+
+
+def find_outcome(session: Session, job_id: str, entry: str = ENTRIES[0]) -> str:
+    """Return the kind of a job's outcome, or an empty text."""
+    status = ask_status(session, job_id, entry)
+    outcome = getattr(status, 'outcome', None)
+    return outcome.kind if outcome else ''
+
+
+def find_runs(session: Session, job_id: str) -> list[object]:
+    """Return the runs of a job's members."""
+    return oracle.collect_runs(session)[job_id]
+
+
+def start_running(session: Session, job: str, entry: str = ENTRIES[0], **fields) -> str:
+    """Submit a job and let it start."""
+    job_id = accept(session, job, entry, **fields)
+    session.run_until(lambda: bool(find_runs(session, job_id)), 10_000)
+    return job_id
+
+
+def find_worker(session: Session, job_id: str) -> str:
+    """Return the worker of a job's first run."""
+    return find_runs(session, job_id)[0].worker_id
+
+
+def count_in_use(session: Session, worker_id: str) -> int:
+    """Return the members that run on a worker's target."""
+    target = session.targets[worker_id]
+    return sum(run.end_ms is None for run in target.runs.values())
+
+
+__all__ = ['make_session']
--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -6,8 +6,6 @@
 a tombstone before it says so.
 """
 
-from typing import NamedTuple
-
 from yuccarelay.core.announcer import Announcer
 from yuccarelay.core.events import (
     AgentEvent,
@@ -21,6 +19,7 @@
     TaskStarted,
     Tick,
 )
+from yuccarelay.core.fates import FateBook
 from yuccarelay.core.gang import Gang, GangPhase, Outgoing
 from yuccarelay.core.member import MemberBook
 from yuccarelay.core.messages import (
@@ -52,23 +51,13 @@
 from yuccarelay.core.reservation import Capacity, Phase
 from yuccarelay.core.timing import (
     HOLD_MS,
-    KEEP_ENDED_MS,
-    REPEAT_INTERVAL_MS,
-    TOMBSTONE_LIMIT,
+    LEAVE_MS,
+    QUARANTINE_MS,
+    SETTLE_MS,
 )
 from yuccarelay.ports.randomness import RandomSource
 
 
-class Ended(NamedTuple):
-    """The end of an attempt that this agent led, until its owner knows it."""
-
-    report: AttemptReport
-    owner_address: str
-    acknowledged: bool
-    next_report_ms: int
-    drop_deadline_ms: int
-
-
 class AgentCore:
     """
     Decisions of one agent, driven by `step`.
@@ -85,18 +74,19 @@
     ):
         self.outbox = Outbox(state.address)
         self.incarnation = state.incarnation
+        self.fates = FateBook(self.outbox)
         self.members = MemberBook(
             worker_id=state.worker_id,
             incarnation=state.incarnation,
             address=state.address,
             capacity=Capacity(state.accelerators, state.slots),
             outbox=self.outbox,
+            fates=self.fates,
         )
         self.announcer = Announcer(state, seeds, rng, self.outbox)
         self.gangs: dict[str, Gang] = {}
-        self.ended: dict[str, Ended] = {}
-        self.tombstones: dict[str, None] = {}
         self.drain_deadline_ms: int | None = None
+        self.last_start_ms = 0
         self.exited = False
 
     def step(self, event: AgentEvent, now_ms: int) -> list[Effect]:
@@ -106,6 +96,8 @@
         Deadlines are checked first, so an agent that was suspended acts on lapsed
         leases before it handles the messages that arrived meanwhile.
         """
+        if self.members.usable_from_ms is None:
+            self.members.usable_from_ms = now_ms + QUARANTINE_MS
         self._expire(now_ms)
         self._handle(event, now_ms)
         while (local := self.outbox.take_local()) is not None:
@@ -136,11 +128,7 @@
             case Launch():
                 self._reply(reply_to, self._launch(message, now_ms))
             case Start():
-                refusal = self._check(message.attempt_id, message.incarnation)
-                if refusal is None:
-                    self.members.start(message, reply_to, now_ms)
-                else:
-                    self._reply(reply_to, Refused(message.attempt_id, refusal))
+                self._start(message, reply_to, now_ms)
             case Renew():
                 self._reply(reply_to, self.members.renew(message, now_ms))
             case Abort(attempt_id) | StopMember(attempt_id):
@@ -160,6 +148,7 @@
             case Settle():
                 self._reply(reply_to, self._settle(message))
             case FetchAnswer(attempt_id, member, offset, limit):
+                self.members.ledger.note_fetched(attempt_id, member, offset + limit)
                 self.outbox.add(
                     ServeAnswer(reply_to, attempt_id, member, offset, limit),
                 )
@@ -185,27 +174,44 @@
                 if isinstance(reply, Ack):
                     self.members.take_report_reply(rest)
             case 'report':
-                if isinstance(reply, Ack) and rest in self.ended:
-                    self.ended[rest] = self.ended[rest]._replace(acknowledged=True)
+                if isinstance(reply, Ack):
+                    self.fates.acknowledge(rest)
             case 'home':
                 changed = self.announcer.take_reply(rest, reply, now_ms)
                 self._take_config(changed)
 
     def _prepare(self, message: Prepare, now_ms: int) -> Message:
         attempt_id = message.attempt_id
-        refusal = self._check(attempt_id, message.incarnation, message.generation)
+        refusal = self._check(message, now_ms)
         if refusal is not None:
             return Refused(attempt_id, refusal)
         reply = self.members.answer_prepare(message, now_ms)
         if isinstance(reply, Refused):
-            self._bury(attempt_id)
+            self.fates.bury(attempt_id)
         return reply
 
+    def _start(self, message: Start, reply_to: int, now_ms: int) -> None:
+        attempt_id = message.attempt_id
+        refusal = self._check(message, now_ms)
+        if refusal is None:
+            refusal = self.members.start(message, reply_to, now_ms)
+        if refusal is None:
+            return
+        if refusal is not Refusal.WRONG_INCARNATION:
+            # A late copy of this message must not start it after all.
+            self.members.release(attempt_id)
+            self.fates.bury(attempt_id)
+        self._reply(reply_to, Refused(attempt_id, refusal))
+
     def _launch(self, message: Launch, now_ms: int) -> Message:
         attempt_id = message.attempt_id
-        if attempt_id in self.gangs or attempt_id in self.ended:
+        if (
+            attempt_id in self.gangs
+            or attempt_id in self.fates.ended
+            or attempt_id in self.fates.spent
+        ):
             return Launched(attempt_id)
-        refusal = self._check(attempt_id, message.incarnation, message.generation)
+        refusal = self._check(message, now_ms)
         if refusal is None:
             wait = self._hold_for_launch(message, now_ms)
             match wait:
@@ -215,7 +221,7 @@
                     return Reclaiming(attempt_id, wait)
         if refusal is not None:
             self.members.release(attempt_id)
-            self._bury(attempt_id)
+            self.fates.bury(attempt_id)
             return Refused(attempt_id, refusal)
         gang = Gang(message, self.outbox.own_address, now_ms)
         self.gangs[attempt_id] = gang
@@ -236,26 +242,29 @@
 
     def _check(
         self,
-        attempt_id: str,
-        incarnation: int,
-        generation: int | None = None,
+        message: Prepare | Launch | Start,
+        now_ms: int,
     ) -> Refusal | None:
-        if incarnation != self.incarnation:
+        attempt_id = message.attempt_id
+        if message.incarnation != self.incarnation:
             return Refusal.WRONG_INCARNATION
-        if attempt_id in self.tombstones:
+        if attempt_id in self.fates.tombstones:
             return Refusal.TOMBSTONED
-        if generation is None:
-            return None
-        if generation < self.announcer.generation:
-            return Refusal.STALE_GENERATION
-        if (
-            self.drain_deadline_ms is not None
-            and attempt_id not in self.members.reservations
-        ):
-            self._bury(attempt_id)
+        match message:
+            case Prepare() | Launch() if message.generation < self.announcer.generation:
+                return Refusal.STALE_GENERATION
+        if self._is_closed_to(attempt_id, now_ms):
+            self.fates.bury(attempt_id)
             return Refusal.DRAINING
         return None
 
+    def _is_closed_to(self, attempt_id: str, now_ms: int) -> bool:
+        # A leaving worker starts only what it held before, and only for a while.
+        if self.drain_deadline_ms is None:
+            return False
+        entry = self.members.reservations.get(attempt_id)
+        return entry is None or (not entry.begun and now_ms >= self.last_start_ms)
+
     def _stop_member(self, message: Abort | StopMember, now_ms: int) -> Message:
         if message.incarnation != self.incarnation:
             return Fate(message.attempt_id, FateState.UNKNOWN)
@@ -263,7 +272,7 @@
             message = StopMember(message.attempt_id, message.incarnation, False)
         reply = self.members.stop(message, now_ms)
         if isinstance(reply, Fate) and reply.state is FateState.NOT_STARTED:
-            self._bury(message.attempt_id)
+            self.fates.bury(message.attempt_id)
         return reply
 
     def _stop_attempt(self, message: StopAttempt, now_ms: int) -> Message:
@@ -276,15 +285,12 @@
         attempt_id = message.attempt_id
         if attempt_id in self.gangs:
             self.gangs[attempt_id].owner_address = message.owner_address
-        if attempt_id in self.ended:
-            self.ended[attempt_id] = self.ended[attempt_id]._replace(
-                owner_address=message.owner_address,
-            )
+        self.fates.set_owner(attempt_id, message.owner_address)
         return self._find_fate(attempt_id, message.incarnation)
 
     def _find_fate(self, attempt_id: str, incarnation: int) -> Fate:
-        if attempt_id in self.ended:
-            report = self.ended[attempt_id].report
+        if attempt_id in self.fates.ended:
+            report = self.fates.ended[attempt_id].report
             return Fate(attempt_id, FateState.ENDED, report.end, report.detail)
         if attempt_id in self.gangs:
             return Fate(attempt_id, FateState.RUNNING)
@@ -295,25 +301,19 @@
             # A member of an attempt that another agent leads.
             ended = entry.phase is Phase.ENDED
             return Fate(attempt_id, FateState.ENDED if ended else FateState.RUNNING)
+        buried = attempt_id in self.fates.tombstones
+        if not buried and self.fates.may_have_begun(attempt_id):
+            return Fate(attempt_id, FateState.UNKNOWN)
         self.members.release(attempt_id)
-        self._bury(attempt_id)
+        self.fates.bury(attempt_id)
         return Fate(attempt_id, FateState.NOT_STARTED)
 
-    def _bury(self, attempt_id: str) -> None:
-        self.tombstones[attempt_id] = None
-        if len(self.tombstones) > TOMBSTONE_LIMIT:
-            del self.tombstones[next(iter(self.tombstones))]
-
     def _expire(self, now_ms: int) -> None:
         self.members.expire(now_ms)
         for gang in list(self.gangs.values()):
             self._send_all(gang, gang.tick(now_ms))
         self._collect_ended(now_ms)
-        for attempt_id, entry in list(self.ended.items()):
-            if now_ms >= entry.drop_deadline_ms:
-                del self.ended[attempt_id]
-            elif not entry.acknowledged and now_ms >= entry.next_report_ms:
-                self._report(attempt_id, now_ms)
+        self.fates.expire(now_ms)
 
     def _collect_ended(self, now_ms: int) -> None:
         for attempt_id, gang in list(self.gangs.items()):
@@ -321,21 +321,8 @@
                 continue
             del self.gangs[attempt_id]
             self.outbox.log('ended', attempt_id=attempt_id, end=gang.end.value)
-            self.ended[attempt_id] = Ended(
-                report=AttemptReport(attempt_id, gang.end, gang.detail),
-                owner_address=gang.owner_address,
-                acknowledged=False,
-                next_report_ms=now_ms,
-                drop_deadline_ms=now_ms + KEEP_ENDED_MS,
-            )
-            self._report(attempt_id, now_ms)
-
-    def _report(self, attempt_id: str, now_ms: int) -> None:
-        entry = self.ended[attempt_id]
-        self.ended[attempt_id] = entry._replace(
-            next_report_ms=now_ms + REPEAT_INTERVAL_MS,
-        )
-        self.outbox.send(entry.owner_address, entry.report, f'report:{attempt_id}')
+            report = AttemptReport(attempt_id, gang.end, gang.detail)
+            self.fates.add_end(report, gang.owner_address, now_ms)
 
     def _take_config(self, changed: bool) -> None:
         if changed:
@@ -359,11 +346,7 @@
         self.announcer.publish(
             now_ms,
             grants=grants,
-            unreported=tuple(
-                attempt_id
-                for attempt_id, entry in self.ended.items()
-                if not entry.acknowledged
-            ),
+            unreported=self.fates.find_unreported(),
             draining=self.drain_deadline_ms is not None,
             generation=self.announcer.generation,
             plan_epoch=self.announcer.plan_epoch,
@@ -373,6 +356,7 @@
         if self.drain_deadline_ms is not None:
             return
         self.drain_deadline_ms = deadline_ms
+        self.last_start_ms = now_ms + LEAVE_MS
         self.outbox.log('drain', active=len(self.members.ledger.find_active()))
         self._publish(now_ms)
         self.announcer.tell_all()
@@ -385,11 +369,18 @@
             for gang in self.gangs.values():
                 reason = self.announcer.state.worker_id
                 self._send_all(gang, gang.evict(reason, now_ms))
-        active = self.members.ledger.find_active()
-        unreported = [entry for entry in self.ended.values() if not entry.acknowledged]
-        if not active and not self.gangs and not unreported:
-            self.exited = True
-            self.outbox.add(Exit())
+            self.members.evict_all(now_ms)
+        if self.members.ledger.find_active() or self.gangs:
+            return
+        if self._has_untold(late) and now_ms < self.drain_deadline_ms + SETTLE_MS:
+            return
+        self.exited = True
+        self.outbox.add(Exit())
+
+    def _has_untold(self, late: bool) -> bool:
+        if self.fates.find_unreported() or self.members.ledger.find_unreported():
+            return True
+        return not late and self.members.ledger.has_unfetched()
 
     def _send_all(self, gang: Gang, messages: list[Outgoing]) -> None:
         for member, message in messages:
--- /dev/null
+++ b/yuccarelay/core/fates.py
@@ -0,0 +1,105 @@
+"""
+What an agent can prove about attempts: their ends, and tombstones.
+
+An attempt that began and was forgotten must not look like one that never started,
+so its id is kept longer than its end.
+"""
+
+from typing import NamedTuple
+
+from yuccarelay.core.messages import AttemptReport
+from yuccarelay.core.outbox import Outbox
+from yuccarelay.core.timing import (
+    KEEP_ENDED_MS,
+    REPEAT_INTERVAL_MS,
+    TOMBSTONE_LIMIT,
+)
+
+# Ids of forgotten attempts; about 12 MB at 100 bytes each. An agent that had to
+# drop one proves no longer that an attempt unknown to it did not start.
+SPENT_LIMIT = 100_000
+
+
+class Ended(NamedTuple):
+    """The end of an attempt that this agent led, until its owner knows it."""
+
+    report: AttemptReport
+    owner_address: str
+    acknowledged: bool
+    next_report_ms: int
+    drop_deadline_ms: int
+
+
+class FateBook:
+    """Ends that are reported until acknowledged, forgotten attempts, tombstones."""
+
+    def __init__(self, outbox: Outbox):
+        self.outbox = outbox
+        self.ended: dict[str, Ended] = {}
+        self.spent: dict[str, None] = {}
+        self.tombstones: dict[str, None] = {}
+        self.dropped_spent = False
+
+    def bury(self, attempt_id: str) -> None:
+        """Make sure that an attempt never starts here."""
+        self.tombstones[attempt_id] = None
+        if len(self.tombstones) > TOMBSTONE_LIMIT:
+            del self.tombstones[next(iter(self.tombstones))]
+
+    def note_spent(self, attempt_id: str) -> None:
+        """Remember that an attempt began here, when the rest of it is forgotten."""
+        self.spent[attempt_id] = None
+        if len(self.spent) > SPENT_LIMIT:
+            del self.spent[next(iter(self.spent))]
+            self.dropped_spent = True
+
+    def may_have_begun(self, attempt_id: str) -> bool:
+        """Whether an attempt of which nothing else is known may have begun."""
+        return attempt_id in self.spent or self.dropped_spent
+
+    def add_end(self, report: AttemptReport, owner_address: str, now_ms: int) -> None:
+        """Keep the end of an attempt and report it to its owner."""
+        self.ended[report.attempt_id] = Ended(
+            report=report,
+            owner_address=owner_address,
+            acknowledged=False,
+            next_report_ms=now_ms,
+            drop_deadline_ms=now_ms + KEEP_ENDED_MS,
+        )
+        self._report(report.attempt_id, now_ms)
+
+    def acknowledge(self, attempt_id: str) -> None:
+        """Note that the owner knows the end."""
+        if attempt_id in self.ended:
+            entry = self.ended[attempt_id]
+            self.ended[attempt_id] = entry._replace(acknowledged=True)
+
+    def set_owner(self, attempt_id: str, owner_address: str) -> None:
+        """Report the end to another entry from now on."""
+        if attempt_id in self.ended:
+            entry = self.ended[attempt_id]
+            self.ended[attempt_id] = entry._replace(owner_address=owner_address)
+
+    def find_unreported(self) -> tuple[str, ...]:
+        """Return the ended attempts whose owner does not know the end."""
+        return tuple(
+            attempt_id
+            for attempt_id, entry in self.ended.items()
+            if not entry.acknowledged
+        )
+
+    def expire(self, now_ms: int) -> None:
+        """Report again, and drop what the owners know for long enough."""
+        for attempt_id, entry in list(self.ended.items()):
+            if entry.acknowledged and now_ms >= entry.drop_deadline_ms:
+                del self.ended[attempt_id]
+                self.note_spent(attempt_id)
+            elif not entry.acknowledged and now_ms >= entry.next_report_ms:
+                self._report(attempt_id, now_ms)
+
+    def _report(self, attempt_id: str, now_ms: int) -> None:
+        entry = self.ended[attempt_id]
+        self.ended[attempt_id] = entry._replace(
+            next_report_ms=now_ms + REPEAT_INTERVAL_MS,
+        )
+        self.outbox.send(entry.owner_address, entry.report, f'report:{attempt_id}')
--- a/yuccarelay/core/gang.py
+++ b/yuccarelay/core/gang.py
@@ -19,6 +19,7 @@
     Message,
     Prepare,
     Prepared,
+    Refusal,
     Refused,
     Renew,
     Renewed,
@@ -127,7 +128,10 @@
                 if self._all_in(MemberPhase.STARTED, MemberPhase.ENDED):
                     return self._run(now_ms)
             case GangPhase.STARTING, Refused(refusal=refusal):
-                self._set_phase(member, MemberPhase.REFUSED)
+                # An earlier incarnation may have taken an earlier copy of Start.
+                restarted = refusal is Refusal.WRONG_INCARNATION
+                phase = MemberPhase.ENDED if restarted else MemberPhase.REFUSED
+                self._set_phase(member, phase)
                 reason = f'{status.ref.worker_id}: {refusal.value}'
                 return self._stop(EndState.LOST, reason, now_ms)
             case GangPhase.RUNNING, Renewed(state=FateState.RUNNING):
@@ -208,7 +212,7 @@
         if now_ms < self.next_send_ms:
             return []
         self.next_send_ms = now_ms + RENEW_INTERVAL_MS
-        return self._renew_all()
+        return self._renew_all(now_ms)
 
     def _repeat(self) -> list[Outgoing]:
         match self.phase:
@@ -238,10 +242,25 @@
             self._complete()
             return []
         self.next_send_ms = now_ms + RENEW_INTERVAL_MS
-        return self._renew_all()
+        return self._renew_all(now_ms)
 
-    def _renew_all(self) -> list[Outgoing]:
-        return self._to_each(self._renew_message, MemberPhase.STARTED)
+    def _renew_all(self, now_ms: int) -> list[Outgoing]:
+        lease_ms = self._find_lease_ms(now_ms)
+        return self._to_each(
+            lambda ref: Renew(self.attempt_id, ref.incarnation, lease_ms),
+            MemberPhase.STARTED,
+        )
+
+    def _find_lease_ms(self, now_ms: int) -> int:
+        # A member that is lost takes the leases of the others with it, also when
+        # the leader is cut off from them before it notices the loss.
+        alive_ms = [
+            status.alive_deadline_ms
+            for status in self.members
+            if status.phase is MemberPhase.STARTED
+        ]
+        left_ms = min(alive_ms, default=now_ms + LEASE_MS) - now_ms
+        return min(LEASE_MS, left_ms + RENEW_INTERVAL_MS)
 
     def _abort(self, reason: str, now_ms: int) -> list[Outgoing]:
         # No start was sent, so the tombstones left by Abort make sure that
@@ -340,9 +359,6 @@
             lease_ms=LEASE_MS,
         )
 
-    def _renew_message(self, ref: MemberRef) -> Message:
-        return Renew(self.attempt_id, ref.incarnation, LEASE_MS)
-
     def _stop_message(self, ref: MemberRef) -> Message:
         return StopMember(self.attempt_id, ref.incarnation, self.checkpoint)
 
--- a/yuccarelay/core/member.py
+++ b/yuccarelay/core/member.py
@@ -12,6 +12,7 @@
     TaskEnded,
     TaskStarted,
 )
+from yuccarelay.core.fates import FateBook
 from yuccarelay.core.messages import (
     EndState,
     EvictionNotice,
@@ -74,13 +75,16 @@
         address: str,
         capacity: Capacity,
         outbox: Outbox,
+        fates: FateBook,
     ):
         self.worker_id = worker_id
         self.incarnation = incarnation
         self.address = address
         self.ledger = Ledger(capacity)
         self.outbox = outbox
+        self.fates = fates
         self.next_renew_ms = 0
+        self.usable_from_ms: int | None = None
 
     @property
     def reservations(self) -> dict[str, Reservation]:
@@ -96,6 +100,9 @@
         """
         entry = self.reservations.get(attempt_id)
         if entry is None:
+            if now_ms < self.usable_from_ms and not claim.guaranteed:
+                # Tasks of an earlier incarnation may still run on the target.
+                return Refusal.NO_CAPACITY
             match self.ledger.admit(claim, now_ms):
                 case NotAdmitted(refusal):
                     return refusal
@@ -131,22 +138,20 @@
             case wait_ms:
                 return Reclaiming(message.attempt_id, wait_ms)
 
-    def start(self, message: Start, reply_to: int, now_ms: int) -> None:
-        """Start the held members of an attempt; replies once the target runs them."""
+    def start(self, message: Start, reply_to: int, now_ms: int) -> Refusal | None:
+        """
+        Start the held members of an attempt; replies once the target runs them.
+
+        Returns the refusal when nothing of the attempt was ever started here.
+        """
         attempt_id = message.attempt_id
         entry = self.reservations.get(attempt_id)
-        if entry is not None and entry.phase in (Phase.STARTING, Phase.RUNNING):
+        if entry is not None and entry.begun:
             self._update(attempt_id, start_reply_to=reply_to)
             self._answer_start(attempt_id)
-            return
-        if (
-            entry is None
-            or entry.phase is not Phase.HELD
-            or self._reclaim_wait(attempt_id, now_ms) is not None
-        ):
-            refusal = Refused(attempt_id, Refusal.NO_RESERVATION)
-            self.outbox.reply(reply_to, refusal)
-            return
+            return None
+        if entry is None or self._reclaim_wait(attempt_id, now_ms) is not None:
+            return Refusal.NO_RESERVATION
         deadline_ms = now_ms + message.lease_ms
         self._update(
             attempt_id,
@@ -168,6 +173,7 @@
                     lease_deadline_ms=deadline_ms,
                 ),
             )
+        return None
 
     def renew(self, message: Renew, now_ms: int) -> Message:
         """Extend the lease of running members."""
@@ -176,7 +182,12 @@
             return Renewed(message.attempt_id, FateState.NOT_STARTED)
         if entry.phase is Phase.ENDED or entry.end is not None:
             return Renewed(message.attempt_id, FateState.ENDED)
-        self._update(message.attempt_id, lease_deadline_ms=now_ms + message.lease_ms)
+        deadline_ms = now_ms + message.lease_ms
+        if entry.stop_deadline_ms:
+            # A victim that cannot be stopped loses its lease all the same.
+            limit_ms = max(entry.stop_deadline_ms, entry.lease_deadline_ms)
+            deadline_ms = min(deadline_ms, limit_ms)
+        self._update(message.attempt_id, lease_deadline_ms=deadline_ms)
         return Renewed(message.attempt_id, FateState.RUNNING)
 
     def stop(self, message: StopMember, now_ms: int) -> Message:
@@ -190,6 +201,12 @@
         self._stop(message.attempt_id, EndState.STOPPED, '', message.checkpoint)
         return Fate(message.attempt_id, FateState.RUNNING)
 
+    def evict_all(self, now_ms: int) -> None:
+        """Take back all capacity, because the worker leaves."""
+        for entry in self.ledger.find_active():
+            if not entry.stop_deadline_ms:
+                self._evict(entry.attempt_id, 'drain', now_ms)
+
     def release(self, attempt_id: str) -> None:
         """Give up a hold that has not started anything."""
         entry = self.reservations.get(attempt_id)
@@ -272,6 +289,8 @@
     def _expire_ended(self, entry: Reservation, now_ms: int) -> None:
         if now_ms >= entry.ended_ms + KEEP_ENDED_MS:
             del self.reservations[entry.attempt_id]
+            self.fates.note_spent(entry.attempt_id)
+            self.ledger.fetched.pop(entry.attempt_id, None)
         elif not entry.reported and now_ms >= entry.next_report_ms:
             self._report(entry.attempt_id, now_ms)
 
@@ -310,9 +329,14 @@
             for name in entry.waits_for
             if name in self.reservations and self.reservations[name].is_active
         ]
-        if entry.phase is not Phase.HELD or not waiting:
+        if entry.phase is not Phase.HELD:
             return None
-        ready_ms = max(other.stop_deadline_ms for other in waiting)
+        if not waiting and now_ms >= self.usable_from_ms:
+            return None
+        ready_ms = max(
+            (other.stop_deadline_ms for other in waiting),
+            default=self.usable_from_ms,
+        )
         return max(ready_ms - now_ms, RENEW_INTERVAL_MS // 4)
 
     def _forget_wait(self, attempt_id: str) -> None:
--- a/yuccarelay/core/reservation.py
+++ b/yuccarelay/core/reservation.py
@@ -102,11 +102,35 @@
         self.capacity = capacity
         self.owned: dict[str, int] = {}
         self.reservations: dict[str, Reservation] = {}
+        self.fetched: dict[str, set[int]] = {}
 
     def find_active(self) -> list[Reservation]:
         """Return the reservations that use capacity."""
         return [entry for entry in self.reservations.values() if entry.is_active]
 
+    def find_unreported(self) -> list[str]:
+        """Return the attempts whose leader does not know that they ended here."""
+        return [
+            attempt_id
+            for attempt_id, entry in self.reservations.items()
+            if entry.phase is Phase.ENDED and not entry.reported
+        ]
+
+    def note_fetched(self, attempt_id: str, member: int, until: int) -> None:
+        """Note that an answer was read up to an offset in bytes."""
+        entry = self.reservations.get(attempt_id)
+        for part in entry.parts if entry else ():
+            if part.member == member and until >= part.length:
+                self.fetched.setdefault(attempt_id, set()).add(member)
+
+    def has_unfetched(self) -> bool:
+        """Whether a kept answer was not read to its end yet."""
+        return any(
+            part.length and part.member not in self.fetched.get(attempt_id, ())
+            for attempt_id, entry in self.reservations.items()
+            for part in entry.parts
+        )
+
     def admit(self, claim: Claim, now_ms: int) -> Admitted | NotAdmitted:
         """Decide whether a claim fits, and which borrowers must stop for it."""
         active = self.find_active()
--- a/yuccarelay/core/timing.py
+++ b/yuccarelay/core/timing.py
@@ -13,6 +13,12 @@
 # The agent stops what did not stop by itself, and reports again, at this interval.
 REPEAT_INTERVAL_MS = 1_000
 TICK_MS = 250
+# An agent that starts does not know which tasks an earlier incarnation left on
+# the target. It lets nothing start until their leases have lapsed and the target
+# has noticed it. A call of the dead agent may reach the target late.
+QUARANTINE_MS = LEASE_MS + 2 * TICK_MS
+# A leaving worker starts only what it had reserved before, and only for so long.
+LEAVE_MS = HOLD_MS
 
 HEARTBEAT_INTERVAL_MS = 2_000
 # A worker that was not heard of for three heartbeats gets no new work.
