Assert that nothing ran only where an agent or the record proves it

A job counted as never run when starts was 0, but starts is 0 also for an adopter and for an owner that never heard the answer to its launch. A refusal by a restarted agent counted as a proof although an earlier copy of the launch may have reached its predecessor. A hold that was given up after Reclaiming answered a launch was not settled, although a delayed copy of that launch can start it.

Change: Job.may_have_run and Job.launched. A launched attempt is settled, never just given up. A job that is not repeatable is always prepared first, so that a refusal by another incarnation comes before any launch. Expired jobs that may have run end as unknown. Holds are extended while the store records the attempt.

--- a/yuccarelay/core/acquire.py
+++ b/yuccarelay/core/acquire.py
@@ -69,6 +69,7 @@
             attempt=job.next_attempt,
             members=members,
             ready=frozenset(),
+            launched=False,
             next_send_ms=now_ms,
             deadline_ms=now_ms + ACQUIRE_MS,
         )
@@ -78,7 +79,10 @@
         if job.retrying:
             state.find_budget(job.spec.service).take(now_ms)
             job = state.update(job.job_id, retrying=False)
-        if len(members) == 1 and not reclaims and not job.needs_attempt_record:
+        # Without a record, `Launch` would be the first message to the agent, and a
+        # refusal by another incarnation could not prove that nothing started.
+        at_once = job.spec.repeatable and not reclaims
+        if len(members) == 1 and at_once:
             self._launch(job.job_id, now_ms)
         else:
             self._prepare(job.job_id, 0)
@@ -172,6 +176,7 @@
         job = self.state.update(
             job_id,
             state=JobState.LAUNCHING,
+            launched=True,
             deadline_ms=now_ms + LAUNCH_MS,
         )
         self._send_launch(job)
@@ -202,8 +207,12 @@
         match reply:
             case Launched():
                 self.follower.take_running(job, now_ms)
+            case Refused(refusal=Refusal.WRONG_INCARNATION):
+                # An earlier copy may have reached the earlier incarnation.
+                self.follower.settle(job.job_id, now_ms)
             case Refused(_, refusal):
                 # The refusal proves that nothing started, and leaves a tombstone.
+                self.state.update(job.job_id, launched=False)
                 self.give_up(job, 0, refusal.value, now_ms)
             case Reclaiming(_, ready_ms):
                 self.state.update(
@@ -222,6 +231,10 @@
         state = self.state
         state.outbox.log('acquire_failed', attempt_id=job.attempt_id, reason=reason)
         state.outbox.count('acquire_failed')
+        if job.launched:
+            # A late copy of the launch may still start it. Only the leader knows.
+            self.follower.settle(job.job_id, now_ms)
+            return
         if index >= 0 and reason != Refusal.TOMBSTONED.value:
             state.view.mark_full(job.members[index].worker_id, now_ms)
         last = len(job.members) - 1 if index < 0 else max(index, job.asked)
@@ -233,9 +246,7 @@
 
     def tick(self, job: Job, now_ms: int) -> None:
         """Extend holds, ask again, and give up at the deadline."""
-        if job.writing == 'attempt':
-            return
-        if now_ms >= job.deadline_ms:
+        if now_ms >= job.deadline_ms and job.writing != 'attempt':
             self.give_up(job, -1, 'not acquired in time', now_ms)
         elif now_ms >= job.next_send_ms:
             # Holds are extended, and members that were reclaiming asked again.
--- a/yuccarelay/core/adoption.py
+++ b/yuccarelay/core/adoption.py
@@ -109,6 +109,7 @@
             revision=revision,
             attempt=record.attempt,
             adoptions=record.adoptions,
+            may_have_run=self._may_have_run(record),
             members=record.members,
         )
         state.outbox.log('job_adopted', job_id=record.job_id, attempt=record.attempt)
@@ -122,6 +123,14 @@
         elif not self._settle_announced(record.job_id, now_ms):
             state.enqueue(record.job_id)
 
+    def _may_have_run(self, record: JobRecord) -> bool:
+        # Every attempt of a job that is not repeatable is recorded before it is
+        # launched, and only a checkpointable one has another after one that ran.
+        spec = self._find_known_spec(record)
+        if spec is None or spec.repeatable:
+            return True
+        return spec.checkpointable and record.attempt > 1
+
     def _settle_announced(self, job_id: str, now_ms: int) -> bool:
         # The attempts of a repeatable job are not recorded. One that an agent
         # announces is followed, so the work is not done again.
@@ -145,10 +154,9 @@
         return False
 
     def _find_spec(self, record: JobRecord) -> JobSpec:
-        manifest = self.state.manifest
-        organisation = manifest.organisations.get(record.organisation)
-        if organisation and record.job_name in organisation.jobs:
-            return organisation.jobs[record.job_name]
+        known = self._find_known_spec(record)
+        if known is not None:
+            return known
         # The job has left the manifest since. What ran is still settled; with no
         # worker of this service it is not started again.
         return JobSpec(
@@ -159,5 +167,9 @@
             start_limit_ms=0,
         )
 
+    def _find_known_spec(self, record: JobRecord) -> JobSpec | None:
+        organisation = self.state.manifest.organisations.get(record.organisation)
+        return organisation.jobs.get(record.job_name) if organisation else None
+
     def _scan_soon(self, now_ms: int, jitter_ms: int) -> None:
         self.scan_at_ms = now_ms + int(jitter_ms * self.state.rng.random())
--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -11,7 +11,7 @@
 )
 from yuccarelay.core.follow import Follower
 from yuccarelay.core.jobs import Job
-from yuccarelay.core.models import JobSpec, JobState, NotRun
+from yuccarelay.core.models import JobSpec, JobState, NotRun, Outcome, Unknown
 from yuccarelay.core.ordering import QueuedJob
 from yuccarelay.core.placement import Candidate, choose_workers
 from yuccarelay.core.recording import Recorder
@@ -150,5 +150,7 @@
                     self.follower.tick_running(job, now_ms)
 
     def _expire_queued(self, job_id: str, now_ms: int) -> None:
-        outcome = NotRun('start deadline passed', 'it was never launched')
+        outcome: Outcome = NotRun('start deadline passed', 'it was never launched')
+        if self.state.jobs[job_id].has_run:
+            outcome = Unknown('start deadline passed; an earlier attempt may have run')
         self.recorder.decide(job_id, outcome, now_ms)
--- a/yuccarelay/core/follow.py
+++ b/yuccarelay/core/follow.py
@@ -146,6 +146,9 @@
     ) -> None:
         """Decide what follows from the end of an attempt."""
         self._charge(job, now_ms)
+        if end is not EndState.NOT_STARTED:
+            self.state.update(job.job_id, may_have_run=True)
+        job = self.state.jobs[job.job_id]
         match end:
             case EndState.COMPLETED:
                 self._record_success(job, now_ms)
@@ -181,15 +184,12 @@
             self._retry(job, now_ms, self.find_backoff_ms(job.starts))
 
     def _end_not_started(self, job: Job, now_ms: int) -> None:
-        if job.cancelling:
-            proof = f'the agent refuses attempt {job.attempt_id} from now on'
-            self.recorder.decide(job.job_id, CancelledBeforeStart(proof), now_ms)
-        else:
-            job = self.state.update(job.job_id, conflicts=job.conflicts + 1)
-            self.requeue(job, now_ms, self.find_backoff_ms(job.conflicts))
+        job = self.state.update(job.job_id, conflicts=job.conflicts + 1)
+        self.requeue(job, now_ms, self.find_backoff_ms(job.conflicts))
 
     def _end_lost(self, job: Job, reason: str, now_ms: int) -> None:
         self._record_failure(job, reason, now_ms)
+        job = self.state.update(job.job_id, may_have_run=True)
         if not job.spec.repeatable:
             self.recorder.decide(job.job_id, Unknown(reason), now_ms)
         elif job.cancelling:
@@ -212,12 +212,12 @@
             proof = f'attempt {job.attempt_id} did not start'
             outcome = (
                 CancelledBeforeStart(proof)
-                if job.starts == 0
-                else CancelledAfterStart('an earlier attempt ran')
+                if not job.has_run
+                else CancelledAfterStart('an earlier attempt ran or may have run')
             )
             self.recorder.decide(job.job_id, outcome, now_ms)
             return
-        if job.starts:
+        if job.has_run:
             # The limit is for the first start. A job that ran is finished.
             state.update(job.job_id, start_deadline_ms=NO_DEADLINE_MS)
         state.update(
--- a/yuccarelay/core/jobs.py
+++ b/yuccarelay/core/jobs.py
@@ -23,8 +23,10 @@
     `revision` is that of its record in the store, 0 when there is none, and
     `record_known` is false when a write may have changed the record unseen.
     `writing` names the store call under way, if any. `ready` has the members
-    whose reservation is held. `decided` is an outcome that callers hear of only
-    once it is recorded; `recorded` says that the record has the end.
+    whose reservation is held. `launched` says that a `Launch` of the current
+    attempt was sent, and `may_have_run` that some attempt may have begun.
+    `decided` is an outcome that callers hear of only once it is recorded;
+    `recorded` says that the record has the end.
     """
 
     job_id: str
@@ -41,6 +43,8 @@
     attempt: int = 0
     adoptions: int = 0
     starts: int = 0
+    launched: bool = False
+    may_have_run: bool = False
     members: tuple[MemberRef, ...] = ()
     ready: frozenset[int] = frozenset()
     asked: int = 0
@@ -73,6 +77,11 @@
         """Whether an attempt must be in the store before it is launched."""
         return not self.spec.repeatable and self.is_stored
 
+    @property
+    def has_run(self) -> bool:
+        """Whether an earlier attempt ran or cannot be excluded."""
+        return self.starts > 0 or self.may_have_run
+
     @property
     def next_attempt(self) -> int:
         """Number of the next attempt."""
