Fuzz two regions, planned stops, lost machines and slow stores

The fuzz had one region, no drains and no check of capacity. New rules: drains of agents and entries with deadlines from 0 to 30 s, lost machines, an agent that restarts at once, tasks that ignore their stop, a cut region, a store that answers late. New checks: accelerators and slots in use, work that may not be stopped outside its cells, starts on a leaving worker after LEAVE_MS.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,14 @@
 	$(BIN)/ruff format $(SOURCES)
 	$(BIN)/ruff check --fix $(SOURCES)
 
+# Examples and seed of the long random search; the seed is printed.
+EXAMPLES ?= 1000
+SEED ?= $(shell date +%s)
+
+fuzz: install  ## Search at random for a broken invariant: EXAMPLES=n SEED=n
+	@echo "fuzz: seed $(SEED), $(EXAMPLES) examples"
+	FUZZ_SEED=$(SEED) FUZZ_EXAMPLES=$(EXAMPLES) $(BIN)/python -m tests test_stateful
+
 demo: install  ## Run the whole path in one process on embedded stand-ins
 	$(BIN)/yuccarelay local --demo
 
@@ -47,4 +55,4 @@
 clean:  ## Remove what the other targets create
 	rm -rf $(VENV) build dist *.egg-info .ruff_cache .hypothesis
 
-.PHONY: all help install test lint format demo dist check-dist clean
+.PHONY: all help install test lint format fuzz demo dist check-dist clean
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -11,6 +11,8 @@
 from yuccarelay.standins.session import Faults, Session
 
 SERVICE = 'reorder-desk'
+NORTH_ENTRY = '127.0.0.1:7003'
+NORTH_WORKERS = ('n0', 'n1', 'n2')
 ENTRIES = ('127.0.0.1:7001', '127.0.0.1:7002')
 WORKERS = ('w0', 'w1', 'w2', 'w3', 'w4', 'w5')
 
@@ -53,10 +55,15 @@
     )
 
 
-def make_cell(workers: int, accelerators: int, count: int = 1) -> GuaranteedCell:
-    """Return a guaranteed cell in the one region of the test fleet."""
+def make_cell(
+    workers: int,
+    accelerators: int,
+    count: int = 1,
+    region: str = 'south',
+) -> GuaranteedCell:
+    """Return a guaranteed cell in a region of the test fleet."""
     within = Adjacency.WORKER if workers == 1 else Adjacency.RACK
-    cell = Cell(workers, accelerators, within, SERVICE, 'south')
+    cell = Cell(workers, accelerators, within, SERVICE, region)
     return GuaranteedCell(cell, count)
 
 
@@ -81,13 +88,46 @@
     )
 
 
-def make_session(seed: int = 1, faults: Faults = Faults()) -> Session:  # noqa: B008
-    """Return a session with two entries and six workers, ready to take jobs."""
-    session = Session(make_manifest(), seed=seed, faults=faults)
+def make_wide_manifest() -> Manifest:
+    """Return the manifest with a second region, where both own part of one rack."""
+    manifest = make_manifest()
+    north = RackCapacity('north', 'launceston', 'r2', SERVICE, 3, 8, 8)
+    alder = (make_cell(3, 4), make_cell(3, 4, region='north'))
+    birch = (make_cell(3, 8), make_cell(3, 2, region='north'))
+    return manifest._replace(
+        racks=(*manifest.racks, north),
+        organisations={
+            'alder': make_organisation('alder', alder),
+            'birch': make_organisation('birch', birch),
+        },
+    )
+
+
+def make_wide_session(seed: int = 1) -> Session:
+    """Return a session of two regions; the store is in the south."""
+    session = Session(make_wide_manifest(), seed=seed)
     for address in ENTRIES:
         session.add_entry(address, 'south')
+    session.add_entry(NORTH_ENTRY, 'north')
+    add_workers(session)
+    for worker_id in NORTH_WORKERS:
+        session.add_worker(worker_id, 'north', 'launceston', 'r2', SERVICE)
+    session.run(8_000)
+    return session
+
+
+def add_workers(session: Session) -> None:
+    """Add the six workers of the south."""
     for number, worker_id in enumerate(WORKERS):
         domain, rack = (('hobart', 'r0'), ('huon', 'r1'))[number // 3]
         session.add_worker(worker_id, 'south', domain, rack, SERVICE)
+
+
+def make_session(seed: int = 1, faults: Faults = Faults()) -> Session:  # noqa: B008
+    """Return a session with two entries and six workers, ready to take jobs."""
+    session = Session(make_manifest(), seed=seed, faults=faults)
+    for address in ENTRIES:
+        session.add_entry(address, 'south')
+    add_workers(session)
     session.run(8_000)
     return session
--- a/tests/oracle.py
+++ b/tests/oracle.py
@@ -9,12 +9,19 @@
 
 from yuccarelay.core.messages import JobStatus
 from yuccarelay.core.models import parse_job_id
-from yuccarelay.core.timing import LEASE_MS, RENEW_INTERVAL_MS, TICK_MS
+from yuccarelay.core.shape import owned_shares
+from yuccarelay.core.timing import (
+    LEASE_MS,
+    LEAVE_MS,
+    RENEW_INTERVAL_MS,
+    TICK_MS,
+)
 from yuccarelay.standins.session import Session
 from yuccarelay.standins.session_target import Run
 
 NOTHING_RAN = ('not_run', 'cancelled_before_start')
-# The bound that the design page states: a lease, and the tick that notices it.
+# The bound that the design page states for any combination of failures: a lease
+# and one renewal, and the ticks that notice it.
 PARTIAL_LIMIT_MS = LEASE_MS + RENEW_INTERVAL_MS + 2 * TICK_MS
 
 
@@ -49,6 +56,19 @@
     return names
 
 
+def collect_organisations(session: Session) -> dict[str, str]:
+    """Return the organisations of all jobs that an entry or the store ever had."""
+    names = {
+        record.job_id: record.organisation
+        for record, _ in session.store.records.values()
+    }
+    for process in session.processes.values():
+        if process.is_entry:
+            for job_id, job in process.core.state.jobs.items():
+                names[job_id] = job.spec.organisation
+    return names
+
+
 def check_nothing_ran(session: Session) -> list[str]:
     """A job of which a caller heard that it was not run has no run."""
     runs = collect_runs(session)
@@ -119,6 +139,83 @@
     return partial
 
 
+def find_active(runs: list[Run], at_ms: int) -> list[Run]:
+    """Return the runs that use their worker at a moment."""
+    return [
+        run
+        for run in runs
+        if run.started_ms <= at_ms and (run.end_ms is None or at_ms < run.end_ms)
+    ]
+
+
+def check_capacity(session: Session) -> list[str]:
+    """A worker never runs more than it has."""
+    faults = []
+    for worker_id, target in session.targets.items():
+        runs = list(target.runs.values())
+        state = session.workers[worker_id]
+        for run in runs:
+            active = find_active(runs, run.started_ms)
+            used = sum(one.accelerators for one in active)
+            if used > state.accelerators or len(active) > state.slots:
+                names = [one.task_id for one in active]
+                faults.append(f'{worker_id} ran {names} at {run.started_ms}')
+    return faults
+
+
+def check_pinned(session: Session, pinned: dict[str, str]) -> list[str]:
+    """
+    Jobs that may not be stopped run only inside their organisation's cells.
+
+    `pinned` names the organisation of each such job. An agent may be behind the
+    store's plan, so every plan that was in force counts.
+    """
+    faults = []
+    for worker_id, target in session.targets.items():
+        runs = [
+            run
+            for run in target.runs.values()
+            if run.job_id in pinned and run.accelerators
+        ]
+        for run in runs:
+            organisation = pinned[run.job_id]
+            used = sum(
+                one.accelerators
+                for one in find_active(runs, run.started_ms)
+                if pinned[one.job_id] == organisation
+            )
+            if used > find_owned(session, worker_id, organisation):
+                faults.append(f'{run.task_id} ran outside the cells of {organisation}')
+    return faults
+
+
+def find_owned(session: Session, worker_id: str, organisation: str) -> int:
+    """Return the most that an organisation ever owned on a worker."""
+    return max(
+        (
+            share.accelerators
+            for plan in session.store.plan_history
+            for share in owned_shares(plan, worker_id)
+            if share.organisation == organisation
+        ),
+        default=0,
+    )
+
+
+def check_leaving(session: Session, drains: list[tuple[str, int, int]]) -> list[str]:
+    """
+    Nothing new starts on a leaving worker after the stated time.
+
+    A drain is a worker, the time of its notice and that of its agent's restart.
+    """
+    faults = []
+    for worker_id, from_ms, until_ms in drains:
+        for run in session.targets[worker_id].runs.values():
+            if from_ms + LEAVE_MS < run.started_ms < until_ms:
+                faults.append(f'{run.task_id} started on leaving {worker_id}')
+    return faults
+
+
 def check_generations(session: Session) -> list[str]:
     """No process puts an older manifest in force."""
     latest: dict[str, int] = {}
--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -1,19 +1,27 @@
 """
 Stateful fuzzing of entries and agents against the oracle.
 
-    python -m tests test_stateful                  the fixed examples of CI
-    FUZZ_EXAMPLES=2000 python -m tests test_stateful   a long random search
+    python -m tests test_stateful      the fixed examples of CI
+    make fuzz                          a long random search; prints its seed
+    FUZZ_SEED=7 FUZZ_EXAMPLES=500 python -m tests test_stateful
 """
 
 import os
 import unittest
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from tests import oracle
-from tests.fleet import ENTRIES, WORKERS, make_manifest, make_session
+from tests.fleet import (
+    ENTRIES,
+    NORTH_ENTRY,
+    NORTH_WORKERS,
+    WORKERS,
+    make_wide_manifest,
+    make_wide_session,
+)
 from yuccarelay.core.events import (
     Accepted,
     CancelRequested,
@@ -25,24 +33,32 @@
 
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '40'))
 LONG = 'FUZZ_EXAMPLES' in os.environ
+SEED = int(os.environ.get('FUZZ_SEED', '1'))
+ALL_ENTRIES = (*ENTRIES, NORTH_ENTRY)
+ALL_WORKERS = (*WORKERS, *NORTH_WORKERS)
+NEVER_MS = 10**9
 JOBS = {'once': 1, 'again': 1, 'urgent': 1, 'resumable': 1, 'gang': 3, 'soft-gang': 3}
+# Jobs that may run once only, and cannot be stopped either.
 ONCE = ('once', 'gang')
 SETTLE_TIME_MS = 90_000
 
 
+@seed(SEED)
 class SystemMachine(RuleBasedStateMachine):
     """Callers, operators and faults in any order; the oracle looks at the end."""
 
     def __init__(self):
         super().__init__()
-        self.session = make_session(seed=1)
+        self.session = make_wide_session(seed=1)
         self.submissions: list[tuple[str, int, str, str]] = []
         self.asked: list[int] = []
         self.down: set[str] = set()
         self.paused: set[str] = set()
+        self.leaving: dict[str, int] = {}
+        self.drains: list[tuple[str, int, int]] = []
 
-    entries = st.sampled_from(ENTRIES)
-    workers = st.sampled_from(WORKERS)
+    entries = st.sampled_from(ALL_ENTRIES)
+    workers = st.sampled_from(ALL_WORKERS)
 
     @rule(
         entry=entries,
@@ -51,9 +67,10 @@
         run_ms=st.sampled_from([50, 1_500, 8_000]),
         fail=st.booleans(),
         key=st.sampled_from(['', '', 'k1', 'k2']),
+        deaf=st.booleans(),
         count=st.integers(1, 3),
     )
-    def submit(self, entry, organisation, job, run_ms, fail, key, count):
+    def submit(self, entry, organisation, job, run_ms, fail, key, deaf, count):
         for _ in range(count):
             request_id = self.session.submit(
                 entry,
@@ -62,6 +79,7 @@
                 key=key,
                 run_ms=run_ms,
                 fail=fail and run_ms == 50,
+                ignores_stop=deaf,
             )
             self.submissions.append((entry, request_id, organisation, job))
 
@@ -97,36 +115,73 @@
     def wait(self, duration_ms):
         self.session.run(duration_ms)
 
+    def is_up(self, address):
+        if address in self.down | self.paused:
+            return False
+        return not self.session.processes[address].exited
+
+    @rule(worker=workers, machine=st.booleans())
+    def kill_agent(self, worker, machine):
+        address = self.session.workers[worker].address
+        if self.is_up(address):
+            self.down.add(address)
+            if machine:
+                self.session.kill_worker(worker)
+            else:
+                self.session.kill(address)
+
     @rule(worker=workers)
-    def kill_agent(self, worker):
+    def kill_and_restart_agent(self, worker):
         address = self.session.workers[worker].address
-        if address not in self.down | self.paused:
+        if self.is_up(address):
             self.session.kill(address)
             self.down.add(address)
+            self.start_agent(worker)
+
+    @rule(worker=workers, deadline_ms=st.sampled_from([0, 2_000, 20_000]))
+    def drain_agent(self, worker, deadline_ms):
+        address = self.session.workers[worker].address
+        if self.is_up(address) and worker not in self.leaving:
+            self.leaving[worker] = self.session.now_ms
+            self.session.drain(address, deadline_ms)
+
+    @rule(entry=entries, deadline_ms=st.sampled_from([0, 5_000, 30_000]))
+    def drain_entry(self, entry, deadline_ms):
+        if self.is_up(entry):
+            self.session.drain(entry, deadline_ms)
+
+    def start_agent(self, worker):
+        self.session.start_agent(worker)
+        self.down.discard(self.session.workers[worker].address)
+        if worker in self.leaving:
+            from_ms = self.leaving.pop(worker)
+            self.drains.append((worker, from_ms, self.session.now_ms))
 
     @rule(entry=entries)
     def kill_entry(self, entry):
-        if entry not in self.down | self.paused:
+        if self.is_up(entry):
             self.session.kill(entry)
             self.down.add(entry)
 
     @rule(worker=workers)
     def restart_agent(self, worker):
         address = self.session.workers[worker].address
-        if address in self.down:
-            self.session.start_agent(worker)
-            self.down.remove(address)
+        if not self.is_up(address) and address not in self.paused:
+            self.start_agent(worker)
 
     @rule(entry=entries)
     def restart_entry(self, entry):
-        if entry in self.down:
-            self.keep_responses(entry)
-            self.session.add_entry(entry, 'south')
-            self.down.remove(entry)
+        if not self.is_up(entry) and entry not in self.paused:
+            self.start_entry(entry)
 
-    @rule(address=st.sampled_from([*ENTRIES, '127.0.0.1:9000', '127.0.0.1:9003']))
+    def start_entry(self, entry):
+        self.keep_responses(entry)
+        self.session.add_entry(entry, 'north' if entry == NORTH_ENTRY else 'south')
+        self.down.discard(entry)
+
+    @rule(address=st.sampled_from([*ALL_ENTRIES, '127.0.0.1:9000', '127.0.0.1:9003']))
     def pause(self, address):
-        if address not in self.down | self.paused:
+        if self.is_up(address):
             self.session.pause(address)
             self.paused.add(address)
 
@@ -144,6 +199,18 @@
     def lose_store_answers(self, count):
         self.session.store.lost_answers = count
 
+    @rule(delay_ms=st.sampled_from([0, 1_500, 3_500]))
+    def slow_store(self, delay_ms):
+        self.session.store.extra_delay_ms = delay_ms
+
+    @rule(cut=st.booleans())
+    def cut_region(self, cut):
+        self.session.store.cut_region('north', cut)
+        if cut:
+            self.session.cut('north', 'south')
+        else:
+            self.session.heal()
+
     @rule(entry=entries, worker=workers)
     def cut_entry(self, entry, worker):
         self.session.cut(entry, self.session.workers[worker].address)
@@ -169,7 +236,7 @@
     @rule()
     def commit_manifest(self):
         if self.session.store.up:
-            self.session.store.put_manifest(make_manifest())
+            self.session.store.put_manifest(make_wide_manifest())
 
     def keep_responses(self, entry):
         earlier = self.session.processes[entry]
@@ -190,19 +257,29 @@
         session.heal()
         session.faults = session.faults._replace(late=0, lose=0, duplicate=0)
         session.store.lost_answers = 0
+        session.store.extra_delay_ms = 0
+        session.store.cut_region('north', False)
         if not session.store.up:
             session.store.set_up(True)
         for address in sorted(self.paused):
             session.resume(address)
-        for worker in WORKERS:
-            if session.workers[worker].address in self.down:
-                session.start_agent(worker)
-        for entry in ENTRIES:
-            if entry in self.down:
-                self.keep_responses(entry)
-                session.add_entry(entry, 'south')
+        self.paused.clear()
+        for entry in ALL_ENTRIES:
+            if not self.is_up(entry) or session.processes[entry].core.state.draining:
+                self.restart_process(entry)
+                self.start_entry(entry)
+        for worker in ALL_WORKERS:
+            address = session.workers[worker].address
+            if not self.is_up(address) or worker in self.leaving:
+                self.restart_process(address)
+                self.start_agent(worker)
         session.run(SETTLE_TIME_MS)
 
+    def restart_process(self, address):
+        process = self.session.processes[address]
+        if process.alive and not process.exited:
+            self.session.kill(address)
+
     def teardown(self):
         self.recover()
         accepted = self.find_accepted()
@@ -220,6 +297,8 @@
         self.session.run(5_000)
         names = oracle.collect_job_names(self.session)
         once = {job_id for job_id, name in names.items() if name in ONCE}
+        organisations = oracle.collect_organisations(self.session)
+        pinned = {job_id: organisations[job_id] for job_id in once}
         members = {job_id: JOBS[name] for job_id, name in names.items()}
         faults = [
             *oracle.check_nothing_ran(self.session),
@@ -227,10 +306,17 @@
             *oracle.check_completed(self.session, members),
             *oracle.check_whole_gangs(self.session, members),
             *oracle.check_generations(self.session),
+            *oracle.check_capacity(self.session),
+            *oracle.check_pinned(self.session, pinned),
+            *oracle.check_leaving(self.session, self.find_drains()),
             *self.check_ended(accepted, asked),
         ]
         assert not faults, '\n'.join([*self.session.lines, *faults])
 
+    def find_drains(self):
+        left = [(name, ms, NEVER_MS) for name, ms in self.leaving.items()]
+        return [*self.drains, *left]
+
     def check_ended(self, accepted, asked):
         faults = []
         for job_id, request_id in asked.items():
@@ -257,6 +343,8 @@
         deadline=None,
         derandomize=not LONG,
         database=None,
+        # Sessions take too long to shrink a failure of the long search.
+        phases=[Phase.generate] if LONG else [Phase.generate, Phase.shrink],
         suppress_health_check=list(HealthCheck),
     )
 
--- a/yuccarelay/standins/session_store.py
+++ b/yuccarelay/standins/session_store.py
@@ -59,6 +59,7 @@
         self.keys: dict[tuple[str, str], str] = {}
         self.manifest: tuple[int, Manifest] | None = None
         self.plans: dict[str, Plan] = {}
+        self.plan_history: list[Plan] = []
         self.entries: dict[str, EntryRef] = {}
         self.lease_deadlines: dict[str, int] = {}
         self.members: dict[str, Process] = {}
@@ -198,6 +199,7 @@
                 known = self.plans.get(process.region)
                 if plan.epoch == (known.epoch + 1 if known else 1):
                     self.plans[process.region] = plan
+                    self.plan_history.append(plan)
                     self._tell_config()
                 return
             case Deregister():
--- a/yuccarelay/standins/session_target.py
+++ b/yuccarelay/standins/session_target.py
@@ -26,6 +26,7 @@
     worker_id: str
     started_ms: int
     lease_deadline_ms: int
+    accelerators: int
     end_ms: int | None = None
     completed: bool = False
 
@@ -89,6 +90,7 @@
             worker_id=self.worker_id,
             started_ms=now_ms,
             lease_deadline_ms=effect.lease_deadline_ms,
+            accelerators=effect.accelerators,
         )
         self.session.at(
             START_DELAY_MS,
