Keep workers and plans of different regions apart

A leaving agent tells every entry it knows; the entry of the other region took the worker into its view, and pushed its own plan to it. Epochs count per region, so a higher epoch of the other region took the cells away for good. Ruled out: an agent that ignores plans of other regions by name, because Welcome does not name a region and one check at the entry also keeps the worker out of its placement. Change: an entry takes only workers of its region into its view, and tells the plan only to those. Before: both tests of test_promises_regions failed (test_agent_keeps_to_the_plan_of_its_region first). After: both pass.

--- /dev/null
+++ b/tests/test_promises_regions.py
@@ -0,0 +1,51 @@
+"""Invariants 1 and 6 over two regions, each with a plan of its own."""
+
+import unittest
+
+from tests.fleet import NORTH_ENTRY, make_wide_session
+from tests.promises import accept, find_outcome
+from yuccarelay.core.shape import owned_shares
+
+
+class RegionTest(unittest.TestCase):
+    """A worker belongs to the entries and to the plan of its region."""
+
+    def restart_leaving(self, session, worker_id):
+        session.drain(session.workers[worker_id].address, 1_000)
+        session.run(2_000)
+        session.start_agent(worker_id)
+        session.run(1_000)
+
+    def advance_plan(self, session):
+        """Let the north have a higher plan epoch than the south."""
+        for _ in range(2):
+            self.restart_leaving(session, 'n0')
+            session.run(40_000)
+
+    def test_agent_keeps_to_the_plan_of_its_region(self):
+        """Guards against cells that a higher epoch of another region takes away."""
+        session = make_wide_session()
+        self.advance_plan(session)
+        north, south = (session.store.plans[name] for name in ('north', 'south'))
+        self.assertGreater(north.epoch, south.epoch)
+        self.restart_leaving(session, 'w4')
+        session.store.put_manifest(session.store.manifest[1])
+        session.run(20_000)
+        agent = session.processes[session.workers['w4'].address].core
+        plan = session.store.plans['south']
+        self.assertEqual(agent.announcer.plan_epoch, plan.epoch)
+        self.assertEqual(agent.announcer.owned, owned_shares(plan, 'w4'))
+        job_id = accept(session, 'wide-gang', run_ms=100)
+        session.run(20_000)
+        self.assertEqual(find_outcome(session, job_id), 'completed')
+
+    def test_entry_does_not_place_on_another_region(self):
+        """Guards against work on workers whose plan the entry does not know."""
+        session = make_wide_session()
+        self.restart_leaving(session, 'w4')
+        view = session.processes[NORTH_ENTRY].core.state.view
+        self.assertEqual(sorted(view.workers), ['n0', 'n1', 'n2'])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -180,7 +180,8 @@
         match message:
             case Announce(worker):
                 state.note_generation(worker.generation)
-                state.view.take_state(worker, 0, now_ms)
+                if worker.region == state.entry.region:
+                    state.view.take_state(worker, 0, now_ms)
                 return state.make_welcome(worker.worker_id)
             case Heartbeat(worker_id, incarnation, version):
                 known = state.view.take_heartbeat(
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -190,14 +190,20 @@
         ]
 
     def make_welcome(self, worker_id: str, announce: bool = False) -> Welcome:
-        """Return the configuration that an agent needs."""
+        """
+        Return the configuration that an agent needs.
+
+        Epochs of different regions are not comparable, so an agent of another
+        region hears nothing of this region's plan.
+        """
         owned: tuple[OwnedShare, ...] = ()
-        if self.plan is not None:
-            owned = owned_shares(self.plan, worker_id)
+        plan = self.plan if worker_id in self.view.workers else None
+        if plan is not None:
+            owned = owned_shares(plan, worker_id)
         return Welcome(
             entries=self.entries,
             generation=self.generation,
-            plan_epoch=self.plan.epoch if self.plan else 0,
+            plan_epoch=plan.epoch if plan else 0,
             owned=owned,
             announce=announce,
         )
