--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -49,6 +49,10 @@
 # Jobs that may run once only, and cannot be stopped either.
 ONCE = ('once', 'gang', 'wide-gang')
 SETTLE_TIME_MS = 90_000
+# A job that fails ejects its workers for 30 s, 60 s and so on, so its last attempt
+# may come late. It must still end.
+ROUND_MS = 60_000
+LATE_ROUNDS = 14
 
 
 @seed(SEED)
@@ -291,18 +295,7 @@
     def teardown(self):
         self.recover()
         accepted = self.find_accepted()
-        asked = {
-            job_id: self.session.request(
-                ENTRIES[0],
-                lambda number, job_id=job_id, name=organisation: Queried(
-                    number,
-                    name,
-                    job_id,
-                ),
-            )
-            for job_id, (organisation, _) in accepted.items()
-        }
-        self.session.run(5_000)
+        asked = self.ask_until_ended(accepted)
         names = oracle.collect_job_names(self.session)
         once = {job_id for job_id, name in names.items() if name in ONCE}
         organisations = oracle.collect_organisations(self.session)
@@ -321,6 +314,30 @@
         ]
         assert not faults, '\n'.join([*self.session.lines, *faults])
 
+    def ask_until_ended(self, accepted):
+        asked = self.ask(accepted)
+        for _ in range(LATE_ROUNDS):
+            if not self.check_ended(accepted, asked):
+                break
+            self.session.run(ROUND_MS)
+            asked = self.ask(accepted)
+        return asked
+
+    def ask(self, accepted):
+        asked = {
+            job_id: self.session.request(
+                ENTRIES[0],
+                lambda number, job_id=job_id, name=organisation: Queried(
+                    number,
+                    name,
+                    job_id,
+                ),
+            )
+            for job_id, (organisation, _) in accepted.items()
+        }
+        self.session.run(5_000)
+        return asked
+
     def find_drains(self):
         left = [(name, ms, NEVER_MS) for name, ms in self.leaving.items()]
         return [*self.drains, *left]
