Answer waiting callers before an entry leaves

A caller that waits at one entry for the job of another was not answered when its entry left: the entry exited 1 s after it deregistered, whatever was open. Change: a draining entry answers waits and forwarded waits at once, and exits only when none is open or at its deadline and 1 s. Before: no answer. After: the status. The other tests of leaving workers and planned stops pass with no further change; the test of entries that missed the notice had to wait until the other workers were suspect, since nothing was sent to the leaving one before.

--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -82,7 +82,12 @@
         self.adopter = Adopter(self.state, self.dispatcher)
         self.sharer = Sharer(self.state)
         self.planner = Planner(self.state)
-        self.handover = Handover(self.state, self.recorder, self.dispatcher)
+        self.handover = Handover(
+            self.state,
+            self.recorder,
+            self.dispatcher,
+            self.intake,
+        )
         self.next_pass_ms = 0
         self.next_flush_ms = 0
 
--- a/yuccarelay/core/handover.py
+++ b/yuccarelay/core/handover.py
@@ -2,6 +2,7 @@
 
 from yuccarelay.core.dispatch import Dispatcher
 from yuccarelay.core.events import Deregister, Exit
+from yuccarelay.core.intake import Intake
 from yuccarelay.core.models import JobState
 from yuccarelay.core.recording import Recorder
 from yuccarelay.core.state import EntryState
@@ -16,8 +17,15 @@
     keeps the entry alive until it is, or until the deadline.
     """
 
-    def __init__(self, state: EntryState, recorder: Recorder, dispatcher: Dispatcher):
+    def __init__(
+        self,
+        state: EntryState,
+        recorder: Recorder,
+        dispatcher: Dispatcher,
+        intake: Intake,
+    ):
         self.state = state
+        self.intake = intake
         self.recorder = recorder
         self.dispatcher = dispatcher
         self.deadline_ms: int | None = None
@@ -36,7 +44,8 @@
         if self.deadline_ms is None or self.exited:
             return
         if self.leave_at_ms is not None:
-            if now_ms >= self.leave_at_ms:
+            late = now_ms >= self.deadline_ms + REQUEST_TIMEOUT_MS
+            if now_ms >= self.leave_at_ms and (late or not self.intake.has_open()):
                 self.exited = True
                 self.state.outbox.add(Exit())
             return
--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -23,6 +23,7 @@
 from yuccarelay.core.manifest import FieldError
 from yuccarelay.core.messages import CancelJob, JobStatus, Message, QueryJob
 from yuccarelay.core.models import JobRecord, JobSpec, JobState, parse_incarnation
+from yuccarelay.core.ordering import NO_DEADLINE_MS
 from yuccarelay.core.recording import Recorder
 from yuccarelay.core.state import EntryState, Waiter
 from yuccarelay.core.submission import find_spec
@@ -203,7 +204,11 @@
     def tick(self, now_ms: int) -> None:
         """Answer callers whose wait is over and ask other entries again."""
         for job_id, waiters in list(self.state.waiters.items()):
-            due = [waiter for waiter in waiters if now_ms >= waiter.deadline_ms]
+            due = [
+                waiter
+                for waiter in waiters
+                if now_ms >= waiter.deadline_ms or self.state.draining
+            ]
             for waiter in due:
                 waiters.remove(waiter)
                 job = self.state.jobs.get(job_id)
@@ -213,11 +218,17 @@
                     self._refuse(waiter.request_id, 'not_ready')
             if not waiters:
                 del self.state.waiters[job_id]
-        due_polls = [forward for due_ms, forward in self.polls if now_ms >= due_ms]
-        self.polls = [poll for poll in self.polls if now_ms < poll[0]]
+        # An entry that leaves does not keep callers waiting; they ask another one.
+        limit_ms = NO_DEADLINE_MS if self.state.draining else now_ms
+        due_polls = [forward for due_ms, forward in self.polls if due_ms <= limit_ms]
+        self.polls = [poll for poll in self.polls if poll[0] > limit_ms]
         for forward in due_polls:
             self._forward(forward)
 
+    def has_open(self) -> bool:
+        """Whether a caller still waits for another entry or for the store."""
+        return bool(self.forwards or self.polls or self.state.waiters)
+
     def _repeat_submission(self, event: Submitted) -> None:
         job = self.state.jobs[event.job_id]
         same = (job.spec.organisation, job.spec.name, job.payload)
@@ -281,7 +292,9 @@
     def _answer_forward(self, forward: Forward, status: JobStatus, now_ms) -> None:
         match forward:
             case ForwardQuery(deadline_ms=deadline_ms) if (
-                status.outcome is None and now_ms + FORWARD_POLL_MS < deadline_ms
+                status.outcome is None
+                and now_ms + FORWARD_POLL_MS < deadline_ms
+                and not self.state.draining
             ):
                 self.polls.append((now_ms + FORWARD_POLL_MS, forward))
             case _:
