--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -27,6 +27,19 @@
         self.assertEqual({type(job.outcome) for job in jobs.values()}, {Completed})
 
 
+class RunTimeTest(unittest.TestCase):
+    """Guards against run times that are never learned."""
+
+    def test_completed_runs_are_learned(self):
+        session = make_session()
+        for _ in range(6):
+            session.submit(ENTRIES[0], 'alder', 'again', run_ms=2_000)
+        session.run(10_000)
+        state = session.processes[ENTRIES[0]].core.state
+        spec = state.manifest.organisations['alder'].jobs['again']
+        self.assertGreaterEqual(state.run_history.measure_run_ms(spec), 2_000)
+
+
 class FailureTest(unittest.TestCase):
     """Guards against a failing job that is started again without end."""
 
--- a/yuccarelay/core/adoption.py
+++ b/yuccarelay/core/adoption.py
@@ -23,6 +23,10 @@
 # The entries that are left do not all read the records at once.
 ADOPTION_JITTER_MS = 1_500
 ADOPTION_RETRY_MS = 5_000
+# A region may be cut off for an hour with its entries and agents at work. Its jobs
+# are taken over from outside only when it was not seen for longer.
+REGION_LOSS_MS = 7_200_000
+REGION_SCAN_MS = 60_000
 
 
 class Adopter:
@@ -39,6 +43,7 @@
         self.dispatcher = dispatcher
         self.scan_at_ms: int | None = None
         self.taking: dict[str, JobRecord] = {}
+        self.lost_regions_ms: dict[str, int] = {}
 
     def take_entries(self, entries: tuple[EntryRef, ...], now_ms: int) -> None:
         """Note the live entries; look for orphaned jobs when one is gone."""
@@ -46,6 +51,8 @@
         live = {entry.incarnation for entry in entries}
         first = not self.state.entries
         self.state.entries = entries
+        for entry in entries:
+            self.lost_regions_ms.pop(entry.region, None)
         if first or known - live:
             self._scan_soon(now_ms, ADOPTION_JITTER_MS)
 
@@ -64,20 +71,20 @@
         match result:
             case LoadedMany(records):
                 for loaded in records:
-                    self._consider(loaded)
+                    self._consider(loaded, now_ms)
             case _:
                 self._scan_soon(now_ms, ADOPTION_RETRY_MS)
 
-    def _consider(self, loaded: Loaded) -> None:
+    def _consider(self, loaded: Loaded, now_ms: int) -> None:
         record = loaded.record
         state = self.state
         owner_lives = any(one.incarnation == record.owner for one in state.entries)
         mine = record.owner == state.entry.incarnation
         if owner_lives or mine or record.job_id in state.jobs:
             return
-        if record.region != state.entry.region:
-            # The region may only be cut off from the store, with its entries and
-            # agents at work; from here the fate of an attempt could not be proved.
+        if not self._may_adopt_from(record.region, now_ms):
+            if self.scan_at_ms is None:
+                self._scan_soon(now_ms, REGION_SCAN_MS)
             return
         taken = record._replace(
             owner=state.entry.incarnation,
@@ -87,6 +94,12 @@
         tag = f'adopt:{record.job_id}'
         state.outbox.add(ReplaceRecord(tag, taken, loaded.revision))
 
+    def _may_adopt_from(self, region: str, now_ms: int) -> bool:
+        if region == self.state.entry.region:
+            return True
+        lost_ms = self.lost_regions_ms.setdefault(region, now_ms)
+        return now_ms - lost_ms >= REGION_LOSS_MS
+
     def take_result(self, job_id: str, result: StoreResult, now_ms: int) -> None:
         """Take the end of a change of ownership."""
         record = self.taking.pop(job_id, None)
@@ -113,6 +126,7 @@
             revision=revision,
             attempt=record.attempt,
             adoptions=record.adoptions,
+            may_have_run=self._may_have_run(record),
             members=record.members,
         )
         state.outbox.log('job_adopted', job_id=record.job_id, attempt=record.attempt)
@@ -126,6 +140,14 @@
         elif not self._settle_announced(record.job_id, now_ms):
             state.enqueue(record.job_id)
 
+    def _may_have_run(self, record: JobRecord) -> bool:
+        # Every attempt of a job that is not repeatable is recorded before it is
+        # launched, and only a checkpointable one has another after one that ran.
+        spec = self._find_known_spec(record)
+        if spec is None or spec.repeatable:
+            return True
+        return spec.checkpointable and record.attempt > 1
+
     def _settle_announced(self, job_id: str, now_ms: int) -> bool:
         # The attempts of a repeatable job are not recorded. One that an agent
         # announces is followed, so the work is not done again.
@@ -149,10 +171,9 @@
         return False
 
     def _find_spec(self, record: JobRecord) -> JobSpec:
-        manifest = self.state.manifest
-        organisation = manifest.organisations.get(record.organisation)
-        if organisation and record.job_name in organisation.jobs:
-            return organisation.jobs[record.job_name]
+        known = self._find_known_spec(record)
+        if known is not None:
+            return known
         # The job has left the manifest since. What ran is still settled; with no
         # worker of this service it is not started again.
         return JobSpec(
@@ -163,5 +184,9 @@
             start_limit_ms=0,
         )
 
+    def _find_known_spec(self, record: JobRecord) -> JobSpec | None:
+        organisation = self.state.manifest.organisations.get(record.organisation)
+        return organisation.jobs.get(record.job_name) if organisation else None
+
     def _scan_soon(self, now_ms: int, jitter_ms: int) -> None:
         self.scan_at_ms = now_ms + int(jitter_ms * self.state.rng.random())
--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -90,7 +90,12 @@
         self.adopter = Adopter(self.state, self.dispatcher)
         self.sharer = Sharer(self.state)
         self.planner = Planner(self.state)
-        self.handover = Handover(self.state, self.recorder, self.dispatcher)
+        self.handover = Handover(
+            self.state,
+            self.recorder,
+            self.dispatcher,
+            self.intake,
+        )
         self.next_pass_ms = 0
         self.next_flush_ms = 0
 
@@ -195,7 +200,8 @@
         match message:
             case Announce(worker):
                 state.note_generation(worker.generation)
-                state.view.take_state(worker, 0, now_ms)
+                if worker.region == state.entry.region:
+                    state.view.take_state(worker, 0, now_ms)
                 return state.make_welcome(worker.worker_id)
             case Heartbeat(worker_id, incarnation, version):
                 known = state.view.take_heartbeat(
--- a/yuccarelay/core/forwarding.py
+++ b/yuccarelay/core/forwarding.py
@@ -29,6 +29,7 @@
     SubmitReply,
 )
 from yuccarelay.core.models import JobRecord, JobState, parse_incarnation
+from yuccarelay.core.ordering import NO_DEADLINE_MS
 from yuccarelay.core.state import UNDECIDED, EntryState
 
 POLL_INTERVAL_MS = 300
@@ -175,11 +176,17 @@
 
     def tick(self, now_ms: int) -> None:
         """Ask other entries again for callers that wait."""
-        due = [forward for due_ms, forward in self.polls if now_ms >= due_ms]
-        self.polls = [poll for poll in self.polls if now_ms < poll[0]]
+        # An entry that leaves does not keep callers waiting; they ask another one.
+        limit_ms = NO_DEADLINE_MS if self.state.draining else now_ms
+        due = [forward for due_ms, forward in self.polls if due_ms <= limit_ms]
+        self.polls = [poll for poll in self.polls if poll[0] > limit_ms]
         for forward in due:
             self._ask_minter(forward)
 
+    def has_open(self) -> bool:
+        """Whether a caller still waits for another entry or for the store."""
+        return bool(self.forwards or self.polls or self.submitting)
+
     def _ask_minter(self, forward: Forward) -> None:
         owner = self.state.find_entry(parse_incarnation(forward.job_id))
         if owner is None or owner.address == self.state.entry.address:
@@ -223,7 +230,9 @@
     def _answer(self, forward: Forward, status: JobStatus, now_ms: int) -> None:
         match forward:
             case ForwardQuery(deadline_ms=deadline_ms) if (
-                status.outcome is None and now_ms + POLL_INTERVAL_MS < deadline_ms
+                status.outcome is None
+                and now_ms + POLL_INTERVAL_MS < deadline_ms
+                and not self.state.draining
             ):
                 self.polls.append((now_ms + POLL_INTERVAL_MS, forward))
             case _:
--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -128,7 +128,11 @@
     def tick(self, now_ms: int) -> None:
         """Answer callers whose wait is over."""
         for job_id, waiters in list(self.state.waiters.items()):
-            due = [waiter for waiter in waiters if now_ms >= waiter.deadline_ms]
+            due = [
+                waiter
+                for waiter in waiters
+                if now_ms >= waiter.deadline_ms or self.state.draining
+            ]
             for waiter in due:
                 waiters.remove(waiter)
                 job = self.state.jobs.get(job_id)
@@ -139,6 +143,10 @@
             if not waiters:
                 del self.state.waiters[job_id]
 
+    def has_open(self) -> bool:
+        """Whether a caller still waits for this entry, another one or the store."""
+        return bool(self.state.waiters) or self.forwarder.has_open()
+
     def _submit_to_region(self, event: Submitted, spec: JobSpec, now_ms: int) -> None:
         state = self.state
         region = choose_region(state.manifest, spec, state.entry.region)
