Answer a lost commit race with 409

The store keeper refuses a commit that lost with 'generation_conflict', which the front end did not know, so the caller got 400 instead of the 409 of docs/api.md. A commit refused while the store is down said that a repeat cannot succeed (retry_ms 0).

Map the code and name a time for the repeat.

--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -307,6 +307,7 @@
         errors = (FieldError('organisations.a.weight', 'must be at least 1'),)
         cases = [
             (mailbox.CommitRefused('conflict', generation=9), 409),
+            (mailbox.CommitRefused('generation_conflict', generation=9), 409),
             (mailbox.CommitRefused('invalid', errors, generation=4), 400),
             (mailbox.CommitUndecided('no answer of the store'), 503),
         ]
--- a/yuccarelay/adapters/replies.py
+++ b/yuccarelay/adapters/replies.py
@@ -40,6 +40,7 @@
     'unknown_id': 409,
     'key_taken': 409,
     'conflict': 409,
+    'generation_conflict': 409,
     'stale_generation': 409,
     'too_large': 413,
     'queue_full': 429,
@@ -162,7 +163,8 @@
             return make_reply(200, {'generation': generation}, (etag,))
         case CommitRefused(code, errors, generation):
             status = choose_status(code, retry_ms=0)
-            refused = Refused(status=status, code=code, errors=errors)
+            retry_ms = UNDECIDED_RETRY_MS if status == 503 else 0
+            refused = Refused(status, code, errors, retry_ms)
             return reply_error(refused, generation=generation)
         case CommitUndecided(reason):
             return reply_undecided(reason=reason)
