Keep the answers of agents that drain

An agent that drained left with the answers that no caller had fetched: with four answers of 3 MB and all agents drained, the first fetch ended with 503 after 20 s. A member led by another agent was not stopped at the drain deadline. Nothing ever emitted DropAnswer, so an agent kept every answer until its memory was full and then failed its tasks.

The agent asks its home entry to keep the answers that were not fetched (KeepAnswers, repeated each second; AnswersKept names those held whole) and stays until none is left or its drain deadline passes. Entries keep at most 64 MB of them for 15 min and serve them by FetchAnswer; a fetch asks the other entries when the agent has not delivered after 0.5 s. Ended answers are dropped, and fetched ones when another answer needs the memory.

--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -30,7 +30,7 @@
     TaskState,
 )
 from yuccarelay.standins.target import StandInTarget
-from yuccarelay.tasks import runner
+from yuccarelay.tasks import keeping, runner
 from yuccarelay.tasks.mailbox import Mailbox
 
 TASK = '7-1.1/0'
@@ -213,7 +213,7 @@
         self.assertIn(reason, end.reason)
         self.assertTrue(self.machine.empty())
 
-    async def serve(self, offset, limit=runner.CHUNK_LIMIT_BYTES):
+    async def serve(self, offset, limit=keeping.CHUNK_LIMIT_BYTES):
         self.inbox.put_nowait(ServeAnswer(9, '7-1.1', 0, offset, limit))
         return await self.listener.get()
 
@@ -309,7 +309,7 @@
         self.assertEqual(await self.serve(0, limit=0), none)
         self.inbox.put_nowait(DropAnswer(TASK))
         self.assertEqual(await self.serve(0), none)
-        self.assertEqual(self.task.kept_bytes, 0)
+        self.assertEqual(self.task.answers.used_bytes, 0)
 
     async def test_full_memory_ends_the_task_without_an_answer(self):
         end = await self.complete(b'x' * 300_001)
--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -11,6 +11,7 @@
 from yuccarelay.core.announcer import Announcer
 from yuccarelay.core.events import (
     AgentEvent,
+    AnswerFetched,
     DrainRequested,
     Effect,
     Exit,
@@ -26,6 +27,7 @@
 from yuccarelay.core.messages import (
     Abort,
     Ack,
+    AnswersKept,
     AttemptReport,
     ConfigChanged,
     EvictionNotice,
@@ -53,11 +55,17 @@
 from yuccarelay.core.timing import (
     HOLD_MS,
     KEEP_ENDED_MS,
+    LEASE_MS,
+    RECLAIM_MS,
     REPEAT_INTERVAL_MS,
     TOMBSTONE_LIMIT,
 )
 from yuccarelay.ports.randomness import RandomSource
 
+# By then a member that is stopped at the drain deadline has ended, or its lease
+# has, and its end has been reported. An agent never outlives its drain further.
+STOP_LIMIT_MS = RECLAIM_MS + LEASE_MS + 2 * REPEAT_INTERVAL_MS
+
 
 class Ended(NamedTuple):
     """The end of an attempt that this agent led, until its owner knows it."""
@@ -126,6 +134,8 @@
                 self.members.take_started(event)
             case TaskEnded():
                 self.members.take_ended(event, now_ms)
+            case AnswerFetched(task_id):
+                self.members.answers.take_fetched(task_id)
             case DrainRequested(deadline_ms):
                 self._drain(deadline_ms, now_ms)
 
@@ -160,6 +170,7 @@
             case Settle():
                 self._reply(reply_to, self._settle(message))
             case FetchAnswer(attempt_id, member, offset, limit):
+                self.members.answers.note_served(now_ms)
                 self.outbox.add(
                     ServeAnswer(reply_to, attempt_id, member, offset, limit),
                 )
@@ -187,6 +198,9 @@
             case 'report':
                 if isinstance(reply, Ack) and rest in self.ended:
                     self.ended[rest] = self.ended[rest]._replace(acknowledged=True)
+            case 'keep':
+                if isinstance(reply, AnswersKept):
+                    self.members.answers.take_kept(reply)
             case 'home':
                 changed = self.announcer.take_reply(rest, reply, now_ms)
                 self._take_config(changed)
@@ -385,9 +399,19 @@
             for gang in self.gangs.values():
                 reason = self.announcer.state.worker_id
                 self._send_all(gang, gang.evict(reason, now_ms))
-        active = self.members.ledger.find_active()
-        unreported = [entry for entry in self.ended.values() if not entry.acknowledged]
-        if not active and not self.gangs and not unreported:
+            self.members.evict_all('drain', now_ms)
+        answers = self.members.answers
+        answers.hand_on(self.announcer.find_home(), now_ms)
+        working = self.members.ledger.find_active() or self.gangs
+        reported = all(entry.acknowledged for entry in self.ended.values())
+        done = not working and reported and answers.is_done(now_ms)
+        if done or now_ms >= self.drain_deadline_ms + STOP_LIMIT_MS:
+            self.outbox.log(
+                'drained',
+                complete=done,
+                unreported=not reported,
+                answers=len(answers.unfetched),
+            )
             self.exited = True
             self.outbox.add(Exit())
 
--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -13,6 +13,8 @@
     EntriesSeen,
     EntryEvent,
     IdRequested,
+    KeepParts,
+    ListKeepers,
     ManifestSeen,
     MessageReceived,
     PlanSeen,
@@ -21,6 +23,7 @@
     Registered,
     RegistrationLost,
     ReplyArrived,
+    ServeAnswer,
     StatusDocument,
     StatusRequested,
     StoreHealthChanged,
@@ -36,7 +39,9 @@
     AttemptReport,
     CancelJob,
     ConfigChanged,
+    FetchAnswer,
     Heartbeat,
+    KeepAnswers,
     Malformed,
     Message,
     QueryJob,
@@ -98,9 +103,21 @@
         return outbox.take_effects()
 
     def _handle(self, event: EntryEvent, now_ms: int) -> None:
+        outbox = self.state.outbox
         match event:
             case Tick():
                 self._tick(now_ms)
+            case MessageReceived(FetchAnswer() as ask, reply_to):
+                serve = ServeAnswer(
+                    reply_to=reply_to,
+                    attempt_id=ask.attempt_id,
+                    member=ask.member,
+                    offset=ask.offset,
+                    limit=ask.limit,
+                )
+                outbox.add(serve)
+            case MessageReceived(KeepAnswers(parts), reply_to):
+                outbox.add(KeepParts(reply_to, parts))
             case MessageReceived(message, reply_to):
                 reply = self._take_message(message, now_ms)
                 self.state.outbox.reply(reply_to, reply)
@@ -133,6 +150,9 @@
                 state.outbox.log('fenced', incarnation=state.entry.incarnation)
             case EntriesSeen(entries):
                 self.adopter.take_entries(entries, now_ms)
+                own = state.entry.address
+                others = [one.address for one in entries if one.address != own]
+                state.outbox.add(ListKeepers(tuple(others)))
             case StoreHealthChanged(up):
                 state.store_up = up
                 state.outbox.log('store_health', up=up)
--- a/yuccarelay/core/events.py
+++ b/yuccarelay/core/events.py
@@ -9,7 +9,7 @@
 
 from yuccarelay.core.manifest import FieldError, Manifest
 from yuccarelay.core.messages import JobStatus, Message
-from yuccarelay.core.models import EntryRef, JobRecord
+from yuccarelay.core.models import AnswerPart, EntryRef, JobRecord
 from yuccarelay.core.shape import Plan
 
 # Events of both roles
@@ -72,6 +72,13 @@
     sha256: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerFetched:
+    """An answer was served to its end for the first time."""
+
+    task_id: str
+
+
 # Events of an entry, from callers and operators
 
 
@@ -335,6 +342,21 @@
     task_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class KeepParts:
+    """Fetch answers to keep them; the reply names those that are kept already."""
+
+    reply_to: int
+    parts: tuple[AnswerPart, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ListKeepers:
+    """Addresses of the other entries, which may keep answers of agents that left."""
+
+    addresses: tuple[str, ...]
+
+
 # Effects of an entry
 
 
@@ -449,7 +471,13 @@
 
 
 AgentEvent = (
-    Tick | MessageReceived | ReplyArrived | DrainRequested | TaskStarted | TaskEnded
+    Tick
+    | MessageReceived
+    | ReplyArrived
+    | DrainRequested
+    | TaskStarted
+    | TaskEnded
+    | AnswerFetched
 )
 EntryEvent = (
     Tick
@@ -489,6 +517,8 @@
     | RenewTasks
     | ServeAnswer
     | DropAnswer
+    | KeepParts
+    | ListKeepers
     | Respond
     | Publish
     | StoreEffect
--- a/yuccarelay/core/member.py
+++ b/yuccarelay/core/member.py
@@ -12,6 +12,7 @@
     TaskEnded,
     TaskStarted,
 )
+from yuccarelay.core.keeping import AnswerKeeper
 from yuccarelay.core.messages import (
     EndState,
     EvictionNotice,
@@ -80,6 +81,7 @@
         self.address = address
         self.ledger = Ledger(capacity)
         self.outbox = outbox
+        self.answers = AnswerKeeper(outbox)
         self.next_renew_ms = 0
 
     @property
@@ -222,6 +224,7 @@
                 sha256=event.sha256,
             )
             entry = self._update(attempt_id, parts=(*entry.parts, part))
+            self.answers.add(event.task_id, part)
         entry = self._update(attempt_id, ended=entry.ended | {member})
         if event.started:
             entry = self._update(attempt_id, started=entry.started | {member})
@@ -272,6 +275,8 @@
     def _expire_ended(self, entry: Reservation, now_ms: int) -> None:
         if now_ms >= entry.ended_ms + KEEP_ENDED_MS:
             del self.reservations[entry.attempt_id]
+            for part in entry.parts:
+                self.answers.drop(part.task_id)
         elif not entry.reported and now_ms >= entry.next_report_ms:
             self._report(entry.attempt_id, now_ms)
 
@@ -292,6 +297,12 @@
         if task_ids:
             self.outbox.add(RenewTasks(tuple(task_ids), min(deadlines)))
 
+    def evict_all(self, reason: str, now_ms: int) -> None:
+        """Warn all members and stop them after the reclaim time."""
+        for entry in self.ledger.find_active():
+            if not entry.stop_deadline_ms:
+                self._evict(entry.attempt_id, reason, now_ms)
+
     def _evict(self, victim: str, for_attempt: str, now_ms: int) -> None:
         entry = self.reservations[victim]
         self.outbox.log('evict', attempt_id=victim, for_attempt=for_attempt)
--- a/yuccarelay/core/messages.py
+++ b/yuccarelay/core/messages.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from yuccarelay.core.models import (
+    AnswerPart,
     Claim,
     EndDetail,
     EntryRef,
@@ -371,6 +372,20 @@
     outcome: OutcomeRecord | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class KeepAnswers:
+    """Agent that leaves to entry: fetch these answers and keep them."""
+
+    parts: tuple[AnswerPart, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AnswersKept:
+    """The answers of the request that the entry holds whole by now."""
+
+    task_ids: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Malformed:
     """Answer to a message that could not be read."""
@@ -405,6 +420,8 @@
     | FetchAnswer
     | AnswerChunk
     | NoAnswer
+    | KeepAnswers
+    | AnswersKept
     | ViewDelta
     | ViewResync
     | SubmitJob
--- a/yuccarelay/core/models.py
+++ b/yuccarelay/core/models.py
@@ -75,6 +75,11 @@
     length: int
     sha256: str
 
+    @property
+    def task_id(self) -> str:
+        """The target's id of the member, such as `17-4.2/0`."""
+        return f'{self.attempt_id}/{self.member}'
+
 
 @dataclass(frozen=True, slots=True)
 class Completed:
--- a/yuccarelay/roles.py
+++ b/yuccarelay/roles.py
@@ -122,6 +122,7 @@
             links=links_box,
             storekeeper=store_box,
             front=front_box,
+            answers=answers_box,
         ),
         journal=journal,
         metrics=metrics,
@@ -150,7 +151,14 @@
             transport,
             journal,
         ),
-        AnswersTask(entry.address, answers_box, transport, env.clock, journal),
+        AnswersTask(
+            entry.address,
+            answers_box,
+            transport,
+            env.clock,
+            journal,
+            listener=listener_box,
+        ),
         StorekeeperTask(
             EtcdStore(settings.store[0]),
             entry,
--- a/yuccarelay/standins/session.py
+++ b/yuccarelay/standins/session.py
@@ -26,6 +26,8 @@
     DrainRequested,
     DropAnswer,
     Exit,
+    KeepParts,
+    ListKeepers,
     Log,
     MessageReceived,
     Observe,
@@ -42,6 +44,7 @@
     Tick,
 )
 from yuccarelay.core.manifest import Manifest
+from yuccarelay.core.messages import AnswersKept
 from yuccarelay.core.models import EntryRef, WorkerState
 from yuccarelay.core.ordering import JobQueue
 from yuccarelay.core.placement import PlacementPolicy
@@ -317,7 +320,10 @@
                 process.exited = True
                 self.store.forget(process)
                 self.write_line('exit', process=process.address)
-            case Publish() | ServeAnswer() | DropAnswer():
+            case KeepParts(reply_to, parts):
+                kept = AnswersKept(tuple(part.task_id for part in parts))
+                self._answer(process, reply_to, kept)
+            case Publish() | ServeAnswer() | DropAnswer() | ListKeepers():
                 pass
             case _:
                 self.store.take(process, effect)
--- a/yuccarelay/tasks/answers.py
+++ b/yuccarelay/tasks/answers.py
@@ -1,16 +1,24 @@
-"""The task that fetches whole answers from the agents that keep them."""
+"""
+The task that fetches whole answers from the processes that keep them.
+
+Agents keep the answers of their workers. The answers of an agent that leaves are
+kept by entries until a caller has fetched them.
+"""
 
 import asyncio
 import hashlib
+from functools import partial
 
 from result import Err, Ok, Result
 
 from yuccarelay.adapters import codec
-from yuccarelay.core.messages import AnswerChunk, FetchAnswer, NoAnswer
+from yuccarelay.core.events import KeepParts, ListKeepers, Reply, ServeAnswer
+from yuccarelay.core.messages import AnswerChunk, AnswersKept, FetchAnswer, NoAnswer
 from yuccarelay.core.models import AnswerPart
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.transport import Peer, Transport
+from yuccarelay.tasks.keeping import KeptAnswer, KeptAnswers
 from yuccarelay.tasks.mailbox import (
     AnswerUnavailable,
     FetchWhole,
@@ -27,6 +35,12 @@
 CHUNKS_IN_FLIGHT = 8
 # Whole answers that are being put together, over all callers.
 ASSEMBLY_LIMIT_BYTES = 64_000_000
+# Answers of agents that left. An agent whose answers do not fit stays until they
+# are fetched or its drain deadline passes.
+KEEP_LIMIT_BYTES = 64_000_000
+KEEP_MS = 900_000
+# An agent that is still there replies sooner than this.
+KEEPERS_DELAY_S = 0.5
 
 
 class AnswersTask:
@@ -36,6 +50,9 @@
     Reads `FetchWhole` from `inbox` and puts `WholeAnswer` or `AnswerUnavailable`
     into its `reply_to`. A chunk that is not the one asked for is asked for again
     until the deadline. The parts of one answer are fetched one after the other.
+
+    Also reads `KeepParts`, `ServeAnswer` and `ListKeepers` and puts `Reply` into
+    `listener`, for the answers of agents that leave.
     """
 
     def __init__(
@@ -46,6 +63,7 @@
         clock: Clock,
         journal: Journal,
         fetch_limit_ms: int = FETCH_LIMIT_MS,
+        listener: Mailbox | None = None,
     ):
         self.sender = sender
         self.inbox = inbox
@@ -55,13 +73,66 @@
         self.fetch_limit_ms = fetch_limit_ms
         self.assembly_bytes = 0
         self.chunk_slots = asyncio.Semaphore(CHUNKS_IN_FLIGHT)
+        self.listener = listener
+        self.keepers: tuple[str, ...] = ()
+        self.answers = KeptAnswers(KEEP_LIMIT_BYTES)
+        self.drop_deadlines_ms: dict[str, int] = {}
+        self.keeping: set[str] = set()
 
     async def run(self) -> None:
         """Fetch answers, several at a time, until cancelled."""
         async with asyncio.TaskGroup() as group:
             while True:
-                fetch = await self.inbox.get()
-                group.create_task(self._answer_fetch(fetch))
+                match await self.inbox.get():
+                    case FetchWhole() as fetch:
+                        group.create_task(self._answer_fetch(fetch))
+                    case KeepParts(reply_to, parts):
+                        self._keep_parts(reply_to, parts, group)
+                    case ServeAnswer(reply_to) as serve:
+                        reply = Reply(reply_to, self.answers.read(serve))
+                        self.listener.put_nowait(reply)
+                    case ListKeepers(addresses):
+                        self.keepers = addresses
+
+    def _keep_parts(
+        self,
+        reply_to: int,
+        parts: tuple[AnswerPart, ...],
+        group: asyncio.TaskGroup,
+    ) -> None:
+        """Say which answers are kept and fetch the others."""
+        self._drop_expired()
+        kept = tuple(part.task_id for part in parts if part.task_id in self.answers)
+        self.listener.put_nowait(Reply(reply_to, AnswersKept(kept)))
+        for part in parts:
+            if part.task_id not in self.answers and part.task_id not in self.keeping:
+                self.keeping.add(part.task_id)
+                group.create_task(self._keep_part(part))
+
+    async def _keep_part(self, part: AnswerPart) -> None:
+        """Fetch one answer from its agent and keep it if there is memory."""
+        try:
+            if self.answers.used_bytes + part.length > KEEP_LIMIT_BYTES:
+                self._log_fault(part, 0, 'no memory to keep it')
+                return
+            deadline_ms = self.clock.now_ms() + self.fetch_limit_ms
+            fetched = await self._fetch_from(part.address, part, deadline_ms)
+            if fetched.is_ok():
+                answer = KeptAnswer(fetched.unwrap(), part.sha256)
+                self.answers.keep(part.task_id, answer)
+                self.drop_deadlines_ms[part.task_id] = self.clock.now_ms() + KEEP_MS
+        finally:
+            self.keeping.discard(part.task_id)
+
+    def _drop_expired(self) -> None:
+        """Forget the kept answers whose time is over; the oldest come first."""
+        now_ms = self.clock.now_ms()
+        while self.drop_deadlines_ms:
+            task_id = next(iter(self.drop_deadlines_ms))
+            if self.drop_deadlines_ms[task_id] > now_ms:
+                return
+            del self.drop_deadlines_ms[task_id]
+            self.answers.drop(task_id)
 
     async def _answer_fetch(self, fetch: FetchWhole) -> None:
         """Fetch one answer within the memory limit and report its end."""
@@ -103,8 +174,29 @@
         part: AnswerPart,
         deadline_ms: int,
     ) -> Result[bytes, str]:
-        """Fetch one part from its address, again while its digest is wrong."""
-        match self.transport.connect(part.address):
+        """Fetch one part from its agent, or from an entry that keeps it now."""
+        if part.task_id in self.answers:
+            return Ok(self.answers.kept[part.task_id].data)
+        fetch = partial(self._fetch_from, part=part, deadline_ms=deadline_ms)
+        first = asyncio.create_task(fetch(part.address))
+        tasks = [first]
+        try:
+            done, _ = await asyncio.wait(tasks, timeout=KEEPERS_DELAY_S)
+            if not done or first.result().is_err():
+                tasks += [asyncio.create_task(fetch(one)) for one in self.keepers]
+            return await _take_first_success(tasks)
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def _fetch_from(
+        self,
+        address: str,
+        part: AnswerPart,
+        deadline_ms: int,
+    ) -> Result[bytes, str]:
+        """Fetch one part from an address, again while its digest is wrong."""
+        match self.transport.connect(address):
             case Err(failure):
                 return Err(failure.reason)
             case Ok(peer):
@@ -215,6 +307,22 @@
     return Ok(message)
 
 
+async def _take_first_success(
+    tasks: list[asyncio.Task[Result[bytes, str]]],
+) -> Result[bytes, str]:
+    """Return the first success, or the failure of the first task."""
+    pending = set(tasks)
+    while pending:
+        done, pending = await asyncio.wait(
+            pending,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            if task.result().is_ok():
+                return task.result()
+    return tasks[0].result()
+
+
 def _has_digest(data: bytes, part: AnswerPart) -> bool:
     """Whether the data has the SHA-256 of the part."""
     return hashlib.sha256(data).hexdigest() == part.sha256
--- a/yuccarelay/tasks/machine.py
+++ b/yuccarelay/tasks/machine.py
@@ -16,6 +16,8 @@
     DropAnswer,
     Effect,
     Exit,
+    KeepParts,
+    ListKeepers,
     LoadOpenRecords,
     LoadRecord,
     Log,
@@ -46,6 +48,7 @@
     storekeeper: Mailbox | None = None
     front: Mailbox | None = None
     runner: Mailbox | None = None
+    answers: Mailbox | None = None
 
 
 class MachineTask:
@@ -99,8 +102,12 @@
                 | Deregister()
             ):
                 self.routes.storekeeper.put_nowait(effect)
-            case StartTask() | StopTask() | RenewTasks() | ServeAnswer() | DropAnswer():
+            case StartTask() | StopTask() | RenewTasks() | DropAnswer():
                 self.routes.runner.put_nowait(effect)
+            case ServeAnswer():
+                (self.routes.runner or self.routes.answers).put_nowait(effect)
+            case KeepParts() | ListKeepers():
+                self.routes.answers.put_nowait(effect)
             case Exit():
                 self.exited.set()
 
--- a/yuccarelay/tasks/runner.py
+++ b/yuccarelay/tasks/runner.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import hashlib
-from typing import NamedTuple
 
 from result import Err, Ok
 
 from yuccarelay.core.events import (
+    AnswerFetched,
     DropAnswer,
     RenewTasks,
     Reply,
@@ -16,7 +16,6 @@
     TaskEnded,
     TaskStarted,
 )
-from yuccarelay.core.messages import AnswerChunk, NoAnswer
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.target import (
     CALL_CONNECTIONS,
@@ -25,11 +24,11 @@
     TaskAnswer,
     TaskState,
 )
+from yuccarelay.tasks.keeping import KeptAnswer, KeptAnswers
 from yuccarelay.tasks.mailbox import Mailbox
 
 CONNECTION_LIMIT = 64
 ANSWER_MEMORY_BYTES = 32_000_000
-CHUNK_LIMIT_BYTES = 256 * 1024
 # The target counts a lease from the arrival of a call, which is at most the
 # timeout of a call after it was sent.
 LEASE_MARGIN_MS = 1_000
@@ -37,13 +36,6 @@
 RETRY_PAUSE_S = 0.5
 
 
-class KeptAnswer(NamedTuple):
-    """A whole answer and its SHA-256."""
-
-    data: bytes
-    sha256: str
-
-
 class RunningTask:
     """
     A task of the target as the runner knows it.
@@ -85,9 +77,7 @@
         self.listener = listener
         self.clock = clock
         self.task_limit = connection_limit - CALL_CONNECTIONS
-        self.answer_memory_bytes = answer_memory_bytes
-        self.kept: dict[str, KeptAnswer] = {}
-        self.kept_bytes = 0
+        self.answers = KeptAnswers(answer_memory_bytes)
         self.running: dict[str, RunningTask] = {}
 
     async def run(self) -> None:
@@ -108,12 +98,10 @@
                 self._stop(task_id, effect, group)
             case RenewTasks(task_ids, lease_deadline_ms):
                 group.create_task(self._renew(task_ids, lease_deadline_ms))
-            case ServeAnswer(reply_to):
-                reply = Reply(reply_to=reply_to, message=self._read_answer(effect))
-                self.listener.put_nowait(reply)
+            case ServeAnswer():
+                self._serve(effect)
             case DropAnswer(task_id):
-                dropped = self.kept.pop(task_id, None)
-                self.kept_bytes -= len(dropped.data) if dropped else 0
+                self.answers.drop(task_id)
 
     def _start(self, start: StartTask, group: asyncio.TaskGroup) -> None:
         """Start a task if a connection can be held for it."""
@@ -251,13 +239,11 @@
     def _keep_answer(self, task_id: str, answer: TaskAnswer) -> None:
         """Keep a completed task's answer if there is memory for it."""
         length = len(answer.data)
-        if self.kept_bytes + length > self.answer_memory_bytes:
+        sha256 = hashlib.sha256(answer.data).hexdigest()
+        if not self.answers.keep(task_id, KeptAnswer(answer.data, sha256)):
             reason = f'no memory for an answer of {length} bytes'
             self._report_end(task_id, True, reason)
             return
-        sha256 = hashlib.sha256(answer.data).hexdigest()
-        self.kept[task_id] = KeptAnswer(data=answer.data, sha256=sha256)
-        self.kept_bytes += length
         self.running.pop(task_id)
         ended = TaskEnded(
             task_id=task_id,
@@ -279,17 +265,11 @@
         )
         self.machine.put_nowait(ended)
 
-    def _read_answer(self, serve: ServeAnswer) -> AnswerChunk | NoAnswer:
-        """Return a chunk of a kept answer."""
-        kept = self.kept.get(f'{serve.attempt_id}/{serve.member}')
-        if kept is None or serve.offset < 0 or serve.limit <= 0:
-            return NoAnswer(attempt_id=serve.attempt_id, member=serve.member)
-        end = serve.offset + min(serve.limit, CHUNK_LIMIT_BYTES)
-        return AnswerChunk(
-            attempt_id=serve.attempt_id,
-            member=serve.member,
-            offset=serve.offset,
-            length=len(kept.data),
-            sha256=kept.sha256,
-            data=kept.data[serve.offset : end],
-        )
+    def _serve(self, serve: ServeAnswer) -> None:
+        """Answer with a chunk, and report the first end of an answer."""
+        task_id = f'{serve.attempt_id}/{serve.member}'
+        served = self.answers.is_served(task_id)
+        reply = Reply(reply_to=serve.reply_to, message=self.answers.read(serve))
+        self.listener.put_nowait(reply)
+        if not served and self.answers.is_served(task_id):
+            self.machine.put_nowait(AnswerFetched(task_id))
