Log a failed task as one line and never wait for the log's reader

A failed task ended the role with a trace of many lines, and its log was not closed. A log stream that is a pipe blocked the event loop once the pipe was full. A link task that failed stayed unnoticed, and its requests unanswered.

Links belong to the task group of their owner.

--- a/yuccarelay/adapters/eliot_journal.py
+++ b/yuccarelay/adapters/eliot_journal.py
@@ -3,12 +3,15 @@
 import datetime
 import itertools
 import json
+import logging
 import re
 from collections.abc import Mapping
 from typing import TextIO
 
 import eliot
 
+from yuccarelay.adapters.log_stream import open_stream
+
 PLAIN_VALUE = re.compile(r'[^\s"=\\\x00-\x1f\x7f]+')
 FIELD_NAME = re.compile(r'[^A-Za-z0-9_.]')
 
@@ -39,6 +42,19 @@
     return ' '.join(pairs) + '\n'
 
 
+class JournalHandler(logging.Handler):
+    """Writes what libraries log, such as unexpected errors, as one line each."""
+
+    def __init__(self, journal: 'EliotJournal'):
+        super().__init__(logging.WARNING)
+        self.journal = journal
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record with its trace."""
+        fields = {'logger': record.name, 'text': self.format(record)}
+        self.journal.write('library_log', fields)
+
+
 class EliotJournal:
     """
     Journal of one role.
@@ -50,6 +66,8 @@
 
     def __init__(self, stream: TextIO):
         self.stream = stream
+        self._output = open_stream(stream)
+        self._reported_drops = 0
         self._number = next(_numbers)
         eliot.add_destinations(self._write_message)
 
@@ -64,6 +82,7 @@
     def close(self) -> None:
         """Stop writing; the stream stays open."""
         eliot.remove_destination(self._write_message)
+        self._output.close()
 
     def _write_message(self, message: Mapping[str, object]) -> None:
         if message.get('journal') != self._number:
@@ -73,5 +92,13 @@
             event=message['message_type'],
             fields=message['fields'],
         )
-        self.stream.write(line)
-        self.stream.flush()
+        self._report_drops(message['timestamp'])
+        self._output.write(line)
+
+    def _report_drops(self, seconds: float) -> None:
+        """Write how many lines the stream did not take so far."""
+        dropped = self._output.dropped
+        if dropped > self._reported_drops:
+            self._reported_drops = dropped
+            fields = {'lines': dropped}
+            self._output.write(format_line(seconds, 'log_lines_dropped', fields))
--- a/yuccarelay/roles.py
+++ b/yuccarelay/roles.py
@@ -6,16 +6,18 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import random
 import signal
 import time
+import traceback
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, NamedTuple
 
 from result import Err, Ok
 
-from yuccarelay.adapters.eliot_journal import EliotJournal
+from yuccarelay.adapters.eliot_journal import EliotJournal, JournalHandler
 from yuccarelay.adapters.statsd_metrics import StatsdMetrics
 from yuccarelay.config import AgentSettings, EntrySettings, split_address
 from yuccarelay.context import Environment, open_log
@@ -91,8 +93,13 @@
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, role.stop.set)
-    await role.run
-    return ExitStatus.OK
+    status = ExitStatus.OK
+    try:
+        await role.run
+    except* Exception:
+        # `run_task` has logged the failure with its trace.
+        status = ExitStatus.FAULT
+    return status
 
 
 async def build_entry(settings: EntrySettings, env: Environment) -> Role:
@@ -174,7 +181,7 @@
 
     async def run() -> None:
         journal.write('entry_started', {'address': entry.address, 'http': http_port})
-        async with running(tasks):
+        async with running(tasks, journal):
             await stop.wait()
             front.start_draining()
             await asyncio.sleep(BALANCER_MS / 1000)
@@ -256,7 +263,7 @@
             'agent_started',
             {'worker': state.worker_id, 'address': state.address},
         )
-        async with running(tasks):
+        async with running(tasks, journal):
             await stop.wait()
             deadline_ms = env.clock.now_ms() + settings.drain_s * 1000
             machine_box.put_nowait(DrainRequested(deadline_ms))
@@ -272,6 +279,7 @@
     """Return the store stand-in."""
     from yuccarelay.standins.store import StoreStandin
 
+    journal = EliotJournal(open_log(settings.log, env))
     host, port = split_address(settings.listen)
     standin = StoreStandin(env.clock, host, port)
     standin.set_faults(latency_ms=settings.latency_ms)
@@ -280,7 +288,7 @@
 
     async def run() -> None:
         print(f'store stand-in at {standin.url}', file=env.stderr, flush=True)
-        async with running([standin]):
+        async with running([standin], journal):
             await stop.wait()
         await standin.stop()
 
@@ -306,13 +314,34 @@
 
 
 @contextlib.asynccontextmanager
-async def running(tasks: list):
+async def running(tasks: list, journal: EliotJournal):
     """Run tasks until the block ends; a task that fails ends the block."""
-    async with asyncio.TaskGroup() as group:
-        started = [group.create_task(task.run()) for task in tasks]
-        yield
-        for task in started:
-            task.cancel()
+    handler = JournalHandler(journal)
+    logging.getLogger().addHandler(handler)
+    try:
+        async with asyncio.TaskGroup() as group:
+            started = [group.create_task(run_task(task, journal)) for task in tasks]
+            yield
+            for task in started:
+                task.cancel()
+    except BaseException:
+        journal.close()
+        raise
+    finally:
+        logging.getLogger().removeHandler(handler)
+
+
+async def run_task(task, journal: EliotJournal) -> None:
+    """Run one task of a role; its failure is one log line with the trace."""
+    name = type(task).__name__
+    try:
+        await task.run()
+        raise RuntimeError(f'{name} ended before its role')
+    except Exception as fault:
+        trace = ''.join(traceback.format_exception(fault))
+        fields = {'task': name, 'error': repr(fault), 'trace': trace}
+        journal.write('task_failed', fields)
+        raise
 
 
 def make_metrics(address: str) -> StatsdMetrics:
--- a/yuccarelay/tasks/links.py
+++ b/yuccarelay/tasks/links.py
@@ -136,6 +136,7 @@
         """Pass on requests until cancelled, then close all links."""
         try:
             async with asyncio.TaskGroup() as group:
+                self.group = group
                 group.create_task(self._pass_requests())
                 group.create_task(self._close_idle_links())
         finally:
@@ -190,7 +191,7 @@
             clock=self.clock,
             journal=self.journal,
         )
-        self.links[address] = (inbox, asyncio.create_task(link.run()))
+        self.links[address] = (inbox, self.group.create_task(link.run()))
         return inbox
 
     async def _close_idle_links(self) -> None:
