--- a/tests/processes.py
+++ b/tests/processes.py
@@ -399,18 +399,24 @@
             'accelerators': ACCELERATORS,
             'adjacency': 'region',
         },
+        'menu-batch': {
+            'repeatable': True,
+            'members': 2,
+            'accelerators': ACCELERATORS,
+            'adjacency': 'region',
+        },
         'ledger-run': {
             'repeatable': False,
-            'members': 3,
+            'members': 2,
             'accelerators': ACCELERATORS // 2,
             'adjacency': 'region',
         },
     }
     cell = {
-        'count': len(list_workers()),
-        'workers': 1,
+        'count': len(DOMAINS),
+        'workers': WORKERS_PER_DOMAIN,
         'accelerators': ACCELERATORS // 2,
-        'within': 'worker',
+        'within': 'rack',
         'service': SERVICE,
         'region': REGION,
     }
