--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -9,6 +9,7 @@
 from yuccarelay.core.announcer import Announcer
 from yuccarelay.core.events import (
     AgentEvent,
+    AnswerFetched,
     DrainRequested,
     Effect,
     Exit,
@@ -25,6 +26,7 @@
 from yuccarelay.core.messages import (
     Abort,
     Ack,
+    AnswersKept,
     AttemptReport,
     ConfigChanged,
     EvictionNotice,
@@ -118,6 +120,8 @@
                 self.members.take_started(event)
             case TaskEnded():
                 self.members.take_ended(event, now_ms)
+            case AnswerFetched(task_id):
+                self.members.answers.take_fetched(task_id)
             case DrainRequested(deadline_ms):
                 self._drain(deadline_ms, now_ms)
 
@@ -148,7 +152,7 @@
             case Settle():
                 self._reply(reply_to, self._settle(message))
             case FetchAnswer(attempt_id, member, offset, limit):
-                self.members.ledger.note_fetched(attempt_id, member, offset + limit)
+                self.members.answers.note_served(now_ms)
                 self.outbox.add(
                     ServeAnswer(reply_to, attempt_id, member, offset, limit),
                 )
@@ -176,6 +180,9 @@
             case 'report':
                 if isinstance(reply, Ack):
                     self.fates.acknowledge(rest)
+            case 'keep':
+                if isinstance(reply, AnswersKept):
+                    self.members.answers.take_kept(reply)
             case 'home':
                 changed = self.announcer.take_reply(rest, reply, now_ms)
                 self._take_config(changed)
@@ -370,17 +377,24 @@
                 reason = self.announcer.state.worker_id
                 self._send_all(gang, gang.evict(reason, now_ms))
             self.members.evict_all(now_ms)
-        if self.members.ledger.find_active() or self.gangs:
-            return
-        if self._has_untold(late) and now_ms < self.drain_deadline_ms + SETTLE_MS:
-            return
-        self.exited = True
-        self.outbox.add(Exit())
-
-    def _has_untold(self, late: bool) -> bool:
-        if self.fates.find_unreported() or self.members.ledger.find_unreported():
-            return True
-        return not late and self.members.ledger.has_unfetched()
+        answers = self.members.answers
+        answers.hand_on(self.announcer.find_home(), now_ms)
+        working = self.members.ledger.find_active() or self.gangs
+        unreported = (
+            *self.fates.find_unreported(),
+            *self.members.ledger.find_unreported(),
+        )
+        kept = late or answers.is_done(now_ms)
+        done = not working and not unreported and kept
+        if done or now_ms >= self.drain_deadline_ms + SETTLE_MS:
+            self.outbox.log(
+                'drained',
+                complete=done,
+                unreported=len(unreported),
+                answers=len(answers.unfetched),
+            )
+            self.exited = True
+            self.outbox.add(Exit())
 
     def _send_all(self, gang: Gang, messages: list[Outgoing]) -> None:
         for member, message in messages:
--- a/yuccarelay/core/member.py
+++ b/yuccarelay/core/member.py
@@ -6,7 +6,6 @@
 """
 
 from yuccarelay.core.events import (
-    DropAnswer,
     RenewTasks,
     StartTask,
     StopTask,
@@ -14,6 +13,7 @@
     TaskStarted,
 )
 from yuccarelay.core.fates import FateBook
+from yuccarelay.core.keeping import AnswerKeeper
 from yuccarelay.core.messages import (
     EndState,
     EvictionNotice,
@@ -84,6 +84,7 @@
         self.ledger = Ledger(capacity)
         self.outbox = outbox
         self.fates = fates
+        self.answers = AnswerKeeper(outbox)
         self.next_renew_ms = 0
         self.usable_from_ms: int | None = None
 
@@ -241,6 +242,7 @@
                 data=event.data,
             )
             entry = self._update(attempt_id, parts=(*entry.parts, part))
+            self.answers.add(event.task_id, part)
         entry = self._update(attempt_id, ended=entry.ended | {member})
         if event.started:
             entry = self._update(attempt_id, started=entry.started | {member})
@@ -292,10 +294,8 @@
         if now_ms >= entry.ended_ms + KEEP_ENDED_MS:
             del self.reservations[entry.attempt_id]
             for part in entry.parts:
-                task_id = make_task_id(entry.attempt_id, part.member)
-                self.outbox.add(DropAnswer(task_id))
+                self.answers.drop(part.task_id)
             self.fates.note_spent(entry.attempt_id)
-            self.ledger.fetched.pop(entry.attempt_id, None)
         elif not entry.reported and now_ms >= entry.next_report_ms:
             self._report(entry.attempt_id, now_ms)
 
