--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -320,7 +320,9 @@
     async def test_new_answer_takes_the_place_of_a_fetched_one(self):
         """Guards against kept answers that make new tasks fail."""
         await self.complete(b'x' * 200_000)
-X * 200_000, '7-2.1/0')
+        await self.serve(0, 300_000)
+        self.assertEqual(await self.next_event(), AnswerFetched(TASK))
+        end = await self.complete(b'y' * 200_000, '7-2.1/0')
         self.assertTrue(end.completed)
         self.assertEqual(self.task.answers.used_bytes, 200_000)
 
