--- /dev/null
+++ b/tests/mutations.py
@@ -0,0 +1,314 @@
+"""
+Shows for each mechanism that a test fails when it is taken out.
+
+    python -m tests.mutations            all mechanisms
+    python -m tests.mutations tombstone  those whose name contains a word
+
+A mutation replaces one method, property or constant while one test runs. The exit
+status is 1 when a test passes without its mechanism or fails with it.
+"""
+
+import io
+import sys
+import unittest
+from typing import NamedTuple
+from unittest import mock
+
+from yuccarelay.core import agent as agent_module
+from yuccarelay.core.acquire import Acquirer
+from yuccarelay.core.adoption import Adopter
+from yuccarelay.core.agent import AgentCore
+from yuccarelay.core.announcer import Announcer
+from yuccarelay.core.entry import EntryCore
+from yuccarelay.core.events import ManifestSeen
+from yuccarelay.core.fates import FateBook
+from yuccarelay.core.follow import Follower
+from yuccarelay.core.gang import Gang
+from yuccarelay.core.handover import Handover
+from yuccarelay.core.intake import Intake
+from yuccarelay.core.jobs import Job
+from yuccarelay.core.member import MemberBook
+from yuccarelay.core.messages import FateState, Refusal, Refused, Renewed
+from yuccarelay.core.models import JobState, parse_job_id
+from yuccarelay.core.reservation import Admitted, Ledger
+from yuccarelay.core.state import EntryState
+from yuccarelay.core.timing import LEASE_MS
+from yuccarelay.standins.session_store import SessionStore
+
+
+class Mutation(NamedTuple):
+    """A mechanism, the attribute to replace, and the test that must then fail."""
+
+    mechanism: str
+    owner: object
+    attribute: str
+    replacement: object
+    test: str
+
+
+def do_nothing(*_args: object) -> None:
+    """Stand in for a method without an effect."""
+
+
+def renew_without_limit(book, message, now_ms):
+    """Extend a lease whether or not the member is being evicted."""
+    deadline_ms = now_ms + message.lease_ms
+    book._update(message.attempt_id, lease_deadline_ms=deadline_ms)
+    return Renewed(message.attempt_id, FateState.RUNNING)
+
+
+def expire_without_lease(book, entry, now_ms):
+    """Stop evicted members only."""
+    if entry.stop_deadline_ms and now_ms >= entry.stop_deadline_ms:
+        book._stop(entry.attempt_id, None, '', False)
+
+
+def expire_without_eviction(book, entry, now_ms):
+    """Stop members whose lease lapsed only."""
+    if now_ms >= entry.lease_deadline_ms:
+        book._stop(entry.attempt_id, None, '', False)
+
+
+def tick_without_losses(gang, now_ms):
+    """Renew the leases without looking for lost members."""
+    if now_ms < gang.next_send_ms:
+        return []
+    gang.next_send_ms = now_ms + 1_000
+    return gang._renew_all(now_ms)
+
+
+def is_any_in(gang, *phases):
+    """Take one member for all."""
+    return any(status.phase in phases for status in gang.members)
+
+
+def find_fate_of_any_incarnation(core, attempt_id, _incarnation):
+    """Answer for an earlier incarnation as if for this one."""
+    return FIND_FATE(core, attempt_id, core.incarnation)
+
+
+def take_refusal_as_proof(acquirer, attempt_id, reply, now_ms):
+    """Take every refusal of a launch for a proof."""
+    match reply:
+        case Refused(refusal=Refusal.WRONG_INCARNATION):
+            reply = Refused(attempt_id, Refusal.DRAINING)
+    TAKE_LAUNCH_REPLY(acquirer, attempt_id, reply, now_ms)
+
+
+def give_up_launched(acquirer, job, index, reason, now_ms):
+    """Give up a launched attempt like one that was only prepared."""
+    GIVE_UP(acquirer, job._replace(launched=False), index, reason, now_ms)
+
+
+def expire_unreported(fates, now_ms):
+    """Drop ends whether or not their owner knows them."""
+    for attempt_id, entry in list(fates.ended.items()):
+        if now_ms >= entry.drop_deadline_ms:
+            del fates.ended[attempt_id]
+
+
+def replace_blindly(store, record, _revision):
+    """Write a record whatever its revision."""
+    return store._put(record)
+
+
+def create_without_key(store, record):
+    """Write a record without binding its key."""
+    return store._put(record)
+
+
+def tick_without_holds(acquirer, job, now_ms):
+    """Leave the holds alone while the attempt is being recorded."""
+    if job.writing != 'attempt':
+        ACQUIRER_TICK(acquirer, job, now_ms)
+
+
+def find_any_attempt(state, attempt_id, job_state=None):
+    """Take the job of an attempt, current or not."""
+    job = state.jobs.get(parse_job_id(attempt_id))
+    return job if job and job_state in (None, job.state) else None
+
+
+def take_any_manifest(core, event, now_ms):
+    """Put every manifest in force."""
+    if isinstance(event, ManifestSeen):
+        core.state.generation = -1
+    TAKE_CONFIG(core, event, now_ms)
+
+
+def serve_any_generation(state):
+    """Serve with any manifest."""
+    return state.manifest is not None and not state.draining
+
+
+def take_home_reply_without_config(announcer, _address, _reply, _now_ms):
+    """Take nothing from the home entry."""
+    announcer.waiting = False
+    return False
+
+
+def queue_at_once(follower, job_id, _now_ms):
+    """Start again without asking what became of the attempt."""
+    follower.state.update(job_id, state=JobState.QUEUED, members=())
+    follower.state.enqueue(job_id)
+
+
+def launch_without_record(acquirer, job_id, now_ms):
+    """Launch before the attempt is recorded."""
+    acquirer._launch(job_id, now_ms)
+
+
+FIND_FATE = AgentCore._find_fate
+TAKE_LAUNCH_REPLY = Acquirer.take_launch_reply
+GIVE_UP = Acquirer.give_up
+ACQUIRER_TICK = Acquirer.tick
+TAKE_CONFIG = EntryCore._take_config
+
+FAULTS = 'test_promises_faults'
+RECLAIM = 'test_promises_reclaim.ReclaimTest'
+LENDER = 'test_promises_reclaim.LenderTest'
+GANGS = 'test_promises_gangs.GangTest'
+NOT_RUN = 'test_promises_not_run.NotRunTest'
+ONCE = 'test_promises_once.AtMostOnceTest'
+ANSWERS = 'test_promises_once.AnswerTest'
+ACCEPTED = 'test_promises_once.AcceptedWorkTest'
+LEAVING = 'test_promises_leaving.LeavingTargetTest'
+STOPS = 'test_promises_leaving.PlannedStopTest'
+MANIFEST = 'test_promises_manifest.ManifestTest'
+REGIONS = 'test_promises_regions.RegionTest'
+
+# fmt: off
+MUTATIONS = tuple(Mutation(*fields) for fields in (
+    # 1: reclaim
+    ('eviction of borrowers', Ledger, '_choose_victims', do_nothing,
+     f'{RECLAIM}.test_whole_rack_within_the_bound'),
+    ('stop at the reclaim deadline', MemberBook, '_expire_running',
+     expire_without_eviction,
+     f'{FAULTS}.EvictedLeaseTest.test_victim_is_stopped_at_the_deadline'),
+    ('no renewal past the warning', MemberBook, 'renew', renew_without_limit,
+     f'{FAULTS}.EvictedLeaseTest.test_lease_is_not_renewed_past_the_warning'),
+    ('only stoppable work borrows', Ledger, '_admit_borrowed',
+     lambda *_: Admitted(),
+     f'{LENDER}.test_refuses_to_lend_to_work_that_may_not_be_stopped'),
+    ('guaranteed work fits what is owned', Ledger, '_admit_guaranteed',
+     lambda *_: Admitted(),
+     f'{LENDER}.test_refuses_more_than_the_organisation_owns'),
+    ('quarantine of a restarted agent', agent_module, 'QUARANTINE_MS', 0,
+     f'{FAULTS}.RestartedAgentTest.test_starts_nothing_before_earlier_leases_lapsed'),
+    ('quarantine, seen in a session', agent_module, 'QUARANTINE_MS', 0,
+     f'{RECLAIM}.test_agent_lost_during_the_reclaim'),
+    # 2: gangs
+    ('leader notices a lost member', Gang, '_tick_running', tick_without_losses,
+     f'{GANGS}.test_loss_of_a_member_or_leader'),
+    ('leases follow the oldest sign of life', Gang, '_find_lease_ms',
+     lambda *_: LEASE_MS,
+     f'{GANGS}.test_loss_together_with_a_cut_of_the_leader'),
+    ('renewal only when all started', Gang, '_all_in', is_any_in,
+     f'{GANGS}.test_start_lost_to_one_member'),
+    ('member stops at its lease', MemberBook, '_expire_running',
+     expire_without_lease,
+     f'{FAULTS}.EvictedLeaseTest.test_member_stops_when_its_lease_lapses'),
+    # 3: answers
+    ('replies belong to the current attempt', EntryState, 'find_current',
+     find_any_attempt, f'{ANSWERS}.test_reply_of_an_earlier_attempt_is_ignored'),
+    # 4: not run
+    ('tombstone after a proof', FateBook, 'bury', do_nothing,
+     f'{NOT_RUN}.test_launch_after_the_refusal_starts_nothing'),
+    ('tombstone after a refused start', FateBook, 'bury', do_nothing,
+     f'{FAULTS}.RefusedStartTest.test_refused_start_leaves_a_tombstone'),
+    ('launched attempts are settled', Acquirer, 'give_up', give_up_launched,
+     f'{NOT_RUN}.test_cancelled_reclaim_asks_the_leader'),
+    ('restarted agents prove nothing', Acquirer, 'take_launch_reply',
+     take_refusal_as_proof,
+     f'{NOT_RUN}.test_second_launch_refused_by_a_restarted_agent_proves_nothing'),
+    ('adopters do not deny earlier runs', Job, 'has_run',
+     property(lambda job: job.starts > 0),
+     f'{NOT_RUN}.test_adopter_does_not_deny_what_the_dead_owner_ran'),
+    ('lost attempts count as run', Job, 'has_run',
+     property(lambda job: job.starts > 0),
+     f'{NOT_RUN}.test_unanswered_launch_is_not_before_start'),
+    ('fates name the incarnation', AgentCore, '_find_fate',
+     find_fate_of_any_incarnation,
+     f'{NOT_RUN}.test_restarted_agent_does_not_deny'),
+    # 5: at most once
+    ('attempt recorded before its launch', Acquirer, '_launch_when_recorded',
+     launch_without_record, f'{ONCE}.test_adopter_that_knows_only_the_record'),
+    ('adopters settle the open attempt', Follower, 'settle', queue_at_once,
+     f'{ONCE}.test_entry_killed_at_each_event'),
+    ('compare-and-swap on the record', SessionStore, '_replace', replace_blindly,
+     f'{ONCE}.test_paused_owner_resumes_after_its_registration'),
+    ('key bound with the record', SessionStore, '_create', create_without_key,
+     f'{ONCE}.test_entry_killed_at_each_event'),
+    ('forgotten attempts are not denied', FateBook, 'may_have_begun',
+     lambda *_: False,
+     f'{FAULTS}.ForgottenAttemptTest.test_fate_of_a_dropped_attempt_is_not_not_started'),
+    ('unreported ends are kept', FateBook, 'expire', expire_unreported,
+     f'{ONCE}.test_store_outage_longer_than_ends_are_kept'),
+    ('holds extended while recording', Acquirer, 'tick', tick_without_holds,
+     f'{ONCE}.test_slow_store_does_not_lose_the_holds'),
+    ('adoption', Adopter, '_consider', do_nothing,
+     f'{ACCEPTED}.test_other_entry_adopts_the_jobs_of_a_dead_one'),
+    ('adoption in the own region first', Adopter, '_is_served_elsewhere',
+     lambda *_: False, f'{REGIONS}.test_jobs_stay_in_the_region_of_their_cells'),
+    # 6: leaving
+    ('refusal while draining', AgentCore, '_is_closed_to', lambda *_: False,
+     f'{LEAVING}.test_entries_that_missed_the_notice'),
+    ('end of starts while draining', agent_module, 'LEAVE_MS', 10**9,
+     f'{FAULTS}.DrainingAgentTest.test_held_work_starts_only_for_a_stated_time'),
+    # 7: planned stops
+    ('eviction at the drain deadline', MemberBook, 'evict_all', do_nothing,
+     f'{FAULTS}.DrainingAgentTest.test_leader_elsewhere_is_warned_at_the_deadline'),
+    ('answers kept until fetched', Ledger, 'has_unfetched', lambda _: False,
+     f'{FAULTS}.DrainingAgentTest.test_keeps_an_answer_until_it_was_fetched'),
+    ('ends told before the exit', Ledger, 'find_unreported', lambda _: [],
+     f'{FAULTS}.DrainingAgentTest.test_waits_until_the_leader_knows_the_end'),
+    ('entries wait for their writes', Handover, '_find_open', lambda _: [],
+     f'{STOPS}.test_entry_waits_for_the_store'),
+    ('open waits answered before the exit', Intake, 'has_open', lambda _: False,
+     f'{STOPS}.test_entry_waits_for_another_one_and_the_store'),
+    ('long polls answered while draining', Intake, 'tick', do_nothing,
+     f'{STOPS}.test_entry_answers_those_who_wait'),
+    # 8: manifest
+    ('older manifests are ignored', EntryCore, '_take_config', take_any_manifest,
+     f'{MANIFEST}.test_older_manifest_after_a_newer_one'),
+    ('entries behind do not serve', EntryState, 'is_serving',
+     property(serve_any_generation),
+     f'{MANIFEST}.test_entry_behind_its_agents_does_not_serve'),
+    ('heartbeats carry the generation', Announcer, 'take_reply',
+     take_home_reply_without_config,
+     f'{MANIFEST}.test_lost_pushes_are_made_up_for'),
+    ('peers carry the generation', EntryState, 'note_generation', do_nothing,
+     f'{MANIFEST}.test_newer_generation_spreads_over_peers'),
+))
+# fmt: on
+
+
+def run_test(name: str) -> bool:
+    """Run one test and return whether it passed."""
+    suite = unittest.defaultTestLoader.loadTestsFromName(f'tests.{name}')
+    result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
+    for _, text in result.errors:
+        print(f'    error, not a failure: {text.splitlines()[-1]}', file=sys.stderr)
+    return result.testsRun > 0 and result.wasSuccessful()
+
+
+def main() -> int:
+    """Run the mutations and print a table."""
+    word = sys.argv[1] if len(sys.argv) > 1 else ''
+    chosen = [one for one in MUTATIONS if word in one.mechanism]
+    faults = 0
+    passing = {name: run_test(name) for name in {one.test for one in chosen}}
+    for one in chosen:
+        with mock.patch.object(one.owner, one.attribute, one.replacement):
+            fails = not run_test(one.test)
+        faults += not fails or not passing[one.test]
+        answer = 'yes' if fails else 'NO'
+        if not passing[one.test]:
+            answer = 'fails with it too'
+        print(f'{one.mechanism:40} {one.test:90} fails without it: {answer}')
+    print(f'{len(chosen)} mechanisms, {faults} without a test that needs them')
+    return 1 if faults or not chosen else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/test_promises_leaving.py
+++ b/tests/test_promises_leaving.py
@@ -146,6 +146,33 @@
                 answer = session.find_response(ENTRIES[0], request_id)
                 self.assertIsInstance(answer, JobStatus)
 
+    def test_entry_waits_for_the_store(self):
+        """Guards against submissions that are cut off while the store is slow."""
+        session = make_session()
+        session.store.extra_delay_ms = 2_500
+        requests = submit_load(session, count=10)
+        session.run(10)
+        session.drain(ENTRIES[0], DEADLINE_MS)
+        session.run(15_000)
+        session.store.extra_delay_ms = 0
+        self.finish(session, requests, ENTRIES[1])
+
+    def test_entry_waits_for_another_one_and_the_store(self):
+        """Guards against a query that is cut off while it is on its way."""
+        session = make_session()
+        job_id = start_running(session, 'once', ENTRIES[1], run_ms=50_000)
+        session.cut(*ENTRIES)
+        session.store.extra_delay_ms = 1_500
+        request_id = session.request(
+            ENTRIES[0],
+            lambda number: Queried(number, 'alder', job_id, wait_ms=40_000),
+        )
+        session.run(10)
+        session.drain(ENTRIES[0], DEADLINE_MS)
+        session.run(15_000)
+        self.assertTrue(session.processes[ENTRIES[0]].exited)
+        self.assertIsNotNone(session.find_response(ENTRIES[0], request_id))
+
     def test_agent_under_load(self):
         """Guards against running work that a planned stop ends."""
         session = make_session()
--- a/tests/test_promises_once.py
+++ b/tests/test_promises_once.py
@@ -178,6 +178,23 @@
                 job_id = session.find_response(ENTRIES[0], request_id).job_id
                 self.assert_once(session, job_id)
 
+    def test_adopter_that_knows_only_the_record(self):
+        """Guards against a second run by an adopter that no agent could tell."""
+        session = make_session()
+        session.cut(*ENTRIES)
+        for state in session.workers.values():
+            session.cut(ENTRIES[1], state.address)
+        session.submit(ENTRIES[0], 'alder', 'once', run_ms=LONG_MS)
+        session.run_until(lambda: bool(oracle.collect_runs(session)), 5_000)
+        job_id = self.find_only_job(session)
+        leader = session.workers[find_runs(session, job_id)[0].worker_id].address
+        session.kill(ENTRIES[0])
+        session.heal()
+        session.cut(ENTRIES[1], leader)
+        session.run(60_000)
+        self.assert_once(session, job_id)
+        self.assertEqual(find_outcome(session, job_id, ENTRIES[1]), 'unknown')
+
     def test_store_outage_longer_than_ends_are_kept(self):
         """Guards against a second run when the owner died in a long outage."""
         session = make_session()
@@ -193,8 +210,8 @@
     def test_slow_store_does_not_lose_the_holds(self):
         """Guards against holds that lapse while the attempt is being recorded."""
         session = make_session()
-        job_id = accept(session, 'wide-gang', run_ms=200)
         session.store.extra_delay_ms = 3_400
+        job_id = accept(session, 'wide-gang', run_ms=200)
         session.run(10_000)
         failed = [line for line in session.lines if 'acquire_failed' in line]
         self.assertEqual(failed, [])
--- a/yuccarelay/core/acquire.py
+++ b/yuccarelay/core/acquire.py
@@ -212,7 +212,7 @@
                 self.follower.settle(job.job_id, now_ms)
             case Refused(_, refusal):
                 # The refusal proves that nothing started, and leaves a tombstone.
-                self.state.update(job.job_id, launched=False)
+                job = self.state.update(job.job_id, launched=False)
                 self.give_up(job, 0, refusal.value, now_ms)
             case Reclaiming(_, ready_ms):
                 self.state.update(
