--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,12 @@
 	@echo "fuzz: seed $(SEED), $(EXAMPLES) examples"
 	FUZZ_SEED=$(SEED) FUZZ_EXAMPLES=$(EXAMPLES) $(BIN)/python -m tests test_stateful
 
+mutations: install  ## Show that each mechanism has a test that fails without it
+	$(BIN)/python -m tests.mutations
+
+golden: install  ## Rewrite the golden files of whole sessions; review the change
+	$(BIN)/python -m tests.test_golden
+
 demo: install  ## Run the whole path in one process on embedded stand-ins
 	$(BIN)/yuccarelay local --demo
 
@@ -55,4 +61,4 @@
 clean:  ## Remove what the other targets create
 	rm -rf $(VENV) build dist *.egg-info .ruff_cache .hypothesis
 
-.PHONY: all help install test lint format fuzz demo dist check-dist clean
+.PHONY: all help install test lint format fuzz mutations golden demo dist check-dist clean
--- a/tests/test_promises_once.py
+++ b/tests/test_promises_once.py
@@ -1,5 +1,6 @@
 """Invariant 5: a job that is not repeatable runs at most once, and none is lost."""
 
+import itertools
 import unittest
 
 from tests import oracle
@@ -161,6 +162,24 @@
                 session.run(60_000)
                 self.assert_once(session)
 
+    def test_paused_owner_is_behind_the_agents(self):
+        """Guards against an owner that acts on attempts the agents have ended."""
+        for job, run_ms in itertools.product(('once', 'resumable'), (5_000, 30_000)):
+            with self.subTest(job=job, run_ms=run_ms):
+                session = make_session()
+                job_id = start_running(session, job, run_ms=run_ms)
+                waiting = accept(session, 'wide-gang', run_ms=200)
+                session.pause(ENTRIES[0])
+                session.run(45_000)
+                session.resume(ENTRIES[0])
+                session.run(60_000)
+                for entry in ENTRIES:
+                    for name in (job_id, waiting):
+                        kind = find_outcome(session, name, entry)
+                        self.assertEqual(kind, 'completed')
+                self.assertEqual(len(find_runs(session, job_id)), 1)
+                self.assert_once(session, job_id)
+
     def test_paused_agent_resumes_after_its_leases(self):
         """Guards against a start that was in the mailbox of a paused agent."""
         for delay_ms in range(0, 60, 5):
--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -31,7 +31,7 @@
     Undecided,
 )
 
-EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '40'))
+EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '80'))
 LONG = 'FUZZ_EXAMPLES' in os.environ
 SEED = int(os.environ.get('FUZZ_SEED', '1'))
 ALL_ENTRIES = (*ENTRIES, NORTH_ENTRY)
