--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -49,8 +49,8 @@
 # Jobs that may run once only, and cannot be stopped either.
 ONCE = ('once', 'gang', 'wide-gang')
 SETTLE_TIME_MS = 90_000
-# A job that fails ejects its workers for 30 s, 60 s and so on, so its last attempt
-# may come late. It must still end.
+# The retry budget lets only three retries a minute through when few jobs start, so
+# the last attempt of a job that fails may come late. It must still end.
 ROUND_MS = 60_000
 LATE_ROUNDS = 14
 
