--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 from unittest import mock
 
+from yuccarelay.core import acquire as acquire_module
 from yuccarelay.core import agent as agent_module
 from yuccarelay.core.acquire import Acquirer
 from yuccarelay.core.adoption import Adopter
@@ -197,6 +198,8 @@
      f'{FAULTS}.RestartedAgentTest.test_starts_nothing_before_earlier_leases_lapsed'),
     ('quarantine, seen in a session', agent_module, 'QUARANTINE_MS', 0,
      f'{RECLAIM}.test_agent_lost_during_the_reclaim'),
+    ('agents are asked again', acquire_module, 'UNANSWERED_LIMIT', 1,
+     f'{RECLAIM}.test_lost_messages'),
     # 2: gangs
     ('leader notices a lost member', Gang, '_tick_running', tick_without_losses,
      f'{GANGS}.test_loss_of_a_member_or_leader'),
