--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -10,10 +10,12 @@
 from tests.fakes import FakeJournal, stop_task
 from yuccarelay.adapters import codec
 from yuccarelay.adapters.clock import MonotonicClock
-from yuccarelay.core.messages import Ack, AnswerChunk, NoAnswer
+from yuccarelay.core.events import KeepParts, ListKeepers, ServeAnswer
+from yuccarelay.core.messages import Ack, AnswerChunk, AnswersKept, NoAnswer
 from yuccarelay.core.models import AnswerPart
 from yuccarelay.ports.transport import TransportFailure
 from yuccarelay.tasks import answers
+from yuccarelay.tasks.keeping import KeptAnswer, KeptAnswers
 from yuccarelay.tasks.mailbox import (
     AnswerUnavailable,
     FetchWhole,
@@ -74,7 +76,7 @@
 
     async def asyncSetUp(self):
         self.peers = FakePeers()
-        self.inbox, self.replies = Mailbox(), Mailbox()
+        self.inbox, self.replies, self.listener = Mailbox(), Mailbox(), Mailbox()
         task = answers.AnswersTask(
             sender='a:1',
             inbox=self.inbox,
@@ -82,6 +84,7 @@
             clock=MonotonicClock(),
             journal=FakeJournal(),
             fetch_limit_ms=FETCH_LIMIT_MS,
+            listener=self.listener,
         )
         self.addAsyncCleanup(stop_task, asyncio.create_task(task.run()))
 
@@ -188,3 +191,40 @@
     async def test_answer_beyond_the_memory_limit(self):
         part = self.keep(0, b'x')._replace(length=answers.ASSEMBLY_LIMIT_BYTES + 1)
         self.assertIn('memory', (await self.fetch(part)).reason)
+
+
+class KeepTest(FetchCase):
+    """Guards against answers that are lost with the agent that leaves."""
+
+    async def test_kept_answer_outlives_its_agent(self):
+        part = self.keep(0, DATA)
+        self.inbox.put_nowait(KeepParts(1, (part,)))
+        self.assertEqual((await self.listener.get()).message, AnswersKept(()))
+        while True:
+            self.inbox.put_nowait(KeepParts(2, (part,)))
+            if (await self.listener.get()).message == AnswersKept((part.task_id,)):
+                break
+        self.peers.kept.clear()
+        self.assertEqual(await self.fetch(part), WholeAnswer(5, DATA))
+        self.inbox.put_nowait(ServeAnswer(3, '7-1.1', 0, 0, 10))
+        self.assertEqual((await self.listener.get()).message.data, DATA[:10])
+
+    async def test_other_entry_is_asked_when_the_agent_has_left(self):
+        part = self.keep(0, DATA)
+        # The first reply is the agent's, the second one that of the other entry.
+        self.peers.spoil = [lambda reply: NoAnswer('7-1.1', 0)]
+        self.inbox.put_nowait(ListKeepers(('c:1',)))
+        self.assertEqual(await self.fetch(part), WholeAnswer(5, DATA))
+
+
+class KeptAnswersTest(unittest.TestCase):
+    """Guards against answers that fill the memory for ever, or are dropped early."""
+
+    def test_only_answers_that_were_served_make_room(self):
+        kept = KeptAnswers(limit_bytes=10)
+        self.assertTrue(kept.keep('7-1.1/0', KeptAnswer(b'123456', '')))
+        self.assertFalse(kept.keep('7-2.1/0', KeptAnswer(b'12345', '')))
+        kept.read(ServeAnswer(1, '7-1.1', 0, 0, 6))
+        self.assertTrue(kept.keep('7-2.1/0', KeptAnswer(b'12345', '')))
+        self.assertNotIn('7-1.1/0', kept)
+        self.assertEqual(kept.used_bytes, 5)
