Carry the committed text in ManifestSeen and Publish

GET /v1/manifest gave the checked records, which cannot be committed again. The two events now have the text of the manifest; the store value bounds it. The default is empty, so that other users of the events are not affected.

--- a/yuccarelay/core/events.py
+++ b/yuccarelay/core/events.py
@@ -143,10 +143,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ManifestSeen:
-    """The store holds this manifest."""
+    """
+    The store holds this manifest.
+
+    `text` is the document as it was committed; its checks bound its length.
+    """
 
     generation: int
     manifest: Manifest
+    text: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -398,10 +403,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Publish:
-    """A manifest came into force here; callers are checked against it from now on."""
+    """
+    A manifest came into force here; callers are checked against it from now on.
+
+    `text` is the document that operators get back, as it was committed.
+    """
 
     generation: int
     manifest: Manifest
+    text: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
