Report the state of each organisation, and pass the manifest's text on

The status of an entry named workers and jobs but not whose they are. Each organisation now has its jobs, its accelerators in use and owned, and the cells of its guarantee without workers. The entry passes the text of a manifest to the front end.

--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -47,6 +47,7 @@
 from yuccarelay.core.placement import PlacementPolicy
 from yuccarelay.core.planning import Planner
 from yuccarelay.core.recording import Recorder
+from yuccarelay.core.report import report_organisations
 from yuccarelay.core.sharing import Sharer
 from yuccarelay.core.state import EntryState
 from yuccarelay.core.timing import KEEP_ENDED_MS
@@ -136,7 +137,7 @@
             case StoreHealthChanged(up):
                 state.store_up = up
                 state.outbox.log('store_health', up=up)
-            case ManifestSeen(generation, manifest):
+            case ManifestSeen(generation, manifest, text):
                 if generation > state.generation:
                     state.generation = generation
                     state.manifest = manifest
@@ -146,7 +147,7 @@
                         for name, organisation in manifest.organisations.items()
                     }
                     state.queue.set_weights(weights)
-                    state.outbox.add(Publish(generation, manifest))
+                    state.outbox.add(Publish(generation, manifest, text))
                     state.outbox.log('manifest_in_force', generation=generation)
                     self._push_config()
             case PlanSeen(plan):
@@ -285,6 +286,7 @@
             for worker_id, record in sorted(state.view.workers.items())
         ]
         return {
+            'address': state.entry.address,
             'incarnation': state.entry.incarnation,
             'region': state.entry.region,
             'serving': state.is_serving,
@@ -295,5 +297,6 @@
             'plan_epoch': state.plan.epoch if state.plan else 0,
             'entries': [entry.address for entry in state.entries],
             'jobs': states,
+            'organisations': report_organisations(state),
             'workers': workers,
         }
