Mend what a new user meets with the example settings

With the examples as they were, no job started: the agent's service was not the manifest's, and the tools needed another operator token after the first commit. GET /v1/manifest and manifest show give the committed text; the reply to a commit waits up to 1 s until the manifest is in force, so that a second commit follows at once. generation_conflict had status 400 and is 409. An address in use ends a role with one line and status 4 instead of a trace. run_ms and log of the stand-ins' settings take effect. status prints tables. Tried with real processes: commit, second commit, show, submit, follow, fetch, cancel and drain.

--- a/yuccarelay/adapters/bodies.py
+++ b/yuccarelay/adapters/bodies.py
@@ -12,6 +12,7 @@
 ENVELOPE_LIMIT_BYTES = 4 * 1024
 KEY_LIMIT_CHARS = 128
 WAIT_LIMIT_MS = 60_000
+FORMATS = ('json', 'text')
 
 SUBMISSION_FIELDS = ('job', 'payload')
 
@@ -106,6 +107,13 @@
     return Err(refuse_field('wait_ms', f'must be a number from 0 to {WAIT_LIMIT_MS}'))
 
 
+def read_format(text: str) -> Result[str, Refused]:
+    """Read `format`, the form of a document for operators."""
+    if text in FORMATS:
+        return Ok(text)
+    return Err(refuse_field('format', 'must be one of ' + ', '.join(FORMATS)))
+
+
 def read_generation(text: str) -> Result[int, Refused]:
     """Read the generation in `If-Match`, with or without quotes."""
     bare = text.strip().strip('"')
--- a/yuccarelay/adapters/handlers.py
+++ b/yuccarelay/adapters/handlers.py
@@ -8,17 +8,19 @@
 from yuccarelay.adapters.bodies import Refused
 from yuccarelay.adapters.exchange import BaseHandler
 from yuccarelay.adapters.replies import HttpReply, make_reply, reply_error
+from yuccarelay.adapters.tables import format_status
 from yuccarelay.core.events import (
     CancelRequested,
     IdRequested,
     NotAccepted,
     Queried,
+    StatusDocument,
     StatusRequested,
     Submitted,
 )
 from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES, FieldError
 from yuccarelay.core.messages import JobStatus
-from yuccarelay.tasks.mailbox import CommitManifest, FetchWhole
+from yuccarelay.tasks.mailbox import CommitManifest, Committed, FetchWhole
 
 if TYPE_CHECKING:
     from yuccarelay.adapters.web import FrontEnd
@@ -172,17 +174,13 @@
     body_limit = MANIFEST_LIMIT_BYTES
 
     async def get(self) -> None:
-        """Send the manifest in force here with its generation."""
+        """Send the text of the manifest in force here; `ETag` has its generation."""
         if self.front.manifest is None:
             error = FieldError('manifest', 'has not been committed yet')
             self.send(reply_error(Refused(404, 'no_manifest', (error,))))
             return
-        generation = self.front.generation
-        document = {
-            'generation': generation,
-            'manifest': replies.render_record(self.front.manifest),
-        }
-        self.send(make_reply(200, document, (('ETag', f'"{generation}"'),)))
+        etag = ('ETag', f'"{self.front.generation}"')
+        self.send(HttpReply(200, self.front.manifest_text, (etag,)))
 
     async def put(self) -> None:
         """Commit a manifest."""
@@ -202,11 +200,13 @@
                 )
                 if result is None:
                     return replies.reply_undecided()
+                if isinstance(result, Committed):
+                    await front.wait_published(result.generation)
                 return replies.reply_commit(result)
 
 
 class StatusHandler(BaseHandler):
-    """`GET /v1/status`."""
+    """`GET /v1/status`, as JSON or with `?format=text` as tables."""
 
     audience = 'operator'
 
@@ -216,7 +216,14 @@
 
     async def describe(self) -> HttpReply:
         """Ask for the state."""
-        return reply_or_undecided(await self.ask_machine(StatusRequested))
+        read = bodies.read_format(self.get_query_argument('format', 'json'))
+        if isinstance(read, Err):
+            return reply_error(read.err_value)
+        response = await self.ask_machine(StatusRequested)
+        match read.ok_value, response:
+            case 'text', StatusDocument(fields):
+                return replies.reply_text(format_status(fields))
+        return reply_or_undecided(response)
 
 
 class HistogramsHandler(BaseHandler):
@@ -227,12 +234,14 @@
     async def get(self) -> None:
         """Send the histograms."""
         metrics = self.front.metrics
-        if self.get_query_argument('format', 'json') == 'text':
-            table = metrics.format_histograms().encode()
-            self.send(HttpReply(200, table, (), 'text/plain; charset=utf-8'))
-            return
-        rows = [row._asdict() for row in metrics.list_histograms()]
-        self.send(make_reply(200, {'histograms': rows}))
+        match bodies.read_format(self.get_query_argument('format', 'json')):
+            case Err(refused):
+                self.send(reply_error(refused))
+            case Ok('text'):
+                self.send(replies.reply_text(metrics.format_histograms()))
+            case Ok():
+                rows = [row._asdict() for row in metrics.list_histograms()]
+                self.send(make_reply(200, {'histograms': rows}))
 
 
 class HealthHandler(BaseHandler):
--- a/yuccarelay/adapters/replies.py
+++ b/yuccarelay/adapters/replies.py
@@ -41,12 +41,15 @@
     'key_taken': 409,
     'conflict': 409,
     'stale_generation': 409,
+    'generation_conflict': 409,
     'too_large': 413,
+    'manifest_too_large': 413,
     'queue_full': 429,
     'deadline': 429,
     'overloaded': 429,
     'draining': 503,
     'not_ready': 503,
+    'in_progress': 503,
     'store_down': 503,
     'store_unavailable': 503,
 }
@@ -71,6 +74,11 @@
     return HttpReply(status=status, body=body, headers=headers)
 
 
+def reply_text(text: str) -> HttpReply:
+    """Return a reply with a plain text."""
+    return HttpReply(200, text.encode(), (), 'text/plain; charset=utf-8')
+
+
 def reply_error(refused: Refused, **extra: object) -> HttpReply:
     """Return an error reply; `field` and `rule` are those of the first error."""
     first = refused.errors[0] if refused.errors else FieldError('', '')
@@ -105,6 +113,8 @@
     match response:
         case Accepted(job_id, durable):
             return make_reply(202, {'job_id': job_id, 'durable': durable})
+        case NotAccepted(code='not_found'):
+            return reply_not_found()
         case NotAccepted(code, errors, retry_ms):
             status = choose_status(code, retry_ms)
             return reply_error(Refused(status, code, errors, retry_ms))
@@ -162,7 +172,8 @@
             return make_reply(200, {'generation': generation}, (etag,))
         case CommitRefused(code, errors, generation):
             status = choose_status(code, retry_ms=0)
-            refused = Refused(status=status, code=code, errors=errors)
+            retry_ms = UNDECIDED_RETRY_MS if status == 503 else 0
+            refused = Refused(status, code, errors, retry_ms)
             return reply_error(refused, generation=generation)
         case CommitUndecided(reason):
             return reply_undecided(reason=reason)
@@ -186,14 +197,3 @@
                 retry_ms=UNDECIDED_RETRY_MS,
             )
             return reply_error(refused, reason=reason)
-
-
-def render_record(value: object) -> object:
-    """Return named tuples as JSON objects with their field names."""
-    if hasattr(value, '_asdict'):
-        return {name: render_record(part) for name, part in value._asdict().items()}
-    if isinstance(value, dict):
-        return {name: render_record(part) for name, part in value.items()}
-    if isinstance(value, list | tuple):
-        return [render_record(part) for part in value]
-    return value
--- a/yuccarelay/adapters/statsd_metrics.py
+++ b/yuccarelay/adapters/statsd_metrics.py
@@ -5,6 +5,8 @@
 from hdrh.histogram import HdrHistogram
 from statsd import StatsClient
 
+from yuccarelay.adapters.tables import format_table
+
 PREFIX = 'yuccarelay'
 # Jobs may wait and run for days; longer times count as this one.
 HIGHEST_MS = 7 * 24 * 3_600_000
@@ -79,7 +81,7 @@
 
     def format_histograms(self) -> str:
         """Return the summaries as a plain-text table."""
-        return format_table(self.list_histograms())
+        return format_table(HistogramRow._fields, self.list_histograms())
 
     def close(self) -> None:
         """Close the socket."""
@@ -116,18 +118,3 @@
         p99_ms=histogram.get_value_at_percentile(99),
         max_ms=histogram.get_max_value(),
     )
-
-
-def format_table(rows: list[HistogramRow]) -> str:
-    """Return rows as a table: texts to the left, numbers to the right."""
-    lines = [HistogramRow._fields] + [tuple(map(str, row)) for row in rows]
-    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
-    texts = len(HistogramKey._fields)
-    return ''.join(
-        '  '.join(
-            cell.ljust(width) if index < texts else cell.rjust(width)
-            for index, (cell, width) in enumerate(zip(line, widths, strict=True))
-        ).rstrip()
-        + '\n'
-        for line in lines
-    )
--- a/yuccarelay/adapters/web.py
+++ b/yuccarelay/adapters/web.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import time
 from collections.abc import Callable
@@ -32,6 +33,9 @@
 # The entry's own deadlines (store calls, forwarding) end well before this one,
 # so it passes only when a task is stuck or a response was lost.
 RESPONSE_LIMIT_MS = 20_000
+# After a commit its manifest usually comes into force here within milliseconds.
+# While the watch is lost, the reply to the commit does not wait any longer.
+PUBLISH_LIMIT_MS = 1_000
 # A keep-alive connection without a request is closed after this time.
 IDLE_LIMIT_S = 300
 # A body that arrives more slowly holds memory and would hold up a drain.
@@ -67,10 +71,13 @@
         self.bootstrap_digests = bootstrap_digests
         self.generation = 0
         self.manifest: Manifest | None = None
+        self.manifest_text = b''
         self.draining = False
         self.open_requests = 0
         self.late_responses = 0
         self.response_limit_ms = RESPONSE_LIMIT_MS
+        self.publish_limit_ms = PUBLISH_LIMIT_MS
+        self._published = asyncio.Event()
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future] = {}
         self._idle = asyncio.Event()
@@ -84,11 +91,14 @@
     def take(self, message: object) -> None:
         """Match a message to its request, or take over a manifest."""
         match message:
-            case Publish(generation, manifest):
+            case Publish(generation, manifest, text):
                 # A manifest never reverts, even if messages are reordered.
                 if generation > self.generation:
                     self.generation = generation
                     self.manifest = manifest
+                    self.manifest_text = text
+                    self._published.set()
+                    self._published = asyncio.Event()
             case Respond(request_id, response):
                 self._resolve(request_id, response)
             case CommitReplied(request_id, result):
@@ -131,6 +141,18 @@
         finally:
             del self._waiting[request_id]
 
+    async def wait_published(self, generation: int) -> None:
+        """
+        Wait until a committed manifest is in force here, for a bounded time.
+
+        An operator who has the reply to a commit then reads that manifest, and
+        may replace it at once.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.publish_limit_ms / 1_000):
+                while self.generation < generation:
+                    await self._published.wait()
+
     def identify(self, token: str) -> Caller:
         """Return whose token this is under the manifest in force."""
         return identify_caller(token, self.manifest, self.bootstrap_digests)
--- a/yuccarelay/commands.py
+++ b/yuccarelay/commands.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import inspect
-import json
 import pathlib
 import urllib.parse
 from typing import TYPE_CHECKING, Annotated
@@ -27,10 +26,21 @@
 TOKEN_VARIABLE = 'YUCCARELAY_TOKEN'
 
 Env = Annotated[Environment, Parameter(parse=False)]
-SettingsFile = Annotated[str, Parameter(name='--settings', help='JSON file.')]
+SettingsFile = Annotated[
+    str,
+    Parameter(
+        name='--settings',
+        show_default=False,
+        help='JSON file with the settings of the role; see docs/operations.md.',
+    ),
+]
 EntryUrl = Annotated[
     str,
-    Parameter(name='--entry', help='URL of an entry; default: $YUCCARELAY_URL.'),
+    Parameter(
+        name='--entry',
+        show_default=False,
+        help='URL of an entry; default: $YUCCARELAY_URL.',
+    ),
 ]
 
 Demo = Annotated[
@@ -57,12 +67,19 @@
 ]
 Key = Annotated[
     str,
-    Parameter(help='Idempotency key: a repeat with the same key finds the first job.'),
+    Parameter(
+        show_default=False,
+        help='Idempotency key: a repeat with the same key finds the first job.',
+    ),
 ]
 WaitMs = Annotated[
     int,
     Parameter(help='Wait up to so many milliseconds for the end; at most 60000.'),
 ]
+AsJson = Annotated[
+    bool,
+    Parameter(negative='', help='Print the state as JSON, without histograms.'),
+]
 Output = Annotated[
     str,
     Parameter(help='File to write; "-" is standard output.'),
@@ -126,7 +143,7 @@
     demo: Demo = False,
     env: Env,
 ) -> ExitStatus:
-    """Run the whole system in one process."""
+    """Run the whole system in one process; it needs no settings."""
     from yuccarelay import config
 
     loaded = Ok(config.LocalSettings())
@@ -262,7 +279,7 @@
     result = client.fetch(find_entry(env, url), client.Call('GET', '/v1/manifest'))
     match result:
         case Ok(answer):
-            return Ok(json.loads(answer.body)['generation'])
+            return find_generation(answer)
         case Err(error) if error.http_status == 404:
             return Ok(0)
         case Err(error):
@@ -270,11 +287,28 @@
             return Err(error.status)
 
 
+def find_generation(answer: 'Answer') -> Result[int, ExitStatus]:
+    """Return the generation that the `ETag` of a manifest names."""
+    text = answer.headers.get('etag', '').strip('"')
+    return Ok(int(text)) if text.isdecimal() else Err(ExitStatus.UNAVAILABLE)
+
+
 def show_manifest(*, entry: EntryUrl = '', env: Env) -> ExitStatus:
-    """Print the manifest in force and its generation."""
+    """
+    Print the text of the manifest in force, as it was committed.
+
+    Its generation is written to standard error.
+    """
     from yuccarelay.client import Call
 
-    return show(env, entry, Call('GET', '/v1/manifest'))
+    match fetch(env, entry, Call('GET', '/v1/manifest')):
+        case Err(error):
+            return error.status
+        case Ok(answer):
+            generation = find_generation(answer).unwrap_or('unknown')
+            report(env, f'generation {generation}')
+            print(answer.body.decode().rstrip('\n'), file=env.stdout)
+            return ExitStatus.OK
 
 
 def submit_job(
@@ -363,11 +397,22 @@
     return show(env, entry, Call('DELETE', make_job_path(job_id)))
 
 
-def show_status(*, entry: EntryUrl = '', env: Env) -> ExitStatus:
-    """Print the state of an entry."""
+def show_status(
+    *,
+    json: AsJson = False,
+    entry: EntryUrl = '',
+    env: Env,
+) -> ExitStatus:
+    """Print the state of an entry, its organisations, workers and histograms."""
     from yuccarelay.client import Call
 
-    return show(env, entry, Call('GET', '/v1/status'))
+    if json:
+        return show(env, entry, Call('GET', '/v1/status'))
+    status = show(env, entry, Call('GET', '/v1/status?format=text'))
+    if status is not ExitStatus.OK:
+        return status
+    print(file=env.stdout)
+    return show(env, entry, Call('GET', '/v1/histograms?format=text'))
 
 
 def digest_token(*, env: Env) -> ExitStatus:
--- a/yuccarelay/local.py
+++ b/yuccarelay/local.py
@@ -133,7 +133,7 @@
 ) -> AsyncIterator[System]:
     """Start a store, entries, targets and agents; stop all of them at the end."""
     listen = f'{settings.ip}:0'
-    store = await roles.build_store(StoreSettings(listen=listen), env)
+    store = await roles.build_store(StoreSettings(listen=listen, log=settings.log), env)
     others = [store]
     tasks = {'store': asyncio.create_task(store.run)}
     entries = []
@@ -155,7 +155,9 @@
         tasks[f'entry-{number + 1}'] = asyncio.create_task(entry.run)
     agents: dict[str, Role] = {}
     for place in list_places(settings.agents):
-        target = await roles.build_target(TargetSettings(listen=listen), env)
+        target = await roles.build_target(
+            TargetSettings(listen=listen, log=settings.log), env
+        )
         others.append(target)
         tasks[f'target-{place.worker}'] = asyncio.create_task(target.run)
         agents[place.worker] = await roles.build_agent(
--- a/yuccarelay/roles.py
+++ b/yuccarelay/roles.py
@@ -57,24 +57,40 @@
     """An address of the settings cannot be listened on."""
 
 
+class Standin(NamedTuple):
+    """What the stand-ins have in common while they run."""
+
+    name: str
+    url: str
+    journal: EliotJournal
+    stop: asyncio.Event
+
+    async def wait(self) -> None:
+        """Write the address, and wait until the role is asked to stop."""
+        self.journal.write('standin_started', {'role': self.name, 'url': self.url})
+        await self.stop.wait()
+        self.journal.write('standin_stopped', {'role': self.name})
+        self.journal.close()
+
+
 def run_entry(settings: EntrySettings, env: Environment) -> ExitStatus:
     """Run an entry until it is asked to stop."""
-    return asyncio.run(_run_until_signal(build_entry(settings, env)))
+    return asyncio.run(_run_until_signal(build_entry(settings, env), env))
 
 
 def run_agent(settings: AgentSettings, env: Environment) -> ExitStatus:
     """Run an agent until it is asked to stop."""
-    return asyncio.run(_run_until_signal(build_agent(settings, env)))
+    return asyncio.run(_run_until_signal(build_agent(settings, env), env))
 
 
 def run_store(settings: 'StoreSettings', env: Environment) -> ExitStatus:
     """Run the stand-in of the store until it is asked to stop."""
-    return asyncio.run(_run_until_signal(build_store(settings, env)))
+    return asyncio.run(_run_until_signal(build_store(settings, env), env))
 
 
 def run_target(settings: 'TargetSettings', env: Environment) -> ExitStatus:
     """Run the stand-in of a target until it is asked to stop."""
-    return asyncio.run(_run_until_signal(build_target(settings, env)))
+    return asyncio.run(_run_until_signal(build_target(settings, env), env))
 
 
 def run_local(settings: 'LocalSettings', env: Environment) -> ExitStatus:
@@ -86,8 +102,13 @@
     return asyncio.run(run(settings, env))
 
 
-async def _run_until_signal(build: Coroutine) -> ExitStatus:
-    role = await build
+async def _run_until_signal(build: Coroutine, env: Environment) -> ExitStatus:
+    try:
+        role = await build
+    except OSError as error:
+        # Only the log and the sockets of the settings are opened until here.
+        print(f'yuccarelay: cannot start: {error}', file=env.stderr)
+        return ExitStatus.UNAVAILABLE
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, role.stop.set)
@@ -134,9 +155,10 @@
         metrics,
         settings.bootstrap_operator_digests,
     )
-    host, port = split_address(settings.http)
     server = front.make_server()
-    server.listen(port, address=host)
+    host, port = split_address(settings.http)
+    with naming_address(settings.http):
+        server.listen(port, address=host)
     http_port = next(iter(server._sockets.values())).getsockname()[1]
     tasks = [
         machine,
@@ -264,16 +286,17 @@
     """Return the store stand-in."""
     from yuccarelay.standins.store import StoreStandin
 
+    journal = EliotJournal(open_log(settings.log, env))
     host, port = split_address(settings.listen)
     standin = StoreStandin(env.clock, host, port)
     standin.set_faults(latency_ms=settings.latency_ms)
-    standin.start()
+    with naming_address(settings.listen):
+        standin.start()
     stop = asyncio.Event()
 
     async def run() -> None:
-        print(f'store stand-in at {standin.url}', file=env.stderr, flush=True)
         async with running([standin]):
-            await stop.wait()
+            await Standin('store', standin.url, journal, stop).wait()
         await standin.stop()
 
     return Role('', standin.url, run(), stop)
@@ -283,15 +306,16 @@
     """Return a target stand-in."""
     from yuccarelay.standins.target import StandInTarget
 
+    journal = EliotJournal(open_log(settings.log, env))
     host, port = split_address(settings.listen)
-    target = StandInTarget(env.clock)
-    target.listen(host, port)
+    target = StandInTarget(env.clock, settings.run_ms)
+    with naming_address(settings.listen):
+        target.listen(host, port)
     url = f'http://{target.address}'
     stop = asyncio.Event()
 
     async def run() -> None:
-        print(f'target stand-in at {url}', file=env.stderr, flush=True)
-        await stop.wait()
+        await Standin('target', url, journal, stop).wait()
         await target.close()
 
     return Role('', url, run(), stop)
@@ -307,6 +331,16 @@
             task.cancel()
 
 
+@contextlib.contextmanager
+def naming_address(address: str):
+    """Name the address in the error of a socket that cannot listen on it."""
+    try:
+        yield
+    except OSError as error:
+        reason = f'cannot listen on {address}: {error.strerror}'
+        raise PortInUseError(reason) from error
+
+
 def make_metrics(address: str) -> StatsdMetrics:
     """Return the metrics of a role; without an address nothing is sent."""
     return StatsdMetrics(split_address(address) if address else None)
@@ -328,4 +362,4 @@
         case Ok(listener):
             return listener
         case Err(failure):
-            raise PortInUseError(f'cannot listen on {address}: {failure}')
+            raise PortInUseError(failure.reason)
--- a/yuccarelay/tasks/config_watch.py
+++ b/yuccarelay/tasks/config_watch.py
@@ -14,7 +14,7 @@
     decode_plan,
 )
 from yuccarelay.core.events import EntriesSeen, ManifestSeen, PlanSeen
-from yuccarelay.core.manifest import FieldError, Manifest
+from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES, FieldError, Manifest
 from yuccarelay.core.models import EntryRef
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.randomness import RandomSource
@@ -149,7 +149,11 @@
         if not self.is_new(value, generation, self.manifest):
             return
         self.manifest = Mark(generation, value.mod_revision)
-        document = decode_document(decoded.unwrap().text)
+        text = decoded.unwrap().text
+        if len(text) > MANIFEST_LIMIT_BYTES:
+            self.report_malformed(value.key, f'has {len(text)} bytes')
+            return
+        document = decode_document(text)
         if document.is_err():
             self.report_malformed(value.key, document.unwrap_err())
             return
@@ -157,7 +161,7 @@
         if checked.is_err():
             self.report_malformed(value.key, str(checked.unwrap_err()))
             return
-        self.machine.put_nowait(ManifestSeen(generation, checked.unwrap()))
+        self.machine.put_nowait(ManifestSeen(generation, checked.unwrap(), text))
 
     def take_plan(self, value: StoredValue) -> None:
         """Pass the plan on if its epoch is new."""
