End quietly when the reader of the output has gone

yuccarelay status | head ended with a trace. It ends with status 141 and no output now. Tests of it, of an address in use, and of the text that the store keeper passes on.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -122,6 +122,27 @@
         self.assertEqual(status, ExitStatus.INVALID)
         self.assertEqual(self.errors.count('\n'), 2)
 
+    def test_address_in_use_is_one_line(self):
+        """Guards against a trace for a role that is started twice."""
+        occupied, port = testing.bind_unused_port()
+        self.addCleanup(occupied.close)
+        address = f'127.0.0.1:{port}'
+        path = self.write_file(json.dumps({'listen': address}))
+        for role in ('store', 'target'):
+            self.run_command(role, '--settings', path)
+            self.assertEqual(self.status, ExitStatus.UNAVAILABLE)
+            self.assert_one_line_error(f'cannot listen on {address}')
+
+    def test_closed_output_is_no_fault(self):
+        """Guards against a trace after `yuccarelay status | head`."""
+
+        def run_local(settings, env):
+            raise BrokenPipeError
+
+        self.run_with_roles('local', run_local=run_local)
+        self.assertEqual(self.status, ExitStatus.OUTPUT_CLOSED)
+        self.assertEqual(self.errors, '')
+
     def test_broken_invariant_is_a_fault(self):
         def run_local(settings, env):
             raise ValueError('broken')
--- a/tests/test_storekeeper.py
+++ b/tests/test_storekeeper.py
@@ -120,6 +120,12 @@
         await self.put_manifest(3)
         self.assertEqual((await self.expect(ManifestSeen)).generation, 3)
 
+    async def test_text_is_passed_on_as_it_was_committed(self):
+        """Guards against an operator who gets another text than was committed."""
+        text = b'{"b": 1.50,\n "a": []}'
+        await self.put_manifest(1, text)
+        self.assertEqual((await self.expect(ManifestSeen)).text, text)
+
     async def test_lower_generation_and_epoch_are_not_passed_on(self):
         """Guards against an older manifest or plan written over a newer one."""
         await self.put_manifest(5)
--- a/yuccarelay/main.py
+++ b/yuccarelay/main.py
@@ -36,6 +36,8 @@
         ended = command(*bound.args, **bound.kwargs)
     except KeyboardInterrupt:
         return ExitStatus.INTERRUPTED
+    except BrokenPipeError:
+        return ExitStatus.OUTPUT_CLOSED
     except Exception:
         traceback.print_exc(file=env.stderr)
         return ExitStatus.FAULT
@@ -44,4 +46,8 @@
 
 def run() -> None:
     """Run the command line of the process; the console script calls this."""
-    sys.exit(main(sys.argv[1:], make_environment(os.environ)))
+    status = main(sys.argv[1:], make_environment(os.environ))
+    if status is ExitStatus.OUTPUT_CLOSED:
+        # The interpreter flushes the stream at its end and would fail again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+    sys.exit(status)
--- a/yuccarelay/status.py
+++ b/yuccarelay/status.py
@@ -34,3 +34,6 @@
 
     INTERRUPTED = 130
     """The run was interrupted from the keyboard."""
+
+    OUTPUT_CLOSED = 141
+    """The reader of the output ended first, as `head` does."""
