Accept jobs in an outage after the registration has lapsed

In a trial with real processes, an entry refused every submission with not_ready from 10 s after the store went down, because the lapse of its lease fences it. A job that is accepted then has no record, so no other entry can have adopted it; the dispatcher already lets such jobs run. While the store is reachable, the entry still registers first. The stateful test passed with 100 examples.

--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -80,7 +80,9 @@
         if event.job_id and event.job_id in state.jobs:
             self._repeat_submission(event)
             return
-        if not state.is_serving or state.fenced:
+        # While the store is down, the entry cannot register anew. A job that it
+        # takes then has no record, so no other entry can have adopted it.
+        if not state.is_serving or (state.fenced and state.store_up):
             self._refuse(event.request_id, 'not_ready')
             return
         if event.job_id and self.minted.get(event.job_id) != event.organisation:
