Wait for an answer as long as its fetch may take

The front end gave up after 20 s, while the answers task fetches for up to 60 s, so a long answer over a slow line could not be had, and a lost agent gave no_response after 20 s instead of the reason.

--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -229,6 +229,17 @@
         self.assertEqual(reply.headers['X-Content-SHA256'], digest)
         self.assertEqual(self.seen[1].parts, (PART,))
 
+    async def test_slow_answer_is_not_given_up(self):
+        """Guards against an answer that takes longer than other responses."""
+        self.front.response_limit_ms = 200
+        self.respond(events.Queried, JOB)
+        call = asyncio.create_task(self.call('GET', '/v1/jobs/7-1/answer'))
+        while not any(isinstance(item, mailbox.FetchWhole) for item in self.seen):
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.3)
+        await self.inbox.put(mailbox.WholeAnswer(self.seen[-1].request_id, b'data'))
+        self.assertEqual((await call).body, b'data')
+
     async def test_answer_that_cannot_be_had_says_why(self):
         path = '/v1/jobs/7-1/answer'
         self.respond(events.Queried, JOB)
--- a/yuccarelay/client.py
+++ b/yuccarelay/client.py
@@ -21,6 +21,8 @@
 CONNECT_LIMIT_S = 5.0
 # Longer than the entry's own limit, so that the entry's reply comes first.
 REPLY_LIMIT_S = 30.0
+# The entry fetches an answer from the agents within 60 s before it replies.
+ANSWER_WAIT_MS = 60_000
 READ_ATTEMPTS = 3
 READ_PAUSE_S = 0.2
 # An answer is held in memory to be checked before any of it is written.
--- a/yuccarelay/commands.py
+++ b/yuccarelay/commands.py
@@ -367,7 +367,8 @@
     """Fetch the answer of a completed job, check it and write it."""
     from yuccarelay import client
 
-    call = client.Call('GET', make_job_path(job_id) + '/answer')
+    path = make_job_path(job_id) + '/answer'
+    call = client.Call('GET', path, wait_ms=client.ANSWER_WAIT_MS)
     match client.fetch(find_entry(env, entry), call).and_then(client.check_digest):
         case Err(error):
             report(env, error.text)
