--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -54,6 +54,7 @@
 from yuccarelay.core.placement import PlacementPolicy
 from yuccarelay.core.planning import Planner
 from yuccarelay.core.recording import Recorder
+from yuccarelay.core.report import report_organisations
 from yuccarelay.core.sharing import Sharer
 from yuccarelay.core.state import EntryState
 from yuccarelay.core.timing import KEEP_ENDED_MS
@@ -168,7 +169,7 @@
             case StoreHealthChanged(up):
                 state.store_up = up
                 state.outbox.log('store_health', up=up)
-            case ManifestSeen(generation, manifest):
+            case ManifestSeen(generation, manifest, text):
                 if generation > state.generation:
                     state.generation = generation
                     state.manifest = manifest
@@ -178,7 +179,7 @@
                         for name, organisation in manifest.organisations.items()
                     }
                     state.queue.set_weights(weights)
-                    state.outbox.add(Publish(generation, manifest))
+                    state.outbox.add(Publish(generation, manifest, text))
                     state.outbox.log('manifest_in_force', generation=generation)
                     self._push_config()
             case PlanSeen(plan):
@@ -329,6 +330,7 @@
             for worker_id, record in sorted(state.view.workers.items())
         ]
         return {
+            'address': state.entry.address,
             'incarnation': state.entry.incarnation,
             'region': state.entry.region,
             'serving': state.is_serving,
@@ -339,5 +341,6 @@
             'plan_epoch': state.plan.epoch if state.plan else 0,
             'entries': [entry.address for entry in state.entries],
             'jobs': states,
+            'organisations': report_organisations(state),
             'workers': workers,
         }
--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -56,6 +56,8 @@
         if event.job_id and event.job_id in state.jobs:
             self._repeat_submission(event)
             return
+        # While the store is down, the entry cannot register anew. A job that it
+        # takes then has no record, so no other entry can have adopted it.
         if not state.is_serving or (state.fenced and state.store_up):
             state.refuse(event.request_id, 'not_ready')
             return
