Add make capacity, which measures slopes per quantity

Cause: the two-year size of section 1 of the design had no measured basis. The parts processes, reporting and decisions were not yet run to their end.

--- /dev/null
+++ b/tools/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what the roles cost as the fleet grows, one slope per quantity."""
--- /dev/null
+++ b/tools/capacity/announcers.py
@@ -0,0 +1,108 @@
+"""Many light agents in one process: only the part that reports to an entry."""
+
+import asyncio
+import random
+import time
+
+from result import Ok
+
+from tools.capacity.fleet import make_state
+from yuccarelay.adapters import codec, nng
+from yuccarelay.context import MonotonicClock
+from yuccarelay.core.announcer import Announcer
+from yuccarelay.core.messages import Ack, ConfigChanged
+from yuccarelay.core.outbox import Outbox
+
+TICK_S = 0.05
+
+
+class LightAgent:
+    """An announcer with sockets of its own."""
+
+    def __init__(self, number: int, entry: str, tasks: int, transport, rng):
+        self.clock = MonotonicClock()
+        listener = transport.listen('127.0.0.1:0').unwrap()
+        self.listener = listener
+        state = make_state(number, tasks=tasks, address=listener.address)
+        self.outbox = Outbox(listener.address)
+        self.announcer = Announcer(state, (entry,), rng, self.outbox)
+        self.peer = transport.connect(entry).unwrap()
+        self.open: set[asyncio.Task] = set()
+        self.first_welcome_s = 0.0
+
+    def start(self) -> None:
+        """Take messages of entries."""
+        self.listener.start(self.take_request)
+
+    def take_request(self, request_id: int, data: bytes) -> None:
+        """Take a configuration that an entry pushes."""
+        message = codec.decode(data).unwrap().message
+        if isinstance(message, ConfigChanged):
+            self.announcer.take_welcome(message.welcome)
+            self.publish()
+        reply = codec.encode(Ack(), self.listener.address)
+        self.listener.reply(request_id, reply)
+
+    def publish(self) -> None:
+        """Announce the configuration in force, as an agent does."""
+        self.announcer.publish(
+            self.clock.now_ms(),
+            generation=self.announcer.generation,
+            plan_epoch=self.announcer.plan_epoch,
+        )
+
+    def tick(self) -> None:
+        """Send what is due."""
+        self.announcer.tick(self.clock.now_ms())
+        for request in self.outbox.take_effects():
+            task = asyncio.create_task(self.exchange(request))
+            self.open.add(task)
+            task.add_done_callback(self.open.discard)
+
+    async def exchange(self, request) -> None:
+        """Send a request and take its reply."""
+        data = codec.encode(request.message, self.listener.address)
+        deadline_ms = self.clock.now_ms() + request.timeout_ms
+        reply = None
+        match await self.peer.request(data, deadline_ms):
+            case Ok(answer):
+                reply = codec.decode(answer).unwrap().message
+                self.first_welcome_s = self.first_welcome_s or time.monotonic()
+        address = request.tag.partition(':')[2]
+        self.announcer.take_reply(address, reply, self.clock.now_ms())
+        self.publish()
+
+
+class Announcers:
+    """All light agents of the process."""
+
+    def __init__(self, entry: str, workers: int, tasks: int):
+        # One context for each request at a time; 64 for each of some thousand
+        # listeners would only cost this process memory.
+        nng.LISTENER_CONTEXTS = 1
+        self.arguments = (entry, workers, tasks)
+        self.agents: list[LightAgent] = []
+
+    async def run(self) -> None:
+        """Tick all agents until cancelled."""
+        entry, workers, tasks = self.arguments
+        rng = random.Random(1)
+        transport = nng.NngTransport(MonotonicClock())
+        for number in range(workers):
+            agent = LightAgent(number, entry, tasks, transport, rng)
+            agent.start()
+            self.agents.append(agent)
+        while True:
+            for agent in self.agents:
+                agent.tick()
+            await asyncio.sleep(TICK_S)
+
+    def describe(self) -> dict[str, object]:
+        """Return how many agents are known and which generation they have."""
+        known = [agent for agent in self.agents if agent.first_welcome_s]
+        generations = [agent.announcer.generation for agent in self.agents]
+        return {
+            'known': len(known),
+            'generation': min(generations, default=0),
+            'epoch': min((a.announcer.plan_epoch for a in self.agents), default=0),
+        }
