Look at running jobs once a second instead of at every tick

Cause: each tick of an entry, ten a second, looked at every job it holds, and for a running one at every grant of its leader. The capacity tool holds one manifest while it measures memory. Conclusion: the work of a tick no longer grows with the running jobs; that of a second still does.

--- a/tools/capacity/decisions.py
+++ b/tools/capacity/decisions.py
@@ -285,9 +285,10 @@
 def measure_memory(report: Report) -> None:
     """Measure the memory of one worker, task, queued job and job record."""
     spec = JobSpec('team-000', 'job-000', fleet.SERVICE)
+    manifest = make_checked(WORKERS[0])
 
     def hold_workers(count: int, tasks: int) -> object:
-        core = make_core(make_checked(20))
+        core = make_core(manifest)
         for number in range(count):
             state = fleet.make_state(number, tasks)
             data = codec.encode(Announce(state), state.address)
@@ -296,7 +297,7 @@
         return core
 
     def hold_jobs(count: int, queued: bool) -> object:
-        core = make_core(make_checked(20))
+        core = make_core(manifest)
         for number in range(count):
             job = make_job(number, spec)
             core.state.jobs[job.job_id] = job
--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -20,6 +20,9 @@
 # Jobs that are looked at in one scheduling pass.
 PASS_LIMIT = 200
 EARMARK_INTERVAL_MS = 1_000
+# A silent leader is noticed this much later than its worker becomes suspect. At
+# 55,000 running tasks a look at each of them every tick took more than a core.
+FOLLOW_INTERVAL_MS = 1_000
 
 
 class Dispatcher:
@@ -32,6 +35,7 @@
         self.acquirer = Acquirer(state, recorder, self.follower)
         self.earmark: Earmark | None = None
         self.next_earmark_ms = 0
+        self.next_follow_ms = 0
 
     def schedule(self, now_ms: int) -> None:
         """Start attempts for queued jobs, best first, while workers are free."""
@@ -138,7 +142,8 @@
         """Check the deadlines of queued jobs and of attempts."""
         for queued in self.state.queue.take_expired(now_ms):
             self._expire_queued(queued.job_id, now_ms)
-        for job in list(self.state.jobs.values()):
+        for job_id in list(self.state.attended):
+            job = self.state.jobs[job_id]
             match job.state:
                 case JobState.QUEUED if job.cancelling and job.decided is None:
                     self.follower.requeue(job, now_ms, delay_ms=0)
@@ -146,8 +151,14 @@
                     self.acquirer.tick(job, now_ms)
                 case JobState.SETTLING:
                     self.follower.tick_settling(job, now_ms)
-                case JobState.RUNNING:
-                    self.follower.tick_running(job, now_ms)
+        if now_ms >= self.next_follow_ms:
+            self.next_follow_ms = now_ms + FOLLOW_INTERVAL_MS
+            self._follow_running(now_ms)
+
+    def _follow_running(self, now_ms: int) -> None:
+        for job in list(self.state.jobs.values()):
+            if job.state is JobState.RUNNING:
+                self.follower.tick_running(job, now_ms)
 
     def _expire_queued(self, job_id: str, now_ms: int) -> None:
         outcome = NotRun('start deadline passed', 'it was never launched')
--- a/yuccarelay/core/follow.py
+++ b/yuccarelay/core/follow.py
@@ -42,6 +42,8 @@
 LAPSE_MS = LEASE_MS + START_WINDOW_MS + RENEW_INTERVAL_MS + 2 * TICK_MS
 # A running attempt is settled when its leader no longer announces it for so long.
 MISSING_MS = 10_000
+# The time above is written anew only when it is this much behind.
+MISSING_SLACK_MS = 2_000
 
 
 class Follower:
@@ -246,15 +248,17 @@
         """Settle an attempt whose leader is silent or does not announce it."""
         leader = job.members[0]
         record = self.state.view.workers.get(leader.worker_id)
+        attempt_id = job.attempt_id
         known = record is not None and any(
-            grant.attempt_id == job.attempt_id for grant in record.state.grants
+            grant.attempt_id == attempt_id for grant in record.state.grants
         )
         if self.state.view.is_suspect(leader.worker_id, now_ms):
             self.settle(job.job_id, now_ms)
         elif record.state.incarnation != leader.incarnation:
             self._end_lost(job, 'the agent restarted', now_ms)
         elif known:
-            self.state.update(job.job_id, next_send_ms=now_ms + MISSING_MS)
+            if job.next_send_ms < now_ms + MISSING_MS - MISSING_SLACK_MS:
+                self.state.update(job.job_id, next_send_ms=now_ms + MISSING_MS)
         elif now_ms >= job.next_send_ms:
             self.settle(job.job_id, now_ms)
         elif job.cancelling and now_ms >= job.next_send_ms - MISSING_MS:
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -32,6 +32,17 @@
     deadline_ms: int
 
 
+def needs_attention(job: Job) -> bool:
+    """Whether a job has work or a deadline that a tick must not miss."""
+    match job.state:
+        case JobState.ACQUIRING | JobState.SETTLING:
+            return True
+        case JobState.QUEUED:
+            return job.cancelling
+        case _:
+            return False
+
+
 class EntryState:
     """
     Jobs, queue, view and configuration of one entry.
@@ -59,6 +70,8 @@
         self.run_history = RunHistory()
         self.start_history = StartHistory()
         self.jobs: dict[str, Job] = {}
+        # Jobs that every tick looks at; running ones are looked at less often.
+        self.attended: dict[str, None] = {}
         self.waiters: dict[str, list[Waiter]] = {}
         self.entries: tuple[EntryRef, ...] = ()
         self.earlier_incarnations: set[int] = set()
@@ -106,6 +119,10 @@
         """Change a job and return it."""
         job = self.jobs[job_id]._replace(**changes)
         self.jobs[job_id] = job
+        if needs_attention(job):
+            self.attended.setdefault(job_id)
+        else:
+            self.attended.pop(job_id, None)
         return job
 
     def find_current(
@@ -138,6 +155,7 @@
     def forget(self, job_id: str) -> None:
         """Drop a job that another entry owns now."""
         job = self.jobs.pop(job_id, None)
+        self.attended.pop(job_id, None)
         self.queue.remove(job_id)
         if job is not None:
             self.view.drop_pending(job.attempt_id, job.members)
