Keep the owned shares of each worker of the plan in force

Cause: the reply to each heartbeat and each push of the configuration searched all homes of the plan for one worker, so a push to n workers cost n squared. Change: the shares are indexed once for each plan. Conclusion: the cost of a heartbeat no longer grows with the plan.

--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -21,7 +21,7 @@
 from yuccarelay.core.outbox import Outbox
 from yuccarelay.core.placement import PlacementPolicy
 from yuccarelay.core.retry import RetryBudget
-from yuccarelay.core.shape import Plan, owned_shares
+from yuccarelay.core.shape import Plan, index_shares
 from yuccarelay.ports.randomness import RandomSource
 
 
@@ -79,6 +79,7 @@
         self.manifest: Manifest | None = None
         self.highest_generation = 0
         self.plan: Plan | None = None
+        self.shares: dict[str, tuple[OwnedShare, ...]] = {}
         self.store_up = False
         self.fenced = True
         self.draining = False
@@ -101,13 +102,11 @@
     def take_plan(self, plan: Plan) -> None:
         """Put a guarantee plan in force."""
         self.plan = plan
-        owned: dict[str, dict[str, int]] = {}
-        for home in plan.homes:
-            for worker_id in home.workers:
-                shares = owned.setdefault(worker_id, {})
-                used = shares.get(home.organisation, 0)
-                shares[home.organisation] = used + home.accelerators
-        self.view.owned = owned
+        self.shares = index_shares(plan)
+        self.view.owned = {
+            worker_id: {share.organisation: share.accelerators for share in shares}
+            for worker_id, shares in self.shares.items()
+        }
 
     def mint_job_id(self) -> str:
         """Return a new job id."""
@@ -209,13 +208,10 @@
 
     def make_welcome(self, worker_id: str, announce: bool = False) -> Welcome:
         """Return the configuration that an agent needs."""
-        owned: tuple[OwnedShare, ...] = ()
-        if self.plan is not None:
-            owned = owned_shares(self.plan, worker_id)
         return Welcome(
             entries=self.entries,
             generation=self.generation,
             plan_epoch=self.plan.epoch if self.plan else 0,
-            owned=owned,
+            owned=self.shares.get(worker_id, ()),
             announce=announce,
         )
