Keep the digest of each home entry up to date

Cause: an entry hashed all of its own workers for each delta that it sent and all workers of the sender for each one that it took, up to ten times a second each. Change: the view toggles a worker's hash in the digest of its home when its version or home changes. Conclusion: a delta costs what changed.

--- a/yuccarelay/core/membership.py
+++ b/yuccarelay/core/membership.py
@@ -46,6 +46,8 @@
 
     def __init__(self):
         self.workers: dict[str, WorkerRecord] = {}
+        # Digest of the workers of each home entry, kept up to date.
+        self.digests: dict[int, int] = {}
         self.pending: dict[str, dict[str, Claim]] = {}
         self.full_until_ms: dict[str, int] = {}
         self.owned: dict[str, dict[str, int]] = {}
@@ -97,8 +99,7 @@
         """Forget the workers of a home entry that it does not have any more."""
         for worker_id, record in list(self.workers.items()):
             if record.home == home and worker_id not in worker_ids:
-                del self.workers[worker_id]
-                self.usage.pop(worker_id, None)
+                self._delete(worker_id)
 
     def lose(self, worker_ids: tuple[str, ...], home: int) -> None:
         """Make workers suspect at the word of the entry that watches over them."""
@@ -115,8 +116,7 @@
                 self.lost.setdefault(worker_id)
             if now_ms >= record.forget_deadline_ms:
                 forgotten.append(worker_id)
-                del self.workers[worker_id]
-                self.usage.pop(worker_id, None)
+                self._delete(worker_id)
                 self.lost.pop(worker_id, None)
         return forgotten
 
@@ -135,14 +135,7 @@
 
     def compute_digest(self, home: int) -> int:
         """Return a digest of the workers of one home entry."""
-        digest = 0
-        for record in self.workers.values():
-            if record.home == home:
-                state = record.state
-                text = f'{state.worker_id}|{state.incarnation}|{state.version}'
-                hashed = hashlib.blake2b(text.encode(), digest_size=7).digest()
-                digest ^= int.from_bytes(hashed, 'big')
-        return digest
+        return self.digests.get(home, 0)
 
     def is_suspect(self, worker_id: str, now_ms: int) -> bool:
         """Whether a worker was not heard of in time."""
@@ -218,7 +211,23 @@
         self.usage[state.worker_id] = usage
         return usage
 
+    def _delete(self, worker_id: str) -> None:
+        record = self.workers.pop(worker_id)
+        self.usage.pop(worker_id, None)
+        self._toggle_digest(record.state, record.home)
+
+    def _toggle_digest(self, state: WorkerState, home: int) -> None:
+        """Add a worker to the digest of its home entry, or take it out."""
+        digest = self.digests.pop(home, 0) ^ _hash_state(state)
+        if digest:
+            self.digests[home] = digest
+
     def _put(self, state: WorkerState, home: int, now_ms: int) -> None:
+        known = self.workers.get(state.worker_id)
+        if known is None or known.home != home or not _is_same(state, known.state):
+            if known is not None:
+                self._toggle_digest(known.state, known.home)
+            self._toggle_digest(state, home)
         self.workers[state.worker_id] = WorkerRecord(
             state=state,
             home=home,
@@ -253,6 +262,16 @@
     )
 
 
+def _hash_state(state: WorkerState) -> int:
+    text = f'{state.worker_id}|{state.incarnation}|{state.version}'
+    hashed = hashlib.blake2b(text.encode(), digest_size=7).digest()
+    return int.from_bytes(hashed, 'big')
+
+
+def _is_same(state: WorkerState, known: WorkerState) -> bool:
+    return (state.incarnation, state.version) == (known.incarnation, known.version)
+
+
 def _is_older(state: WorkerState, known: WorkerState) -> bool:
     return (state.incarnation, state.version) < (known.incarnation, known.version)
 
