Send a change of the configuration without whole states

Cause: generation and plan epoch were part of an agent's announced state, so each configuration change made every agent announce its whole state, which its home entry relayed to every other entry; every answer repeated the list of entries and the owned shares. Change: an agent's heartbeat carries its generation, its plan epoch and a digest of the entries that it knows. The answer leaves out what the agent has. Deltas carry the lowest generation and epoch of the sender's workers instead of their states. Conclusion: no relay of unchanged states between entries.

--- a/yuccarelay/core/adoption.py
+++ b/yuccarelay/core/adoption.py
@@ -9,6 +9,7 @@
     Stored,
     StoreResult,
 )
+from yuccarelay.core.home import digest_entries
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.models import (
     Claim,
@@ -46,6 +47,7 @@
         live = {entry.incarnation for entry in entries}
         first = not self.state.entries
         self.state.entries = entries
+        self.state.entries_digest = digest_entries(entries)
         if first or known - live:
             self._scan_soon(now_ms, ADOPTION_JITTER_MS)
 
--- a/yuccarelay/core/announcer.py
+++ b/yuccarelay/core/announcer.py
@@ -1,6 +1,6 @@
 """What an agent tells the entries about its worker, and when."""
 
-from yuccarelay.core.home import rank_entries
+from yuccarelay.core.home import digest_entries, rank_entries
 from yuccarelay.core.messages import Announce, Heartbeat, Message, Welcome
 from yuccarelay.core.models import EntryRef, OwnedShare, WorkerState
 from yuccarelay.core.outbox import Outbox
@@ -40,12 +40,24 @@
         self.owned: tuple[OwnedShare, ...] = ()
 
     def publish(self, now_ms: int, **changes: object) -> None:
-        """Note a change of the worker's state; it is announced soon."""
-        if all(getattr(self.state, name) == value for name, value in changes.items()):
+        """
+        Note a change of the worker's state; it is announced soon.
+
+        The generation and the epoch travel in the next heartbeat. With whole
+        states, each change of the configuration would cost the entries of a region
+        an announcement of every worker, and a relay of each to every other entry.
+        """
+        state = self.state._replace(**changes)
+        if state == self.state:
             return
-        version = self.state.version + 1
-        self.state = self.state._replace(version=version, **changes)
-        self.next_send_ms = min(self.next_send_ms, now_ms + ANNOUNCE_INTERVAL_MS)
+        configured = self.state._replace(
+            generation=state.generation,
+            plan_epoch=state.plan_epoch,
+        )
+        if state != configured:
+            state = state._replace(version=state.version + 1)
+            self.next_send_ms = min(self.next_send_ms, now_ms + ANNOUNCE_INTERVAL_MS)
+        self.state = state
 
     def tick(self, now_ms: int) -> None:
         """Send the state or a heartbeat to the home entry when it is due."""
@@ -107,6 +119,9 @@
                 worker_id=self.state.worker_id,
                 incarnation=self.state.incarnation,
                 version=self.state.version,
+                generation=self.state.generation,
+                plan_epoch=self.state.plan_epoch,
+                entries=digest_entries(self.entries),
             )
         return Announce(self.state)
 
--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -171,7 +171,12 @@
 
     def _push_config(self) -> None:
         for worker in self.state.view.find_own():
-            welcome = self.state.make_welcome(worker.worker_id)
+            # Agents learn of entries from the answers to their heartbeats.
+            welcome = self.state.make_welcome(
+                worker.worker_id,
+                known_entries=self.state.entries_digest,
+                known_epoch=worker.plan_epoch,
+            )
             message = ConfigChanged(welcome)
             self.state.outbox.send(worker.address, message, f'config:{worker.address}')
 
@@ -182,14 +187,8 @@
                 state.note_generation(worker.generation)
                 state.view.take_state(worker, 0, now_ms)
                 return state.make_welcome(worker.worker_id)
-            case Heartbeat(worker_id, incarnation, version):
-                known = state.view.take_heartbeat(
-                    worker_id,
-                    incarnation,
-                    version,
-                    now_ms,
-                )
-                return state.make_welcome(worker_id, announce=not known)
+            case Heartbeat():
+                return self._take_heartbeat(message, now_ms)
             case AttemptReport():
                 if self.dispatcher.follower.take_report(message, now_ms):
                     return Ack()
@@ -203,6 +202,24 @@
             case _:
                 return Malformed(f'an entry does not take {type(message).__name__}')
 
+    def _take_heartbeat(self, beat: Heartbeat, now_ms: int) -> Message:
+        state = self.state
+        state.note_generation(beat.generation)
+        known = state.view.take_heartbeat(
+            beat.worker_id,
+            beat.incarnation,
+            beat.version,
+            now_ms,
+            beat.generation,
+            beat.plan_epoch,
+        )
+        return state.make_welcome(
+            beat.worker_id,
+            announce=not known,
+            known_entries=beat.entries,
+            known_epoch=beat.plan_epoch,
+        )
+
     def _take_reply(self, tag: str, reply: Message | None, now_ms: int) -> None:
         kind, _, rest = tag.partition(':')
         match kind:
--- a/yuccarelay/core/home.py
+++ b/yuccarelay/core/home.py
@@ -16,6 +16,13 @@
     return sorted(entries, key=lambda entry: _weight(worker_id, entry), reverse=True)
 
 
+def digest_entries(entries: Iterable[EntryRef]) -> int:
+    """Return a digest of a list of entries, in whatever order, never 0."""
+    text = repr(sorted(map(tuple, entries)))
+    hashed = hashlib.blake2b(text.encode(), digest_size=7).digest()
+    return int.from_bytes(hashed, 'big') or 1
+
+
 def _weight(worker_id: str, entry: EntryRef) -> bytes:
     text = f'{worker_id}|{entry.address}'
     return hashlib.blake2b(text.encode(), digest_size=8).digest()
--- a/yuccarelay/core/membership.py
+++ b/yuccarelay/core/membership.py
@@ -79,6 +79,8 @@
         incarnation: int,
         version: int,
         now_ms: int,
+        generation: int = 0,
+        plan_epoch: int = 0,
     ) -> bool:
         """Note a sign of life; false when the agent must announce its state."""
         known = self.workers.get(worker_id)
@@ -86,14 +88,31 @@
             return False
         if (known.state.incarnation, known.state.version) != (incarnation, version):
             return False
-        self._put(known.state, 0, now_ms)
+        self._put(_raise_config(known.state, generation, plan_epoch), 0, now_ms)
         return True
 
-    def take_home_alive(self, home: int, now_ms: int) -> None:
+    def take_home_alive(
+        self,
+        home: int,
+        now_ms: int,
+        generation: int = 0,
+        plan_epoch: int = 0,
+    ) -> None:
         """Note that another entry still watches over its workers."""
         for record in list(self.workers.values()):
             if record.home == home:
-                self._put(record.state, home, now_ms)
+                state = _raise_config(record.state, generation, plan_epoch)
+                self._put(state, home, now_ms)
+
+    def find_lowest_config(self) -> tuple[int, int]:
+        """Return the generation and epoch that all own workers have at least."""
+        states = [
+            record.state
+            for worker_id, record in self.workers.items()
+            if record.home == 0 and worker_id not in self.lost
+        ]
+        generation = min((state.generation for state in states), default=0)
+        return generation, min((state.plan_epoch for state in states), default=0)
 
     def keep_only(self, worker_ids: set[str], home: int) -> None:
         """Forget the workers of a home entry that it does not have any more."""
@@ -262,6 +281,15 @@
     )
 
 
+def _raise_config(state: WorkerState, generation: int, plan_epoch: int) -> WorkerState:
+    if generation <= state.generation and plan_epoch <= state.plan_epoch:
+        return state
+    return state._replace(
+        generation=max(generation, state.generation),
+        plan_epoch=max(plan_epoch, state.plan_epoch),
+    )
+
+
 def _hash_state(state: WorkerState) -> int:
     text = f'{state.worker_id}|{state.incarnation}|{state.version}'
     hashed = hashlib.blake2b(text.encode(), digest_size=7).digest()
--- a/yuccarelay/core/messages.py
+++ b/yuccarelay/core/messages.py
@@ -62,11 +62,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """Sign of life of an agent whose state did not change."""
+    """
+    Sign of life of an agent whose state did not change.
+
+    It names the configuration that the agent has in force, and the digest of the
+    entries that it knows, so that the answer can leave out what it has.
+    """
 
     worker_id: str
     incarnation: int
     version: int
+    generation: int = 0
+    plan_epoch: int = 0
+    entries: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +82,9 @@
     """
     An entry's answer to an agent: what the agent needs of the configuration.
 
-    `announce` asks the agent to send its whole state. `owned` holds only when
-    `plan_epoch` is not 0.
+    `announce` asks the agent to send its whole state. `owned` holds only for an
+    agent whose plan epoch is lower than `plan_epoch`, and empty `entries` mean
+    that the known ones stay.
     """
 
     entries: tuple[EntryRef, ...]
@@ -301,7 +310,8 @@
 
     `lost` names workers that were not heard of in time. `digest` covers all
     workers of the sender, so the receiver notices a delta that it missed. With
-    `full`, `states` has all workers of the sender.
+    `full`, `states` has all workers of the sender. All workers of the sender have
+    at least `generation` and `plan_epoch` in force.
     """
 
     sender: EntryRef
@@ -309,6 +319,8 @@
     lost: tuple[str, ...]
     digest: int
     full: bool
+    generation: int = 0
+    plan_epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/core/sharing.py
+++ b/yuccarelay/core/sharing.py
@@ -34,10 +34,11 @@
         self.next_send_ms = now_ms + SHARE_INTERVAL_MS
         changed, lost = state.view.take_changes()
         digest = state.view.compute_digest(0)
+        config = state.view.find_lowest_config()
         for address in sorted(peers):
             full = address in self.needs_full
             states = state.view.find_own() if full else changed
-            delta = ViewDelta(state.entry, states, lost, digest, full)
+            delta = ViewDelta(state.entry, states, lost, digest, full, *config)
             state.outbox.send(address, delta, f'delta:{address}')
         self.needs_full = set()
 
@@ -45,7 +46,8 @@
         """Take a peer's part of the view; ask for all of it when some is missing."""
         view = self.state.view
         home = delta.sender.incarnation
-        view.take_home_alive(home, now_ms)
+        view.take_home_alive(home, now_ms, delta.generation, delta.plan_epoch)
+        self.state.note_generation(delta.generation)
         for worker in delta.states:
             view.take_state(worker, home, now_ms)
             self.state.note_generation(worker.generation)
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -6,6 +6,7 @@
 from yuccarelay.core.events import Observe, Respond, Response
 from yuccarelay.core.health import HealthTracker
 from yuccarelay.core.history import RunHistory
+from yuccarelay.core.home import digest_entries
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.manifest import Manifest
 from yuccarelay.core.membership import View
@@ -74,6 +75,7 @@
         self.attended: dict[str, None] = {}
         self.waiters: dict[str, list[Waiter]] = {}
         self.entries: tuple[EntryRef, ...] = ()
+        self.entries_digest = digest_entries(())
         self.earlier_incarnations: set[int] = set()
         self.generation = 0
         self.manifest: Manifest | None = None
@@ -206,12 +208,20 @@
             if entry.region == self.entry.region and entry.address != self.entry.address
         ]
 
-    def make_welcome(self, worker_id: str, announce: bool = False) -> Welcome:
-        """Return the configuration that an agent needs."""
+    def make_welcome(
+        self,
+        worker_id: str,
+        announce: bool = False,
+        known_entries: int = 0,
+        known_epoch: int = 0,
+    ) -> Welcome:
+        """Return what an agent lacks of the configuration."""
+        epoch = self.plan.epoch if self.plan else 0
+        is_current = known_entries == self.entries_digest
         return Welcome(
-            entries=self.entries,
+            entries=() if is_current else self.entries,
             generation=self.generation,
-            plan_epoch=self.plan.epoch if self.plan else 0,
-            owned=self.shares.get(worker_id, ()),
+            plan_epoch=epoch,
+            owned=self.shares.get(worker_id, ()) if epoch > known_epoch else (),
             announce=announce,
         )
