Skip the search for jobs that cannot fit

Cause: a pass built a candidate for every worker for each kind of queued job, also in a full fleet where none of them fits, and a pass can start every 20 ms. Change: a pass counts the room of a service's workers once. The count is an upper bound; a job above it is not searched for. It changes no placement.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,9 +2,12 @@
 
 import random
 import unittest
+from collections import Counter
 
 from yuccarelay.core.membership import View
-from yuccarelay.core.models import WorkerState
+from yuccarelay.core.models import JobSpec, WorkerState
+from yuccarelay.core.room import Room, may_hold
+from yuccarelay.core.timing import HEARTBEAT_INTERVAL_MS, compute_heartbeat_ms
 
 
 def make_state(number: int, version: int, incarnation: int = 1) -> WorkerState:
@@ -50,3 +53,53 @@
                         anew.take_state(record.state, one, now_ms)
                 self.assertEqual(view.compute_digest(one), anew.compute_digest(one))
         self.assertTrue(view.workers)
+
+
+class HeartbeatIntervalTest(unittest.TestCase):
+    """Heartbeats must not take an entry's traffic with them as the fleet grows."""
+
+    def test_interval_follows_the_workers_within_its_limits(self):
+        for workers, expected_ms in (
+            (0, 2_000),
+            (20, 2_000),
+            (50, 5_000),
+            (999, 10_000),
+        ):
+            with self.subTest(workers=workers):
+                self.assertEqual(compute_heartbeat_ms(workers), expected_ms)
+
+    def test_worker_is_suspect_after_three_of_the_intervals_it_was_told(self):
+        view = View()
+        for number in range(60):
+            view.take_state(make_state(number, 1), 0, 0)
+        self.assertEqual(view.heartbeat_ms, HEARTBEAT_INTERVAL_MS)
+        view.expire(100)
+        self.assertEqual(view.heartbeat_ms, 6_000)
+        self.assertTrue(view.is_suspect('w0', 6_000))
+        self.assertTrue(view.take_heartbeat('w0', 1, 1, 1_000))
+        self.assertFalse(view.is_suspect('w0', 18_999))
+        self.assertTrue(view.is_suspect('w0', 19_000))
+
+
+class RoomTest(unittest.TestCase):
+    """A bound that is too low would leave a job waiting beside free workers."""
+
+    def test_bound_is_never_below_what_fits(self):
+        room = Room(Counter({3: 2, 0: 5}), Counter({'alder': 4}))
+        for members, accelerators, fits in (
+            (2, 3, True),
+            (3, 3, True),
+            (4, 3, False),
+            (10, 1, True),
+            (11, 1, False),
+            (99, 0, True),
+        ):
+            spec = JobSpec(
+                organisation='alder',
+                name='render',
+                service='desk',
+                members=members,
+                accelerators=accelerators,
+            )
+            with self.subTest(spec=spec):
+                self.assertEqual(may_hold(room, spec), fits)
--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -15,6 +15,7 @@
 from yuccarelay.core.ordering import QueuedJob
 from yuccarelay.core.placement import Candidate, choose_workers
 from yuccarelay.core.recording import Recorder
+from yuccarelay.core.room import Room, may_hold
 from yuccarelay.core.state import EntryState
 
 # Jobs that are looked at in one scheduling pass.
@@ -45,10 +46,14 @@
         ordered = state.queue.order(now_ms, PASS_LIMIT)
         self._update_earmark(ordered, now_ms)
         unplaceable: set[JobSpec] = set()
+        rooms: dict[str, Room] = {}
         for queued in ordered:
             job = state.jobs[queued.job_id]
             if job.spec in unplaceable or not self._may_start(job, now_ms):
                 continue
+            if not self._may_fit(job.spec, rooms):
+                unplaceable.add(job.spec)
+                continue
             candidates = self._find_candidates(queued, now_ms)
             assignments = choose_workers(
                 job.spec,
@@ -61,6 +66,13 @@
             else:
                 self.acquirer.begin(job, assignments, candidates, now_ms)
 
+    def _may_fit(self, spec: JobSpec, rooms: dict[str, Room]) -> bool:
+        # Placements of the same pass only take from the room, so one count of all
+        # workers proves for every job of the pass that it does not fit.
+        if spec.service not in rooms:
+            rooms[spec.service] = self.state.view.measure_room(spec.service)
+        return may_hold(rooms[spec.service], spec)
+
     def _find_candidates(self, queued: QueuedJob, now_ms: int) -> Sequence[Candidate]:
         state = self.state
         candidates = state.view.find_candidates(queued.spec, now_ms)
--- a/yuccarelay/core/membership.py
+++ b/yuccarelay/core/membership.py
@@ -6,10 +6,12 @@
 """
 
 import hashlib
+from collections import Counter
 from typing import NamedTuple
 
 from yuccarelay.core.models import Claim, Grant, JobSpec, MemberRef, WorkerState
 from yuccarelay.core.placement import Candidate
+from yuccarelay.core.room import Room
 from yuccarelay.core.timing import (
     ANNOUNCE_INTERVAL_MS,
     HEARTBEAT_INTERVAL_MS,
@@ -209,6 +211,21 @@
         found.sort(key=lambda candidate: candidate.worker_id)
         return found
 
+    def measure_room(self, service: str) -> Room:
+        """Return an upper bound of what the workers of a service can take."""
+        room = Room(Counter(), Counter())
+        for worker_id, record in self.workers.items():
+            state = record.state
+            if state.service != service or state.draining:
+                continue
+            usage = self._find_usage(state)
+            if state.slots > usage.slots:
+                room.free[max(0, state.accelerators - usage.accelerators)] += 1
+            for organisation, owned in self.owned.get(worker_id, {}).items():
+                used = usage.guaranteed.get(organisation, 0)
+                room.owned[organisation] += max(0, owned - used)
+        return room
+
     def _make_candidate(self, state: WorkerState, organisation: str) -> Candidate:
         usage = self._find_usage(state)
         owned = self.owned.get(state.worker_id, {})
--- /dev/null
+++ b/yuccarelay/core/room.py
@@ -0,0 +1,31 @@
+"""An upper bound of what a service's workers can take, to skip hopeless searches."""
+
+from collections import Counter
+from typing import NamedTuple
+
+from yuccarelay.core.models import JobSpec
+
+
+class Room(NamedTuple):
+    """
+    Capacity of all workers of a service.
+
+    `free` counts the workers with a free slot by their free accelerators. `owned`
+    has the accelerators of each organisation that its guaranteed work does not
+    use, whether free or lent out.
+    """
+
+    free: Counter[int]
+    owned: Counter[str]
+
+
+def may_hold(room: Room, spec: JobSpec) -> bool:
+    """Whether all members of a job may fit; false proves that they do not."""
+    if not spec.accelerators:
+        return True
+    free = sum(
+        workers * (accelerators // spec.accelerators)
+        for accelerators, workers in room.free.items()
+    )
+    owned = room.owned[spec.organisation] // spec.accelerators
+    return free + owned >= spec.members
