Do not lose SIGTERM in a burst of messages

Cause: asyncio passes signals through the loop's wake-up socket. A burst of messages fills it, and the signal is lost with a BlockingIOError. Change: the handler puts the stop into the loop's queue, which needs no byte. Conclusion: a role that is asked to stop while many messages arrive does stop.

--- a/yuccarelay/roles.py
+++ b/yuccarelay/roles.py
@@ -90,7 +90,9 @@
     role = await build
     loop = asyncio.get_running_loop()
     for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, role.stop.set)
+        # The handlers of asyncio go through the loop's wake-up socket, and a burst
+        # of messages can fill it, so that the signal would be lost.
+        signal.signal(name, lambda *_: loop.call_soon_threadsafe(role.stop.set))
     await role.run
     return ExitStatus.OK
 
