Bound the signs of life between the entries of a region

Cause: each entry sent every other one a delta each second, changed or not, so the traffic and the time of an entry grew with the number of entries. Change: without a change an entry sends about four a second in all, each peer at least every 5 s; a loss is sent at once. Relayed workers are suspect after three of these intervals, at least 6 s. With up to five entries nothing changes. Conclusion: up to 21 entries in a region cost an entry about 1.3 KB/s. An entry that dies without a word is noticed later, after up to 15 s, by its workers' states.

--- a/tools/capacity/storecalls.py
+++ b/tools/capacity/storecalls.py
@@ -9,7 +9,7 @@
 from tools.capacity.report import Report
 from yuccarelay import local
 
-ENTRIES = (1, 2, 3, 4)
+ENTRIES = (1, 2, 4, 8)
 JOBS = (20, 40, 80, 160)
 COMMITS = (2, 4, 6, 8)
 IDLE_S = 6
--- a/yuccarelay/core/membership.py
+++ b/yuccarelay/core/membership.py
@@ -57,6 +57,7 @@
         # Digest of the workers of each home entry, kept up to date.
         self.digests: dict[int, int] = {}
         self.heartbeat_ms = HEARTBEAT_INTERVAL_MS
+        self.relayed_suspect_ms = SUSPECT_MS
         self.pending: dict[str, dict[str, Claim]] = {}
         self.full_until_ms: dict[str, int] = {}
         self.owned: dict[str, dict[str, int]] = {}
@@ -275,7 +276,7 @@
                 self._toggle_digest(known.state, known.home)
             self._toggle_digest(state, home)
         # The answer that goes with this sign of life asks for the same interval.
-        suspect_ms = SUSPECT_MS if home else 3 * self.heartbeat_ms
+        suspect_ms = self.relayed_suspect_ms if home else 3 * self.heartbeat_ms
         self.workers[state.worker_id] = WorkerRecord(
             state=state,
             home=home,
--- a/yuccarelay/core/sharing.py
+++ b/yuccarelay/core/sharing.py
@@ -7,8 +7,7 @@
 
 from yuccarelay.core.messages import Ack, Message, ViewDelta, ViewResync
 from yuccarelay.core.state import EntryState
-
-SHARE_INTERVAL_MS = 1_000
+from yuccarelay.core.timing import SUSPECT_MS, compute_share_ms
 
 
 class Sharer:
@@ -19,6 +18,7 @@
         self.next_send_ms = 0
         self.peers: set[str] = set()
         self.needs_full: set[str] = set()
+        self.sent_lost: tuple[str, ...] = ()
 
     def tick(self, now_ms: int) -> None:
         """Send what changed, and a sign of life when nothing did."""
@@ -28,11 +28,14 @@
         peers = {peer.address for peer in state.find_peers()}
         self.needs_full = (self.needs_full | (peers - self.peers)) & peers
         self.peers = peers
-        due = now_ms >= self.next_send_ms
+        share_ms = compute_share_ms(len(peers))
+        state.view.relayed_suspect_ms = max(SUSPECT_MS, 3 * share_ms)
+        due = now_ms >= self.next_send_ms or tuple(state.view.lost) != self.sent_lost
         if not due and not state.view.changed and not self.needs_full:
             return
-        self.next_send_ms = now_ms + SHARE_INTERVAL_MS
+        self.next_send_ms = now_ms + share_ms
         changed, lost = state.view.take_changes()
+        self.sent_lost = lost
         digest = state.view.compute_digest(0)
         config = state.view.find_lowest_config()
         for address in sorted(peers):
--- a/yuccarelay/core/timing.py
+++ b/yuccarelay/core/timing.py
@@ -34,6 +34,18 @@
 SETTLE_MS = 10_000
 KEEP_ENDED_MS = 900_000
 TOMBSTONE_LIMIT = 20_000
+# An entry sends each peer a sign of life at least this often. With many entries it
+# sends about four a second in all, because each one costs 320 bytes and the time
+# of two messages at both ends.
+SHARE_INTERVAL_MS = 1_000
+SHARE_PER_PEER_MS = 250
+SHARE_LONGEST_MS = 5_000
+
+
+def compute_share_ms(peers: int) -> int:
+    """Return the interval of signs of life between entries with so many peers."""
+    interval_ms = peers * SHARE_PER_PEER_MS
+    return min(max(SHARE_INTERVAL_MS, interval_ms), SHARE_LONGEST_MS)
 
 
 def compute_heartbeat_ms(workers: int) -> int:
