Compress a large manifest in the store

Change: a manifest value above 16 KB is compressed with zlib; a smaller one stays JSON. A damaged or oversized compressed value is an error, not an exception. The limit of 1 MB for the text is unchanged.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+import zlib
 from contextlib import aclosing
 
 from result import Ok
@@ -221,3 +222,31 @@
                 lambda data: records.decode_entry(data, 1),
             ):
                 self.assertTrue(decode(data).is_err(), data[:10])
+
+
+class CompressedManifestTest(unittest.TestCase):
+    """A wrong or hostile value must be an error, not an exception or a full memory."""
+
+    def make_large(self) -> records.ManifestValue:
+        """Return a value above the size from which values are compressed."""
+        jobs = ','.join(f'"job-{number}": {number}' for number in range(2_000))
+        return records.ManifestValue(7, 'token', f'{{{jobs}}}'.encode())
+
+    def test_large_value_comes_back_and_is_smaller(self):
+        value = self.make_large()
+        data = records.encode_manifest(value)
+        self.assertLess(len(data), len(value.text) // 2)
+        self.assertEqual(records.decode_manifest(data), Ok(value))
+
+    def test_damaged_values_are_errors(self):
+        data = records.encode_manifest(self.make_large())
+        huge = records.COMPRESSED_MARK + zlib.compress(b' ' * 50_000_000)
+        for damaged in (
+            data[:-9],
+            data[:1],
+            b'zzzz',
+            data[:40] + b'x' + data[41:],
+            huge,
+        ):
+            with self.subTest(size=len(damaged)):
+                self.assertTrue(records.decode_manifest(damaged).is_err())
--- a/yuccarelay/adapters/records.py
+++ b/yuccarelay/adapters/records.py
@@ -7,6 +7,7 @@
 whose answer was lost can be recognised.
 """
 
+import zlib
 from typing import NamedTuple
 
 import msgspec
@@ -58,6 +59,13 @@
     document: msgspec.Raw
 
 
+# No JSON value starts with this byte.
+COMPRESSED_MARK = b'z'
+COMPRESS_ABOVE_BYTES = 16_000
+# Above the limit of a manifest with its generation and token, and small enough
+# that a wrong value cannot exhaust the memory.
+EXPANDED_LIMIT_BYTES = 2_000_000
+
 JOB_DECODER = msgspec.json.Decoder(JobValue)
 KEY_DECODER = msgspec.json.Decoder(KeyValue)
 ENTRY_DECODER = msgspec.json.Decoder(EntryValue)
@@ -107,18 +115,48 @@
 
 
 def encode_manifest(value: ManifestValue) -> bytes:
-    """Return the bytes of a manifest value; `text` must be one JSON document."""
+    """
+    Return the bytes of a manifest value; `text` must be one JSON document.
+
+    A large value is compressed, because every entry of every region gets it whole
+    at each change, over the watch.
+    """
     form = ManifestForm(value.generation, value.writer, msgspec.Raw(value.text))
-    return msgspec.json.encode(form)
+    data = msgspec.json.encode(form)
+    if len(data) <= COMPRESS_ABOVE_BYTES:
+        return data
+    return COMPRESSED_MARK + zlib.compress(data)
 
 
 def decode_manifest(data: bytes) -> Result[ManifestValue, str]:
-    """Return a manifest value."""
-    return decode(MANIFEST_DECODER, data).map(
-        lambda form: ManifestValue(form.generation, form.writer, bytes(form.document))
+    """Return a manifest value, compressed or not."""
+    return (
+        expand(data)
+        .and_then(
+            lambda plain: decode(MANIFEST_DECODER, plain),
+        )
+        .map(
+            lambda form: ManifestValue(
+                form.generation, form.writer, bytes(form.document)
+            ),
+        )
     )
 
 
+def expand(data: bytes) -> Result[bytes, str]:
+    """Return a value without its compression, or why it cannot be read."""
+    if not data.startswith(COMPRESSED_MARK):
+        return Ok(data)
+    expander = zlib.decompressobj()
+    try:
+        plain = expander.decompress(data[len(COMPRESSED_MARK) :], EXPANDED_LIMIT_BYTES)
+    except zlib.error as fault:
+        return Err(str(fault))
+    if not expander.eof:
+        return Err('the compressed value is cut off or too large')
+    return Ok(plain)
+
+
 def decode_document(text: bytes) -> Result[object, str]:
     """Return the content of a JSON document."""
     return decode(DOCUMENT_DECODER, text)
