--- a/tools/capacity/manifests.py
+++ b/tools/capacity/manifests.py
@@ -1,6 +1,7 @@
 """Part (f): size of a manifest, what its changes cost on a link, time to check it."""
 
 import json
+import random
 import time
 import zlib
 
@@ -41,7 +42,13 @@
     report.add_points('check by jobs', checked, 'ms')
     whole = sizes[-1][1]
     report.add_value('part of the limit of one value', whole / MANIFEST_LIMIT_BYTES)
-    for name, size in (('raw', whole), ('compressed', packed[-1][1])):
+    varied = json.dumps(vary_manifest(document), separators=(',', ':')).encode()
+    report.add_value('jobs that all differ: raw', len(varied), 'bytes')
+    for name, size in (
+        ('raw', whole),
+        ('compressed', packed[-1][1]),
+        ('compressed, jobs that all differ', len(zlib.compress(varied))),
+    ):
         carried = size * BASE64_FACTOR
         report.add_value(f'{name}: one watch, one change', carried, 'bytes')
         share = compute_link_share(carried)
@@ -50,6 +57,29 @@
         report.add_value(f'{name}: time on the link for one watch', passed_s, 's')
 
 
+def vary_manifest(document: dict) -> dict:
+    """Return a manifest whose jobs differ in names and numbers."""
+    rng = random.Random(1)
+    organisations = {
+        name: organisation
+        | {'jobs': {f'{rng.getrandbits(48):012x}': vary_job(job, rng) for job in jobs}}
+        for name, organisation in document['organisations'].items()
+        for jobs in [organisation['jobs'].values()]
+    }
+    return document | {'organisations': organisations}
+
+
+def vary_job(job: dict, rng: random.Random) -> dict:
+    """Return a job with other numbers."""
+    return job | {
+        'members': rng.randrange(1, 65),
+        'attempt_limit': rng.randrange(1, 9),
+        'start_limit_s': rng.randrange(600, 86_400),
+        'run_limit_s': rng.randrange(600, 86_400),
+        'declared_run_s': rng.randrange(60, 40_000),
+    }
+
+
 def compute_link_share(change_bytes: float, watches: int = 1) -> float:
     """Return which part of the link the configuration changes of a day take."""
     daily_bits = 8 * change_bytes * CHANGES_PER_DAY * watches
