--- a/yuccarelay/core/adoption.py
+++ b/yuccarelay/core/adoption.py
@@ -9,6 +9,7 @@
     Stored,
     StoreResult,
 )
+from yuccarelay.core.home import digest_entries
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.models import (
     Claim,
@@ -53,6 +54,7 @@
         self.state.entries = entries
         for entry in entries:
             self.lost_regions_ms.pop(entry.region, None)
+        self.state.entries_digest = digest_entries(entries)
         if first or known - live:
             self._scan_soon(now_ms, ADOPTION_JITTER_MS)
 
--- a/yuccarelay/core/announcer.py
+++ b/yuccarelay/core/announcer.py
@@ -1,6 +1,6 @@
 """What an agent tells the entries about its worker, and when."""
 
-from yuccarelay.core.home import rank_entries
+from yuccarelay.core.home import digest_entries, rank_entries
 from yuccarelay.core.messages import Announce, Heartbeat, Message, Welcome
 from yuccarelay.core.models import EntryRef, OwnedShare, WorkerState
 from yuccarelay.core.outbox import Outbox
@@ -35,17 +35,30 @@
         self.acknowledged: tuple[str, int] = ('', -1)
         self.next_send_ms = 0
         self.waiting = False
+        self.heartbeat_ms = HEARTBEAT_INTERVAL_MS
         self.generation = 0
         self.plan_epoch = 0
         self.owned: tuple[OwnedShare, ...] = ()
 
     def publish(self, now_ms: int, **changes: object) -> None:
-        """Note a change of the worker's state; it is announced soon."""
-        if all(getattr(self.state, name) == value for name, value in changes.items()):
+        """
+        Note a change of the worker's state; it is announced soon.
+
+        The generation and the epoch travel in the next heartbeat. With whole
+        states, each change of the configuration would cost the entries of a region
+        an announcement of every worker, and a relay of each to every other entry.
+        """
+        state = self.state._replace(**changes)
+        if state == self.state:
             return
-        version = self.state.version + 1
-        self.state = self.state._replace(version=version, **changes)
-        self.next_send_ms = min(self.next_send_ms, now_ms + ANNOUNCE_INTERVAL_MS)
+        configured = self.state._replace(
+            generation=state.generation,
+            plan_epoch=state.plan_epoch,
+        )
+        if state != configured:
+            state = state._replace(version=state.version + 1)
+            self.next_send_ms = min(self.next_send_ms, now_ms + ANNOUNCE_INTERVAL_MS)
+        self.state = state
 
     def tick(self, now_ms: int) -> None:
         """Send the state or a heartbeat to the home entry when it is due."""
@@ -53,7 +66,7 @@
             return
         self.waiting = True
         home = self.find_home()
-        self.next_send_ms = now_ms + self._jitter(HEARTBEAT_INTERVAL_MS)
+        self.next_send_ms = now_ms + self._jitter(self.heartbeat_ms)
         self.outbox.send(home, self._make_message(home), f'home:{home}')
 
     def tell_all(self) -> None:
@@ -67,6 +80,7 @@
         self.waiting = False
         match reply:
             case Welcome():
+                self._take_interval(reply.heartbeat_ms, now_ms)
                 known = -1 if reply.announce else self.sent_version
                 self.acknowledged = (address, known)
                 if reply.announce or self.state.version != self.sent_version:
@@ -78,6 +92,12 @@
                 self.next_send_ms = now_ms + self._jitter(REQUEST_TIMEOUT_MS)
                 return False
 
+    def _take_interval(self, heartbeat_ms: int, now_ms: int) -> None:
+        """Take the interval from the answer to a report, not from a push."""
+        if heartbeat_ms and heartbeat_ms != self.heartbeat_ms:
+            self.heartbeat_ms = heartbeat_ms
+            self.next_send_ms = now_ms + self._jitter(heartbeat_ms)
+
     def take_welcome(self, welcome: Welcome) -> bool:
         """Take over configuration that is newer than the known one."""
         if welcome.entries and set(welcome.entries) != set(self.entries):
@@ -107,6 +127,9 @@
                 worker_id=self.state.worker_id,
                 incarnation=self.state.incarnation,
                 version=self.state.version,
+                generation=self.state.generation,
+                plan_epoch=self.state.plan_epoch,
+                entries=digest_entries(self.entries),
             )
         return Announce(self.state)
 
--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -15,11 +15,15 @@
 from yuccarelay.core.ordering import QueuedJob
 from yuccarelay.core.placement import Candidate, choose_workers
 from yuccarelay.core.recording import Recorder
+from yuccarelay.core.room import Room, may_hold
 from yuccarelay.core.state import EntryState
 
 # Jobs that are looked at in one scheduling pass.
 PASS_LIMIT = 200
 EARMARK_INTERVAL_MS = 1_000
+# A silent leader is noticed this much later than its worker becomes suspect. At
+# 55,000 running tasks a look at each of them every tick took more than a core.
+FOLLOW_INTERVAL_MS = 1_000
 
 
 class Dispatcher:
@@ -32,6 +36,7 @@
         self.acquirer = Acquirer(state, recorder, self.follower)
         self.earmark: Earmark | None = None
         self.next_earmark_ms = 0
+        self.next_follow_ms = 0
 
     def schedule(self, now_ms: int) -> None:
         """Start attempts for queued jobs, best first, while workers are free."""
@@ -41,10 +46,14 @@
         ordered = state.queue.order(now_ms, PASS_LIMIT)
         self._update_earmark(ordered, now_ms)
         unplaceable: set[JobSpec] = set()
+        rooms: dict[str, Room] = {}
         for queued in ordered:
             job = state.jobs[queued.job_id]
             if job.spec in unplaceable or not self._may_start(job, now_ms):
                 continue
+            if not self._may_fit(job.spec, rooms):
+                unplaceable.add(job.spec)
+                continue
             candidates = self._find_candidates(queued, now_ms)
             assignments = choose_workers(
                 job.spec,
@@ -57,6 +66,13 @@
             else:
                 self.acquirer.begin(job, assignments, candidates, now_ms)
 
+    def _may_fit(self, spec: JobSpec, rooms: dict[str, Room]) -> bool:
+        # Placements of the same pass only take from the room, so one count of all
+        # workers proves for every job of the pass that it does not fit.
+        if spec.service not in rooms:
+            rooms[spec.service] = self.state.view.measure_room(spec.service)
+        return may_hold(rooms[spec.service], spec)
+
     def _find_candidates(self, queued: QueuedJob, now_ms: int) -> Sequence[Candidate]:
         state = self.state
         candidates = state.view.find_candidates(queued.spec, now_ms)
@@ -139,7 +155,8 @@
         """Check the deadlines of queued jobs and of attempts."""
         for queued in self.state.queue.take_expired(now_ms):
             self._expire_queued(queued.job_id, now_ms)
-        for job in list(self.state.jobs.values()):
+        for job_id in list(self.state.attended):
+            job = self.state.jobs[job_id]
             match job.state:
                 case JobState.QUEUED if job.cancelling and job.decided is None:
                     self.follower.requeue(job, now_ms, delay_ms=0)
@@ -147,8 +164,14 @@
                     self.acquirer.tick(job, now_ms)
                 case JobState.SETTLING:
                     self.follower.tick_settling(job, now_ms)
-                case JobState.RUNNING:
-                    self.follower.tick_running(job, now_ms)
+        if now_ms >= self.next_follow_ms:
+            self.next_follow_ms = now_ms + FOLLOW_INTERVAL_MS
+            self._follow_running(now_ms)
+
+    def _follow_running(self, now_ms: int) -> None:
+        for job in list(self.state.jobs.values()):
+            if job.state is JobState.RUNNING:
+                self.follower.tick_running(job, now_ms)
 
     def _expire_queued(self, job_id: str, now_ms: int) -> None:
         outcome: Outcome = NotRun('start deadline passed', 'it was never launched')
--- a/yuccarelay/core/gang.py
+++ b/yuccarelay/core/gang.py
@@ -32,6 +32,7 @@
     HOLD_MS,
     LEASE_MS,
     RENEW_INTERVAL_MS,
+    START_REPEAT_MS,
     START_WINDOW_MS,
     TICK_MS,
 )
@@ -107,7 +108,7 @@
         """Arm all members, or start at once when there is only one agent."""
         if len(self.members) == 1:
             return self._start_all(now_ms)
-        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        self.next_send_ms = now_ms + START_REPEAT_MS
         return self._to_each(self._arm_message)
 
     def take_reply(
@@ -201,7 +202,9 @@
                 return []
         if self.phase is GangPhase.ENDED or now_ms < self.next_send_ms:
             return []
-        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        is_stopping = self.phase is GangPhase.STOPPING
+        interval_ms = RENEW_INTERVAL_MS if is_stopping else START_REPEAT_MS
+        self.next_send_ms = now_ms + interval_ms
         return self._repeat()
 
     def _tick_running(self, now_ms: int) -> list[Outgoing]:
@@ -236,7 +239,7 @@
         self.phase = GangPhase.STARTING
         self.start_sent = True
         self.start_deadline_ms = now_ms + START_WINDOW_MS
-        self.next_send_ms = now_ms + RENEW_INTERVAL_MS
+        self.next_send_ms = now_ms + START_REPEAT_MS
         return self._to_each(self._start_message)
 
     def _run(self, now_ms: int) -> list[Outgoing]:
--- a/yuccarelay/core/membership.py
+++ b/yuccarelay/core/membership.py
@@ -6,11 +6,19 @@
 """
 
 import hashlib
+from collections import Counter
 from typing import NamedTuple
 
 from yuccarelay.core.models import Claim, Grant, JobSpec, MemberRef, WorkerState
 from yuccarelay.core.placement import Candidate
-from yuccarelay.core.timing import ANNOUNCE_INTERVAL_MS, REPLAN_ABSENCE_MS, SUSPECT_MS
+from yuccarelay.core.room import Room
+from yuccarelay.core.timing import (
+    ANNOUNCE_INTERVAL_MS,
+    HEARTBEAT_INTERVAL_MS,
+    REPLAN_ABSENCE_MS,
+    SUSPECT_MS,
+    compute_heartbeat_ms,
+)
 
 # A worker that refused for lack of capacity is left out until its next
 # announcement, or for this long when none comes.
@@ -46,6 +54,10 @@
 
     def __init__(self):
         self.workers: dict[str, WorkerRecord] = {}
+        # Digest of the workers of each home entry, kept up to date.
+        self.digests: dict[int, int] = {}
+        self.heartbeat_ms = HEARTBEAT_INTERVAL_MS
+        self.relayed_suspect_ms = SUSPECT_MS
         self.pending: dict[str, dict[str, Claim]] = {}
         self.full_until_ms: dict[str, int] = {}
         self.owned: dict[str, dict[str, int]] = {}
@@ -77,6 +89,8 @@
         incarnation: int,
         version: int,
         now_ms: int,
+        generation: int = 0,
+        plan_epoch: int = 0,
     ) -> bool:
         """Note a sign of life; false when the agent must announce its state."""
         known = self.workers.get(worker_id)
@@ -84,21 +98,37 @@
             return False
         if (known.state.incarnation, known.state.version) != (incarnation, version):
             return False
-        self._put(known.state, 0, now_ms)
+        self._put(_raise_config(known.state, generation, plan_epoch), 0, now_ms)
         return True
 
-    def take_home_alive(self, home: int, now_ms: int) -> None:
+    def take_home_alive(
+        self,
+        home: int,
+        now_ms: int,
+        generation: int = 0,
+        plan_epoch: int = 0,
+    ) -> None:
         """Note that another entry still watches over its workers."""
         for record in list(self.workers.values()):
             if record.home == home:
-                self._put(record.state, home, now_ms)
+                state = _raise_config(record.state, generation, plan_epoch)
+                self._put(state, home, now_ms)
+
+    def find_lowest_config(self) -> tuple[int, int]:
+        """Return the generation and epoch that all own workers have at least."""
+        states = [
+            record.state
+            for worker_id, record in self.workers.items()
+            if record.home == 0 and worker_id not in self.lost
+        ]
+        generation = min((state.generation for state in states), default=0)
+        return generation, min((state.plan_epoch for state in states), default=0)
 
     def keep_only(self, worker_ids: set[str], home: int) -> None:
         """Forget the workers of a home entry that it does not have any more."""
         for worker_id, record in list(self.workers.items()):
             if record.home == home and worker_id not in worker_ids:
-                del self.workers[worker_id]
-                self.usage.pop(worker_id, None)
+                self._delete(worker_id)
 
     def lose(self, worker_ids: tuple[str, ...], home: int) -> None:
         """Make workers suspect at the word of the entry that watches over them."""
@@ -110,14 +140,16 @@
     def expire(self, now_ms: int) -> list[str]:
         """Forget absent workers; returns those that were forgotten."""
         forgotten = []
+        own = 0
         for worker_id, record in list(self.workers.items()):
+            own += record.home == 0
             if now_ms >= record.suspect_deadline_ms and record.home == 0:
                 self.lost.setdefault(worker_id)
             if now_ms >= record.forget_deadline_ms:
                 forgotten.append(worker_id)
-                del self.workers[worker_id]
-                self.usage.pop(worker_id, None)
+                self._delete(worker_id)
                 self.lost.pop(worker_id, None)
+        self.heartbeat_ms = compute_heartbeat_ms(own)
         return forgotten
 
     def take_changes(self) -> tuple[tuple[WorkerState, ...], tuple[str, ...]]:
@@ -135,14 +167,7 @@
 
     def compute_digest(self, home: int) -> int:
         """Return a digest of the workers of one home entry."""
-        digest = 0
-        for record in self.workers.values():
-            if record.home == home:
-                state = record.state
-                text = f'{state.worker_id}|{state.incarnation}|{state.version}'
-                hashed = hashlib.blake2b(text.encode(), digest_size=7).digest()
-                digest ^= int.from_bytes(hashed, 'big')
-        return digest
+        return self.digests.get(home, 0)
 
     def is_suspect(self, worker_id: str, now_ms: int) -> bool:
         """Whether a worker was not heard of in time."""
@@ -187,6 +212,21 @@
         found.sort(key=lambda candidate: candidate.worker_id)
         return found
 
+    def measure_room(self, service: str) -> Room:
+        """Return an upper bound of what the workers of a service can take."""
+        room = Room(Counter(), Counter())
+        for worker_id, record in self.workers.items():
+            state = record.state
+            if state.service != service or state.draining:
+                continue
+            usage = self._find_usage(state)
+            if state.slots > usage.slots:
+                room.free[max(0, state.accelerators - usage.accelerators)] += 1
+            for organisation, owned in self.owned.get(worker_id, {}).items():
+                used = usage.guaranteed.get(organisation, 0)
+                room.owned[organisation] += max(0, owned - used)
+        return room
+
     def _make_candidate(self, state: WorkerState, organisation: str) -> Candidate:
         usage = self._find_usage(state)
         owned = self.owned.get(state.worker_id, {})
@@ -218,12 +258,30 @@
         self.usage[state.worker_id] = usage
         return usage
 
+    def _delete(self, worker_id: str) -> None:
+        record = self.workers.pop(worker_id)
+        self.usage.pop(worker_id, None)
+        self._toggle_digest(record.state, record.home)
+
+    def _toggle_digest(self, state: WorkerState, home: int) -> None:
+        """Add a worker to the digest of its home entry, or take it out."""
+        digest = self.digests.pop(home, 0) ^ _hash_state(state)
+        if digest:
+            self.digests[home] = digest
+
     def _put(self, state: WorkerState, home: int, now_ms: int) -> None:
+        known = self.workers.get(state.worker_id)
+        if known is None or known.home != home or not _is_same(state, known.state):
+            if known is not None:
+                self._toggle_digest(known.state, known.home)
+            self._toggle_digest(state, home)
+        # The answer that goes with this sign of life asks for the same interval.
+        suspect_ms = self.relayed_suspect_ms if home else 3 * self.heartbeat_ms
         self.workers[state.worker_id] = WorkerRecord(
             state=state,
             home=home,
-            suspect_deadline_ms=now_ms + SUSPECT_MS,
-            forget_deadline_ms=now_ms + REPLAN_ABSENCE_MS,
+            suspect_deadline_ms=now_ms + suspect_ms,
+            forget_deadline_ms=now_ms + max(REPLAN_ABSENCE_MS, 2 * suspect_ms),
         )
 
 
@@ -253,6 +311,25 @@
     )
 
 
+def _raise_config(state: WorkerState, generation: int, plan_epoch: int) -> WorkerState:
+    if generation <= state.generation and plan_epoch <= state.plan_epoch:
+        return state
+    return state._replace(
+        generation=max(generation, state.generation),
+        plan_epoch=max(plan_epoch, state.plan_epoch),
+    )
+
+
+def _hash_state(state: WorkerState) -> int:
+    text = f'{state.worker_id}|{state.incarnation}|{state.version}'
+    hashed = hashlib.blake2b(text.encode(), digest_size=7).digest()
+    return int.from_bytes(hashed, 'big')
+
+
+def _is_same(state: WorkerState, known: WorkerState) -> bool:
+    return (state.incarnation, state.version) == (known.incarnation, known.version)
+
+
 def _is_older(state: WorkerState, known: WorkerState) -> bool:
     return (state.incarnation, state.version) < (known.incarnation, known.version)
 
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -13,6 +13,7 @@
 )
 from yuccarelay.core.health import HealthTracker
 from yuccarelay.core.history import RunHistory
+from yuccarelay.core.home import digest_entries
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.manifest import Manifest
 from yuccarelay.core.membership import View
@@ -28,7 +29,7 @@
 from yuccarelay.core.outbox import Outbox
 from yuccarelay.core.placement import PlacementPolicy
 from yuccarelay.core.retry import RetryBudget
-from yuccarelay.core.shape import Plan, owned_shares
+from yuccarelay.core.shape import Plan, index_shares
 from yuccarelay.ports.randomness import RandomSource
 
 REFUSAL_RETRY_MS = 1_000
@@ -43,6 +44,17 @@
     deadline_ms: int
 
 
+def needs_attention(job: Job) -> bool:
+    """Whether a job has work or a deadline that a tick must not miss."""
+    match job.state:
+        case JobState.ACQUIRING | JobState.SETTLING:
+            return True
+        case JobState.QUEUED:
+            return job.cancelling
+        case _:
+            return False
+
+
 class EntryState:
     """
     Jobs, queue, view and configuration of one entry.
@@ -70,13 +82,17 @@
         self.run_history = RunHistory()
         self.start_history = StartHistory()
         self.jobs: dict[str, Job] = {}
+        # Jobs that every tick looks at; running ones are looked at less often.
+        self.attended: dict[str, None] = {}
         self.waiters: dict[str, list[Waiter]] = {}
         self.entries: tuple[EntryRef, ...] = ()
+        self.entries_digest = digest_entries(())
         self.earlier_incarnations: set[int] = set()
         self.generation = 0
         self.manifest: Manifest | None = None
         self.highest_generation = 0
         self.plan: Plan | None = None
+        self.shares: dict[str, tuple[OwnedShare, ...]] = {}
         self.store_up = False
         self.fenced = True
         self.draining = False
@@ -99,13 +115,11 @@
     def take_plan(self, plan: Plan) -> None:
         """Put a guarantee plan in force."""
         self.plan = plan
-        owned: dict[str, dict[str, int]] = {}
-        for home in plan.homes:
-            for worker_id in home.workers:
-                shares = owned.setdefault(worker_id, {})
-                used = shares.get(home.organisation, 0)
-                shares[home.organisation] = used + home.accelerators
-        self.view.owned = owned
+        self.shares = index_shares(plan)
+        self.view.owned = {
+            worker_id: {share.organisation: share.accelerators for share in shares}
+            for worker_id, shares in self.shares.items()
+        }
 
     def mint_job_id(self) -> str:
         """Return a new job id."""
@@ -117,6 +131,10 @@
         """Change a job and return it."""
         job = self.jobs[job_id]._replace(**changes)
         self.jobs[job_id] = job
+        if needs_attention(job):
+            self.attended.setdefault(job_id)
+        else:
+            self.attended.pop(job_id, None)
         return job
 
     def find_current(
@@ -149,6 +167,7 @@
     def forget(self, job_id: str) -> None:
         """Drop a job that another entry owns now."""
         job = self.jobs.pop(job_id, None)
+        self.attended.pop(job_id, None)
         self.queue.remove(job_id)
         if job is not None:
             self.view.drop_pending(job.attempt_id, job.members)
@@ -211,23 +230,29 @@
         """Return the live entries of a region."""
         return [entry for entry in self.entries if entry.region == region]
 
-    def make_welcome(self, worker_id: str, announce: bool = False) -> Welcome:
+    def make_welcome(
+        self,
+        worker_id: str,
+        announce: bool = False,
+        known_entries: int = 0,
+        known_epoch: int = 0,
+    ) -> Welcome:
         """
-        Return the configuration that an agent needs.
+        Return what an agent lacks of the configuration.
 
         Epochs of different regions are not comparable, so an agent of another
         region hears nothing of this region's plan.
         """
-        owned: tuple[OwnedShare, ...] = ()
         plan = self.plan if worker_id in self.view.workers else None
-        if plan is not None:
-            owned = owned_shares(plan, worker_id)
+        epoch = plan.epoch if plan else 0
+        is_current = known_entries == self.entries_digest
         return Welcome(
-            entries=self.entries,
+            entries=() if is_current else self.entries,
             generation=self.generation,
-            plan_epoch=plan.epoch if plan else 0,
-            owned=owned,
+            plan_epoch=epoch,
+            owned=self.shares.get(worker_id, ()) if epoch > known_epoch else (),
             announce=announce,
+            heartbeat_ms=self.view.heartbeat_ms,
         )
 
 
--- a/yuccarelay/core/timing.py
+++ b/yuccarelay/core/timing.py
@@ -6,6 +6,9 @@
 RENEW_INTERVAL_MS = 1_000
 # All members of a gang must have started within this time after the launch.
 START_WINDOW_MS = 2_000
+# Messages of the launch are repeated at this interval, so that a few lost ones in
+# a row do not use up the start window.
+START_REPEAT_MS = 400
 # A reservation that is not started or extended is given up after this time.
 HOLD_MS = 3_000
 # A borrower that was warned is stopped after this time.
@@ -21,6 +24,13 @@
 LEAVE_MS = HOLD_MS
 
 HEARTBEAT_INTERVAL_MS = 2_000
+# An entry with many workers asks for fewer heartbeats, so that it takes about
+# this many in a second. At 248 bytes with the answer they take 2.5 KB/s, and the
+# rest of the 6 KB/s is for the configuration and for other entries.
+HEARTBEATS_PER_S = 10
+# An agent that missed a push takes the configuration from the answer to its next
+# heartbeat. With jitter that is 7.5 s, inside the 9 s that a change may take.
+HEARTBEAT_LONGEST_MS = 6_000
 # A worker that was not heard of for three heartbeats gets no new work.
 SUSPECT_MS = 3 * HEARTBEAT_INTERVAL_MS
 # Its guaranteed cells move to other workers only after a longer absence, so that
@@ -33,3 +43,21 @@
 SETTLE_MS = 10_000
 KEEP_ENDED_MS = 900_000
 TOMBSTONE_LIMIT = 20_000
+# An entry sends each peer a sign of life at least this often. With many entries it
+# sends about four a second in all, because each one costs 320 bytes and the time
+# of two messages at both ends.
+SHARE_INTERVAL_MS = 1_000
+SHARE_PER_PEER_MS = 250
+SHARE_LONGEST_MS = 5_000
+
+
+def compute_share_ms(peers: int) -> int:
+    """Return the interval of signs of life between entries with so many peers."""
+    interval_ms = peers * SHARE_PER_PEER_MS
+    return min(max(SHARE_INTERVAL_MS, interval_ms), SHARE_LONGEST_MS)
+
+
+def compute_heartbeat_ms(workers: int) -> int:
+    """Return the interval of heartbeats to an entry that so many workers report to."""
+    interval_ms = workers * 1_000 // HEARTBEATS_PER_S
+    return min(max(HEARTBEAT_INTERVAL_MS, interval_ms), HEARTBEAT_LONGEST_MS)
