Let the session's store be out of reach for one region

The measurement of a cut between regions needs the region without the store in a store outage while the other one goes on. Session.cut stops messages only.

--- a/yuccarelay/standins/session_store.py
+++ b/yuccarelay/standins/session_store.py
@@ -48,6 +48,7 @@
     def __init__(self, session: 'Session'):
         self.session = session
         self.up = True
+        self.cut_regions: set[str] = set()
         self.lost_answers = 0
         self.revision = 1
         self.calls = 0
@@ -82,6 +83,10 @@
 
     # Registration
 
+    def reaches(self, process: 'Process') -> bool:
+        """Whether the store is up and the process's region is not cut off."""
+        return self.up and process.region not in self.cut_regions
+
     def register(self, process: 'Process') -> None:
         """Register an entry and keep its lease alive."""
         self.members[process.address] = process
@@ -96,7 +101,7 @@
     def _register(self, process: 'Process') -> None:
         if self.members.get(process.address) is not process:
             return
-        if not self.up or process.paused:
+        if not self.reaches(process) or process.paused:
             self.session.at(KEEP_ALIVE_MS, lambda: self._register(process))
             return
         self.calls += 1
@@ -115,8 +120,8 @@
         if self.members.get(process.address) is not process:
             self._watch_lease(process.address, reference)
             return
-        if process.paused or not self.up:
-            self._tell_health(process, self.up)
+        if process.paused or not self.reaches(process):
+            self._tell_health(process, self.reaches(process))
             self._watch_lease(process.address, reference)
             self.session.at(100, lambda: self._keep_alive(process, reference))
             return
@@ -157,6 +162,8 @@
         for process in list(self.members.values()):
             if self.entries.get(process.address) is None:
                 continue
+            if not self.reaches(process):
+                continue
             deliver = self.session.deliver
             deliver(process, EntriesSeen(entries))
             if self.manifest is not None:
@@ -173,7 +180,7 @@
 
     def _execute(self, process: 'Process', effect: object) -> None:
         self.calls += 1
-        if not self.up:
+        if not self.reaches(process):
             self._reply(process, effect, Unavailable(ambiguous=False))
             self._tell_health(process, False)
             return
