Name the least share of healthy workers in the outlier ejection

The rule that treats all workers as usable had its threshold of one half written into an expression. As a constant it can be replaced by the measurement, which compares several thresholds. No behaviour changes.

--- a/yuccarelay/core/health.py
+++ b/yuccarelay/core/health.py
@@ -15,6 +15,9 @@
 # median of its peers. A fault common to all moves the median with it.
 FAILURE_MARGIN = 0.4
 
+# With a smaller share of healthy workers the fault is common to all of them.
+HEALTHY_FLOOR = 0.5
+
 EJECTION_BASE_MS = 30_000
 EJECTION_CEILING_MS = 3_600_000
 
@@ -112,8 +115,8 @@
         """
         Return the workers of the service that may be given a job now.
 
-        If more than half of them would be left out, the fault is common to all and
-        each one is usable.
+        If fewer than `HEALTHY_FLOOR` of them would be left, the fault is common to
+        all and each one is usable.
         """
         everyone = frozenset(worker_ids)
         usable = everyone.difference(
@@ -122,7 +125,7 @@
             if not isinstance(standing, Healthy)
             and not self._may_probe(worker_id, now_ms)
         )
-        return usable if 2 * len(usable) >= len(everyone) else everyone
+        return usable if len(usable) >= HEALTHY_FLOOR * len(everyone) else everyone
 
     def _may_probe(self, worker_id: str, now_ms: int) -> bool:
         match self.standings.get(worker_id):
