Add the measurement tool

make measure runs eight experiments with the real decision code in sessions with virtual time, each case in a process of its own, and prints tables and writes SVG plots. Variants replace module constants or the queue and placement policy.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,9 @@
 demo: install  ## Run the whole path in one process on embedded stand-ins
 	$(BIN)/yuccarelay local --demo
 
+measure: install  ## Measure the decision code in virtual time
+	$(BIN)/python -m tools.measure
+
 dist: install  ## Build dist/yuccarelay, one file with all libraries
 	mkdir -p dist
 	$(BIN)/python tools/stage.py build/site
@@ -47,4 +50,4 @@
 clean:  ## Remove what the other targets create
 	rm -rf $(VENV) build dist *.egg-info .ruff_cache .hypothesis
 
-.PHONY: all help install test lint format demo dist check-dist clean
+.PHONY: all help install test lint format demo measure dist check-dist clean
--- /dev/null
+++ b/tests/test_measure.py
@@ -0,0 +1,97 @@
+"""Arithmetic of the measurement tool."""
+
+import math
+import unittest
+
+from tools.measure.crest import CALM_MS, CREST_MS, RAMP_MS, find_crest_factor
+from tools.measure.figures import (
+    draw_bars,
+    draw_lines,
+    find_percentile,
+    find_ratio,
+    make_table,
+    summarise,
+)
+from tools.measure.variants import Variant
+from yuccarelay.core import health
+
+
+class PercentileTest(unittest.TestCase):
+    """A wrong rank would report a better tail than the one measured."""
+
+    def test_uses_the_nearest_rank(self):
+        values = list(range(100, 0, -1))
+        self.assertEqual(find_percentile(values, 50), 50)
+        self.assertEqual(find_percentile(values, 99), 99)
+        self.assertEqual(find_percentile(values, 100), 100)
+
+    def test_tail_of_few_values_is_the_largest(self):
+        self.assertEqual(find_percentile([3, 9, 1], 99), 9)
+
+    def test_no_values_have_no_percentile(self):
+        self.assertTrue(math.isnan(find_percentile([], 50)))
+
+
+class SummaryTest(unittest.TestCase):
+    """Pooling and averaging must not be mixed up."""
+
+    def test_samples_are_pooled_over_the_seeds(self):
+        cell = summarise([[1.0] * 98, [50.0] * 2])
+        self.assertEqual(cell, '1 / 1 / 50')
+
+    def test_numbers_give_mean_and_range(self):
+        self.assertEqual(summarise([1, 2, 6]), '3 (1 to 6)')
+        self.assertEqual(summarise([2, 2]), '2')
+
+    def test_missing_numbers_are_left_out(self):
+        self.assertEqual(summarise([math.nan, 4.0]), '4')
+        self.assertEqual(summarise([math.nan]), '-')
+
+    def test_ratio_of_nothing_is_not_a_number(self):
+        self.assertTrue(math.isnan(find_ratio(0, 0)))
+
+    def test_table_has_a_line_for_each_row(self):
+        table = make_table(['a', 'b'], [['1', '2'], ['3', '4']])
+        self.assertEqual(table.count('\n'), 3)
+
+
+class PlotTest(unittest.TestCase):
+    """An empty series must not stop a run after the measurement."""
+
+    def test_empty_and_missing_values_are_drawn(self):
+        self.assertIn('<svg', draw_bars('none', []))
+        self.assertIn('<svg', draw_bars('nan', [('a<b', math.nan)]))
+        self.assertIn('<svg', draw_lines('none', {'a': []}, 's'))
+
+    def test_labels_are_escaped(self):
+        self.assertIn('a&lt;b', draw_bars('t', [('a<b', 1.0)]))
+
+
+class CrestTest(unittest.TestCase):
+    """The load must be ten times the calm one, only during the crest."""
+
+    def test_ramp_reaches_ten(self):
+        self.assertEqual(find_crest_factor(CALM_MS - 1), 1.0)
+        self.assertAlmostEqual(find_crest_factor(CALM_MS + RAMP_MS // 2), 5.5)
+        self.assertEqual(find_crest_factor(CALM_MS + RAMP_MS), 10.0)
+        self.assertEqual(find_crest_factor(CALM_MS + RAMP_MS + CREST_MS), 1.0)
+
+
+class VariantTest(unittest.TestCase):
+    """A switch with a misspelt name would compare a policy with itself."""
+
+    def test_unknown_name_is_an_error(self):
+        with self.assertRaises(AttributeError):
+            Variant('wrong', values={'health.NO_SUCH_NAME': 1}).apply()
+
+    def test_value_is_replaced(self):
+        before = health.FAILURE_MARGIN
+        try:
+            Variant('right', values={'health.FAILURE_MARGIN': 2.0}).apply()
+            self.assertEqual(health.FAILURE_MARGIN, 2.0)
+        finally:
+            health.FAILURE_MARGIN = before
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tools/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the decision code in virtual time; see `docs/measurements.md`."""
--- /dev/null
+++ b/tools/measure/crest.py
@@ -0,0 +1,244 @@
+"""Experiments b and c: a crest of demand, and reclaim of lent accelerators."""
+
+from tools.measure.bench import Bench, Trace, count_owned, find_job, find_regions
+from tools.measure.experiment import Column, Experiment, Metrics
+from tools.measure.figures import find_mean, find_ratio
+from tools.measure.variants import (
+    NO_ADMISSION,
+    NO_BORROWING,
+    PLAIN,
+    PRESENT,
+    Variant,
+)
+
+CALM_MS = 120_000
+RAMP_MS = 5_000
+CREST_MS = 60_000
+RECOVERY_MS = 300_000
+CREST_FACTOR = 10
+# The manifests give 600 s and 1,800 s, which a crest of 60 s cannot miss.
+START_LIMIT_MS = 20_000
+REPRINT_RUN_MS = 3_000
+# Reprints run only on the own cells. Ten times this is 2.5 times what they hold.
+REPRINT_LOAD = 0.25
+BACKGROUND_RUN_MS = 30_000
+BACKGROUND_LOAD = 0.8
+# The queue counts as recovered once new reprints wait no longer than this.
+CALM_WAIT_MS = 2_000
+
+OWNER_IDLE_MS = 300_000
+RECLAIM_LENGTH_MS = 300_000
+BORROWER_RUN_MS = 60_000
+OWNER_RUN_MS = 10_000
+BORROWERS_BACKLOG = 200
+
+
+def find_crest_factor(time_ms: int) -> float:
+    """Return the demand at a time, as a multiple of the calm one."""
+    end_ms = CALM_MS + RAMP_MS + CREST_MS
+    if time_ms < CALM_MS or time_ms >= end_ms:
+        return 1.0
+    return 1 + (CREST_FACTOR - 1) * min((time_ms - CALM_MS) / RAMP_MS, 1)
+
+
+def run_crest(user: str, variant: Variant, seed: int) -> Metrics:
+    """Run the crest and return how the jobs with a start limit fared."""
+    bench = _play_crest(user, variant, seed)
+    once = [trace for trace in bench.submitted if not trace.spec.preemptible]
+    crest = [trace for trace in once if _is_in_crest(trace)]
+    refused = [trace for trace in crest if trace.refusal]
+    accepted = [trace for trace in crest if not trace.refusal]
+    metrics: Metrics = {
+        'crest_jobs': len(crest),
+        'in_time': find_ratio(sum(not t.is_late for t in crest), len(crest)),
+        'accepted_in_time': find_ratio(
+            sum(not trace.is_late for trace in accepted),
+            len(accepted),
+        ),
+        'refused': find_ratio(len(refused), len(crest)),
+        'retry_s': [trace.retry_ms / 1000 for trace in refused],
+        'wait_s': [
+            (trace.started_ms - trace.submitted_ms) / 1000
+            for trace in accepted
+            if trace.started_ms >= 0
+        ],
+        'recovery_s': _find_recovery_s(once),
+        'acquire_failed': bench.find_failures_per_start(),
+        'refused_late': float('nan'),
+    }
+    if variant.name == PRESENT.name:
+        metrics['refused_late'] = _judge_refusals(user, seed, bench)
+    return metrics
+
+
+def _play_crest(user: str, variant: Variant, seed: int) -> Bench:
+    bench = Bench(user, variant, seed, start_limit_ms=START_LIMIT_MS)
+    length_ms = CALM_MS + RAMP_MS + CREST_MS + RECOVERY_MS
+    for name, organisation in bench.manifest.organisations.items():
+        owned = count_owned(organisation)
+        regions = find_regions(bench.manifest, name)
+        owned *= len(regions) if len(regions) > 1 else 1
+        once = find_job(organisation, repeatable=False)
+        rate = owned * REPRINT_LOAD * 1000 / REPRINT_RUN_MS
+        bench.plan_arrivals(
+            lambda time_ms, rate=rate: rate * find_crest_factor(time_ms),
+            length_ms,
+            lambda name=name, once=once: bench.submit(
+                name,
+                once,
+                REPRINT_RUN_MS * bench.arrivals.uniform(0.5, 1.5),
+            ),
+        )
+        _add_background(bench, name, owned, length_ms)
+    bench.session.run(length_ms)
+    return bench
+
+
+def _add_background(bench: Bench, name: str, owned: int, length_ms: int) -> None:
+    organisation = bench.manifest.organisations[name]
+    kinds = {
+        find_job(organisation, repeatable=True),
+        find_job(organisation, repeatable=False, gang=True),
+    }
+    for kind in sorted(kinds - {''}):
+        spec = organisation.jobs[kind]
+        load = owned * BACKGROUND_LOAD / 2
+        rate = load * 1000 / (spec.total_accelerators * BACKGROUND_RUN_MS)
+        bench.plan_arrivals(
+            lambda _, rate=rate: rate,
+            length_ms,
+            lambda kind=kind: bench.submit(
+                name,
+                kind,
+                BACKGROUND_RUN_MS * bench.arrivals.uniform(0.5, 1.5),
+            ),
+        )
+
+
+def _is_in_crest(trace: Trace) -> bool:
+    begin_ms = CALM_MS + 10_000
+    return begin_ms <= trace.submitted_ms < begin_ms + RAMP_MS + CREST_MS
+
+
+def _find_recovery_s(once: list[Trace]) -> float:
+    """Return the time from the end of the crest to the last slow or refused job."""
+    end_ms = 10_000 + CALM_MS + RAMP_MS + CREST_MS
+    slow = [
+        trace.submitted_ms
+        for trace in once
+        if trace.refusal or trace.started_ms - trace.submitted_ms > CALM_WAIT_MS
+    ]
+    return max(max(slow, default=end_ms) - end_ms, 0) / 1000
+
+
+def _judge_refusals(user: str, seed: int, bench: Bench) -> float:
+    """Return the share of refused jobs that are late when nothing is refused."""
+    open_bench = _play_crest(user, Variant('open', values=NO_ADMISSION), seed)
+    twins = zip(bench.submitted, open_bench.submitted, strict=False)
+    late = [twin.is_late for trace, twin in twins if _is_refused_in_crest(trace)]
+    return find_ratio(sum(late), len(late))
+
+
+def _is_refused_in_crest(trace: Trace) -> bool:
+    return bool(trace.refusal) and _is_in_crest(trace)
+
+
+def run_reclaim(user: str, variant: Variant, seed: int) -> Metrics:
+    """Lend the accelerators of idle owners and let the owners come back."""
+    bench = Bench(user, variant, seed)
+    names = list(bench.manifest.organisations)
+    owners = [n for n in names if bench.manifest.organisations[n].weight > 1]
+    borrowers = [n for n in names if n not in owners]
+    for name in borrowers:
+        kind = find_job(bench.manifest.organisations[name], repeatable=True)
+        for _ in range(BORROWERS_BACKLOG):
+            run_ms = BORROWER_RUN_MS * bench.arrivals.uniform(0.5, 1.5)
+            bench.submit(name, kind, run_ms)
+    idle: list[float] = []
+    back: list[float] = []
+    bench.sample(5_000, OWNER_IDLE_MS, lambda: idle.append(bench.measure_utilisation()))
+    bench.session.run(OWNER_IDLE_MS)
+    returned = [_return_owner(bench, name) for name in owners]
+    bench.sample(
+        interval_ms=5_000,
+        end_ms=RECLAIM_LENGTH_MS,
+        act=lambda: back.append(bench.measure_utilisation()),
+    )
+    bench.session.run(RECLAIM_LENGTH_MS)
+    traces = [trace for group in returned for trace in group]
+    return {
+        'utilisation_idle': find_mean(idle),
+        'utilisation_back': find_mean(back),
+        'reclaim_s': [
+            (trace.started_ms - trace.submitted_ms) / 1000
+            for trace in traces
+            if trace.started_ms >= 0
+        ],
+        'not_reclaimed': sum(trace.started_ms < 0 for trace in traces),
+        'preemptions': bench.count('preemptions'),
+        'lost_share': _measure_lost(bench),
+        'borrowers_done': sum(
+            trace.outcome == 'Completed' and trace.organisation in borrowers
+            for trace in bench.submitted
+        ),
+        'acquire_failed': bench.find_failures_per_start(),
+    }
+
+
+def _return_owner(bench: Bench, name: str) -> list[Trace]:
+    """Submit one job for each guaranteed accelerator, at once."""
+    organisation = bench.manifest.organisations[name]
+    kind = find_job(organisation, repeatable=False)
+    return [
+        bench.submit(name, kind, OWNER_RUN_MS) for _ in range(count_owned(organisation))
+    ]
+
+
+def _measure_lost(bench: Bench) -> float:
+    """Return the accelerator time of stopped runs as a share of all run time."""
+    lost = total = 0
+    for target in bench.session.targets.values():
+        for run in target.runs.values():
+            end_ms = run.end_ms if run.end_ms is not None else bench.session.now_ms
+            total += end_ms - run.started_ms
+            if run.end_ms is not None and not run.completed:
+                lost += end_ms - run.started_ms
+    return find_ratio(lost, total)
+
+
+CREST = Experiment(
+    name='crest',
+    question='Demand for jobs with a start limit times ten for 60 s.',
+    run=run_crest,
+    columns=(
+        Column('crest_jobs', 'jobs in the crest'),
+        Column('in_time', 'started in time, of all'),
+        Column('accepted_in_time', 'in time, of accepted'),
+        Column('refused', 'refused'),
+        Column('refused_late', 'refused that would be late'),
+        Column('retry_s', 'retry time s'),
+        Column('wait_s', 'wait of accepted s'),
+        Column('recovery_s', 'recovery s'),
+        Column('acquire_failed', 'refused acquisitions per start'),
+    ),
+    variants=(PLAIN, Variant('no_admission', values=NO_ADMISSION), PRESENT),
+    bar='in_time',
+)
+
+RECLAIM = Experiment(
+    name='reclaim',
+    question='Accelerators of idle organisations are lent and taken back.',
+    run=run_reclaim,
+    columns=(
+        Column('utilisation_idle', 'utilisation, owners idle'),
+        Column('utilisation_back', 'utilisation, owners back'),
+        Column('reclaim_s', 'time to reclaim s'),
+        Column('not_reclaimed', 'owner jobs not started'),
+        Column('preemptions', 'preemptions'),
+        Column('lost_share', 'lost share of run time'),
+        Column('borrowers_done', 'borrowers: jobs done'),
+        Column('acquire_failed', 'refused acquisitions per start'),
+    ),
+    variants=(PLAIN, Variant('no_borrowing', values=NO_BORROWING), PRESENT),
+    bar='utilisation_idle',
+)
--- /dev/null
+++ b/tools/measure/experiment.py
@@ -0,0 +1,36 @@
+"""What an experiment is: cases to run, and how their metrics are shown."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from tools.measure.bench import USERS
+from tools.measure.variants import PRESENT, Variant
+
+Metrics = dict[str, object]
+
+
+class Column(NamedTuple):
+    """A column of the table: a metric and its title."""
+
+    metric: str
+    title: str
+
+
+class Experiment(NamedTuple):
+    """
+    A question with the runs that answer it.
+
+    `run` takes a user, a variant and a seed. `bar` names the metric of the bar
+    plot and `lines` that of a plot over time.
+    """
+
+    name: str
+    question: str
+    run: Callable[[str, Variant, int], Metrics]
+    columns: tuple[Column, ...]
+    variants: tuple[Variant, ...] = (PRESENT,)
+    users: tuple[str, ...] = USERS
+    bar: str = ''
+    lines: str = ''
+    x_title: str = ''
+    is_timed: bool = False
--- /dev/null
+++ b/tools/measure/faults.py
@@ -0,0 +1,108 @@
+"""Experiment d: workers that fail what they start."""
+
+from tools.measure.bench import Bench, Trace, count_owned, find_job
+from tools.measure.experiment import Column, Experiment, Metrics
+from tools.measure.figures import find_ratio
+from tools.measure.variants import (
+    NO_BUDGET,
+    NO_EJECTION,
+    PRESENT,
+    Variant,
+    find_usable_capped,
+)
+
+CALM_MS = 60_000
+PHASE_MS = 240_000
+# Jobs still run into the next phase for this time; it is left out of the load.
+PAUSE_MS = 180_000
+RUN_MS = 4_000
+LOAD = 0.4
+# Most workers of each region fail in the last phase.
+FAILING_SHARE = 0.6
+
+
+def run_faults(user: str, variant: Variant, seed: int) -> Metrics:
+    """Let one worker fail, then all of them, then most of them."""
+    bench = Bench(user, variant, seed)
+    _play_phase(bench, set(), CALM_MS)
+    workers = sorted(bench.session.targets)
+    metrics: Metrics = {}
+    phases = {
+        'one': {bench.arrivals.choice(workers)},
+        'all': set(workers),
+        'most': _pick_most(bench, workers),
+    }
+    for phase, failing in phases.items():
+        traces, retries = _play_phase(bench, failing, PHASE_MS)
+        failed = sum(trace.outcome == 'Failed' for trace in traces)
+        fresh = sum(trace.starts > 0 for trace in traces)
+        metrics[f'retries_{phase}'] = find_ratio(retries, fresh)
+        metrics[f'failed_{phase}'] = find_ratio(failed, len(traces))
+        metrics[f'open_{phase}'] = find_ratio(
+            sum(trace.ended_ms < 0 for trace in traces),
+            len(traces),
+        )
+    return metrics
+
+
+def _pick_most(bench: Bench, workers: list[str]) -> set[str]:
+    picked: set[str] = set()
+    for region in bench.entries:
+        here = [w for w in workers if bench.session.workers[w].region == region]
+        count = round(len(here) * FAILING_SHARE)
+        picked |= set(bench.arrivals.sample(here, count))
+    return picked
+
+
+def _play_phase(bench: Bench, failing: set[str], length_ms) -> tuple[list[Trace], int]:
+    retries = bench.count('retries')
+    traces: list[Trace] = []
+    for worker_id, target in bench.session.targets.items():
+        target.fails_everything = worker_id in failing
+    for name, organisation in bench.manifest.organisations.items():
+        kind = find_job(organisation, repeatable=True)
+        if not kind:
+            continue
+        rate = count_owned(organisation) * LOAD * 1000 / RUN_MS
+        bench.plan_arrivals(
+            lambda _, rate=rate: rate,
+            length_ms,
+            lambda name=name, kind=kind: traces.append(
+                bench.submit(name, kind, RUN_MS * bench.arrivals.uniform(0.5, 1.5)),
+            ),
+        )
+    bench.session.run(length_ms)
+    taken = bench.count('retries') - retries
+    for target in bench.session.targets.values():
+        target.fails_everything = False
+    bench.session.run(PAUSE_MS)
+    return traces, taken
+
+
+FAULTS = Experiment(
+    name='faults',
+    question='One worker fails everything, then all workers, then 60 % of them.',
+    run=run_faults,
+    columns=tuple(
+        Column(f'{metric}_{phase}', f'{phase}: {title}')
+        for phase in ('one', 'all', 'most')
+        for metric, title in (
+            ('retries', 'retries per fresh start'),
+            ('failed', 'failed'),
+            ('open', 'still waiting'),
+        )
+    ),
+    variants=(
+        Variant('neither', values=NO_EJECTION | NO_BUDGET),
+        Variant('no_ejection', values=NO_EJECTION),
+        Variant('no_budget', values=NO_BUDGET),
+        Variant(
+            'cap_half', values={'health.HealthTracker.find_usable': find_usable_capped}
+        ),
+        Variant('floor_0', values={'health.HEALTHY_FLOOR': 0.0}),
+        Variant('floor_0.3', values={'health.HEALTHY_FLOOR': 0.3}),
+        Variant('floor_0.7', values={'health.HEALTHY_FLOOR': 0.7}),
+        PRESENT,
+    ),
+    bar='failed_one',
+)
--- /dev/null
+++ b/tools/measure/variants.py
@@ -0,0 +1,75 @@
+"""Policies and switches that are compared, as replaced values of modules."""
+
+import importlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from yuccarelay.core.ordering import Fifo, JobQueue
+from yuccarelay.core.placement import PlacementPolicy
+
+NEVER_MS = 10**12
+UNLIMITED = 10**9
+CORE = 'yuccarelay.core'
+
+
+@dataclass(frozen=True)
+class Variant:
+    """
+    One policy under measurement.
+
+    `values` maps names such as `health.FAILURE_MARGIN` to what replaces them. A
+    case runs in a process of its own, so nothing has to be put back.
+    """
+
+    name: str
+    make_queue: Callable = JobQueue
+    policy: PlacementPolicy = PlacementPolicy.BUDDY
+    values: Mapping[str, object] = field(default_factory=dict)
+
+    def apply(self) -> None:
+        """Replace the values in the decision code; an unknown name is an error."""
+        for name, value in self.values.items():
+            *parts, last = f'{CORE}.{name}'.split('.')
+            owner = importlib.import_module('.'.join(parts[:3]))
+            for part in parts[3:]:
+                owner = getattr(owner, part)
+            getattr(owner, last)
+            setattr(owner, last, value)
+
+
+def offer_nothing(spec, candidates) -> list:
+    """Stand in for a source of capacity that is switched off."""
+    return []
+
+
+def find_usable_capped(self, worker_ids, now_ms):
+    """Leave out at most half of the workers, those that were ejected longest."""
+    everyone = frozenset(worker_ids)
+    out = [
+        (standing.ejections, worker_id)
+        for worker_id, standing in self.standings.items()
+        if worker_id in everyone
+        and hasattr(standing, 'ejections')
+        and type(standing).__name__ != 'Healthy'
+        and not self._may_probe(worker_id, now_ms)
+    ]
+    out.sort(reverse=True)
+    return everyone.difference(name for _, name in out[: len(everyone) // 2])
+
+
+NO_EJECTION = {'health.FAILURE_MARGIN': 10.0}
+NO_BUDGET = {'retry.BUDGET_MINIMUM': UNLIMITED}
+NO_EARMARK = {'earmark.EARMARK_AGE_MS': NEVER_MS}
+NO_ADMISSION = {'admission.START_SAMPLES_NEEDED': UNLIMITED}
+NO_BORROWING = {
+    'placement._offer_free': offer_nothing,
+    'placement._offer_free_or_owned': offer_nothing,
+}
+
+PRESENT = Variant('present')
+PLAIN = Variant(
+    name='plain',
+    make_queue=Fifo,
+    policy=PlacementPolicy.FIRST_FIT,
+    values=NO_EJECTION | NO_BUDGET | NO_EARMARK | NO_ADMISSION,
+)
