Keep ended attempts out of the agent's scans

Cause: an agent keeps ended reservations for 15 minutes and looked at all of them at every event. Change: a table of reservations with an index of those that need attention; ended attempts without an acknowledged report have their own index, and are looked at at each tick instead of each event.

--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -95,6 +95,7 @@
         self.announcer = Announcer(state, seeds, rng, self.outbox)
         self.gangs: dict[str, Gang] = {}
         self.ended: dict[str, Ended] = {}
+        self.unreported: dict[str, None] = {}
         self.tombstones: dict[str, None] = {}
         self.drain_deadline_ms: int | None = None
         self.exited = False
@@ -116,6 +117,7 @@
     def _handle(self, event: AgentEvent, now_ms: int) -> None:
         match event:
             case Tick():
+                self._expire_ended(now_ms)
                 self.announcer.tick(now_ms)
                 self._check_drained(now_ms)
             case MessageReceived(message, reply_to):
@@ -187,6 +189,7 @@
             case 'report':
                 if isinstance(reply, Ack) and rest in self.ended:
                     self.ended[rest] = self.ended[rest]._replace(acknowledged=True)
+                    self.unreported.pop(rest, None)
             case 'home':
                 changed = self.announcer.take_reply(rest, reply, now_ms)
                 self._take_config(changed)
@@ -309,11 +312,19 @@
         for gang in list(self.gangs.values()):
             self._send_all(gang, gang.tick(now_ms))
         self._collect_ended(now_ms)
-        for attempt_id, entry in list(self.ended.items()):
-            if now_ms >= entry.drop_deadline_ms:
-                del self.ended[attempt_id]
-            elif not entry.acknowledged and now_ms >= entry.next_report_ms:
+
+    def _expire_ended(self, now_ms: int) -> None:
+        for attempt_id in list(self.unreported):
+            if now_ms >= self.ended[attempt_id].next_report_ms:
                 self._report(attempt_id, now_ms)
+        dropped = []
+        for attempt_id, entry in self.ended.items():
+            if now_ms < entry.drop_deadline_ms:
+                break
+            dropped.append(attempt_id)
+        for attempt_id in dropped:
+            del self.ended[attempt_id]
+            self.unreported.pop(attempt_id, None)
 
     def _collect_ended(self, now_ms: int) -> None:
         for attempt_id, gang in list(self.gangs.items()):
@@ -328,6 +339,7 @@
                 next_report_ms=now_ms,
                 drop_deadline_ms=now_ms + KEEP_ENDED_MS,
             )
+            self.unreported[attempt_id] = None
             self._report(attempt_id, now_ms)
 
     def _report(self, attempt_id: str, now_ms: int) -> None:
@@ -359,11 +371,7 @@
         self.announcer.publish(
             now_ms,
             grants=grants,
-            unreported=tuple(
-                attempt_id
-                for attempt_id, entry in self.ended.items()
-                if not entry.acknowledged
-            ),
+            unreported=tuple(self.unreported),
             draining=self.drain_deadline_ms is not None,
             generation=self.announcer.generation,
             plan_epoch=self.announcer.plan_epoch,
@@ -386,8 +394,7 @@
                 reason = self.announcer.state.worker_id
                 self._send_all(gang, gang.evict(reason, now_ms))
         active = self.members.ledger.find_active()
-        unreported = [entry for entry in self.ended.values() if not entry.acknowledged]
-        if not active and not self.gangs and not unreported:
+        if not active and not self.gangs and not self.unreported:
             self.exited = True
             self.outbox.add(Exit())
 
--- a/yuccarelay/core/member.py
+++ b/yuccarelay/core/member.py
@@ -242,8 +242,9 @@
 
     def expire(self, now_ms: int) -> None:
         """Act on all deadlines that have passed."""
-        for attempt_id, entry in list(self.reservations.items()):
-            match entry.phase:
+        for attempt_id in list(self.reservations.live):
+            entry = self.reservations.get(attempt_id)
+            match entry.phase if entry else None:
                 case Phase.HELD if now_ms >= entry.hold_deadline_ms:
                     self.release(attempt_id)
                     self.outbox.log('hold_expired', attempt_id=attempt_id)
@@ -257,6 +258,7 @@
                     )
                 case Phase.ENDED:
                     self._expire_ended(entry, now_ms)
+        self._drop_settled(now_ms)
         if now_ms >= self.next_renew_ms:
             self.next_renew_ms = now_ms + RENEW_INTERVAL_MS
             self._renew_tasks(now_ms)
@@ -275,10 +277,20 @@
         elif not entry.reported and now_ms >= entry.next_report_ms:
             self._report(entry.attempt_id, now_ms)
 
+    def _drop_settled(self, now_ms: int) -> None:
+        dropped = []
+        for attempt_id in self.reservations.settled:
+            if now_ms < self.reservations[attempt_id].ended_ms + KEEP_ENDED_MS:
+                break
+            dropped.append(attempt_id)
+        for attempt_id in dropped:
+            del self.reservations[attempt_id]
+
     def _renew_tasks(self, now_ms: int) -> None:
         deadlines: list[int] = []
         task_ids: list[str] = []
-        for entry in self.reservations.values():
+        for attempt_id in self.reservations.live:
+            entry = self.reservations[attempt_id]
             if entry.phase not in (Phase.STARTING, Phase.RUNNING):
                 continue
             if entry.lease_deadline_ms < now_ms + BATCH_LEASE_MS:
@@ -316,7 +328,8 @@
         return max(ready_ms - now_ms, RENEW_INTERVAL_MS // 4)
 
     def _forget_wait(self, attempt_id: str) -> None:
-        for name, entry in list(self.reservations.items()):
+        for name in list(self.reservations.live):
+            entry = self.reservations[name]
             if attempt_id in entry.waits_for:
                 self._update(name, waits_for=entry.waits_for - {attempt_id})
 
--- a/yuccarelay/core/reservation.py
+++ b/yuccarelay/core/reservation.py
@@ -89,6 +89,36 @@
     refusal: Refusal
 
 
+class ReservationTable(dict[str, Reservation]):
+    """
+    Reservations by attempt id, with an index of those that need attention.
+
+    Ended ones are kept for minutes, and a scan of all of them at each event costs
+    time in proportion. `live` has all but the ended ones whose leader knows the
+    end; `settled` has these, in the order in which the leaders knew.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.live: dict[str, None] = {}
+        self.settled: dict[str, None] = {}
+
+    def __setitem__(self, attempt_id: str, entry: Reservation) -> None:
+        """Put a reservation in and index it."""
+        super().__setitem__(attempt_id, entry)
+        if entry.is_active or not entry.reported:
+            self.live.setdefault(attempt_id)
+        elif attempt_id not in self.settled:
+            self.live.pop(attempt_id, None)
+            self.settled[attempt_id] = None
+
+    def __delitem__(self, attempt_id: str) -> None:
+        """Take a reservation out."""
+        super().__delitem__(attempt_id)
+        self.live.pop(attempt_id, None)
+        self.settled.pop(attempt_id, None)
+
+
 class Ledger:
     """
     The reservations of one worker.
@@ -101,11 +131,12 @@
     def __init__(self, capacity: Capacity):
         self.capacity = capacity
         self.owned: dict[str, int] = {}
-        self.reservations: dict[str, Reservation] = {}
+        self.reservations = ReservationTable()
 
     def find_active(self) -> list[Reservation]:
         """Return the reservations that use capacity."""
-        return [entry for entry in self.reservations.values() if entry.is_active]
+        table = self.reservations
+        return [table[name] for name in table.live if table[name].is_active]
 
     def admit(self, claim: Claim, now_ms: int) -> Admitted | NotAdmitted:
         """Decide whether a claim fits, and which borrowers must stop for it."""
