Index the jobs that a tick must look at

Cause: each tick of an entry looked at all jobs, also at running and ended ones. Change: JobTable indexes the acting, open and ended jobs. A running job is checked once per second instead of four times. Decisions are the same, but for the time at which the loss of a leader is noticed, which is later by up to 1 s.

--- a/tools/measure/decisions.py
+++ b/tools/measure/decisions.py
@@ -18,13 +18,16 @@
 from yuccarelay.core.manifest import Manifest, Organisation, RackCapacity
 from yuccarelay.core.messages import Announce
 from yuccarelay.core.models import (
+    Claim,
     EntryRef,
     Grant,
     JobClass,
     JobSpec,
     JobState,
+    MemberRef,
     WorkerState,
 )
+from yuccarelay.core.timing import TICK_MS
 
 FLEETS = (10, 100, 1_000, 4_200)
 DEPTHS = (0, 100, 1_000)
@@ -44,7 +47,7 @@
             core = make_core(variant, workers, depth, seed)
             metrics[f'pass_{workers}_{depth}_ms'] = _time_passes(core)
     core = make_core(variant, FLEETS[0], 0, seed)
-    _add_ended_jobs(core, RUNNING_JOBS)
+    _add_running_jobs(core, RUNNING_JOBS)
     metrics['tick_ms'] = _time_ticks(core)
     return metrics
 
@@ -148,20 +151,30 @@
     return times
 
 
-def _add_ended_jobs(core: EntryCore, count: int) -> None:
+def _add_running_jobs(core: EntryCore, count: int) -> None:
     spec = _make_spec(0, 'small', 1)
+    claim = Claim(spec.organisation, spec.name, (0,), 1, False, True)
     for number in range(count):
         job_id = add_job(core, number, spec)
         core.state.queue.remove(job_id)
-        core.state.update(job_id, state=JobState.ENDED, ended_ms=0, recorded=True)
+        core.state.update(
+            job_id,
+            state=JobState.RUNNING,
+            members=(MemberRef('w00000', '127.0.0.1:10000', 1, claim),),
+            attempt=1,
+            revision=1,
+            started_ms=1,
+            next_send_ms=10**9,
+        )
     core.state.outbox.take_effects()
 
 
 def _time_ticks(core: EntryCore) -> list[float]:
     times = []
     for number in range(PASSES):
+        now_ms = 100 + number * TICK_MS
         start_ns = time.perf_counter_ns()
-        core.step(Tick(), 20 + number)
+        core.step(Tick(), now_ms)
         times.append((time.perf_counter_ns() - start_ns) / 1e6)
     return times
 
@@ -176,7 +189,7 @@
             for workers in FLEETS
             for depth in DEPTHS
         ),
-        Column('tick_ms', f'tick with {RUNNING_JOBS:,} ended jobs ms'),
+        Column('tick_ms', f'tick, {RUNNING_JOBS:,} running jobs: ms'),
     ),
     variants=(PLAIN, PRESENT),
     users=('synthetic',),
--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -20,6 +20,9 @@
 # Jobs that are looked at in one scheduling pass.
 PASS_LIMIT = 200
 EARMARK_INTERVAL_MS = 1_000
+# Losses of a leader are found after several seconds of silence, so a check of
+# each running job at every tick would add nothing.
+RUNNING_CHECK_MS = 1_000
 
 
 class Dispatcher:
@@ -32,6 +35,7 @@
         self.acquirer = Acquirer(state, recorder, self.follower)
         self.earmark: Earmark | None = None
         self.next_earmark_ms = 0
+        self.checks: dict[str, int] = {}
 
     def schedule(self, now_ms: int) -> None:
         """Start attempts for queued jobs, best first, while workers are free."""
@@ -138,16 +142,35 @@
         """Check the deadlines of queued jobs and of attempts."""
         for queued in self.state.queue.take_expired(now_ms):
             self._expire_queued(queued.job_id, now_ms)
-        for job in list(self.state.jobs.values()):
+        for job_id in list(self.state.jobs.acting):
+            job = self.state.jobs[job_id]
             match job.state:
-                case JobState.QUEUED if job.cancelling and job.decided is None:
+                case JobState.QUEUED:
                     self.follower.requeue(job, now_ms, delay_ms=0)
                 case JobState.ACQUIRING:
                     self.acquirer.tick(job, now_ms)
                 case JobState.SETTLING:
                     self.follower.tick_settling(job, now_ms)
-                case JobState.RUNNING:
-                    self.follower.tick_running(job, now_ms)
+        self._check_running(now_ms)
+
+    def _check_running(self, now_ms: int) -> None:
+        """Check each running job once per interval; the oldest checks come first."""
+        jobs = self.state.jobs
+        for job_id in jobs.began:
+            self.checks.pop(job_id, None)
+            self.checks[job_id] = now_ms + RUNNING_CHECK_MS
+        jobs.began.clear()
+        due = []
+        for job_id, due_ms in self.checks.items():
+            if now_ms < due_ms:
+                break
+            due.append(job_id)
+        for job_id in due:
+            del self.checks[job_id]
+            job = jobs.get(job_id)
+            if job is not None and job.state is JobState.RUNNING:
+                self.checks[job_id] = now_ms + RUNNING_CHECK_MS
+                self.follower.tick_running(job, now_ms)
 
     def _expire_queued(self, job_id: str, now_ms: int) -> None:
         outcome = NotRun('start deadline passed', 'it was never launched')
--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -253,10 +253,12 @@
     def _flush(self, now_ms: int) -> None:
         state = self.state
         written = 0
-        for job_id, job in list(state.jobs.items()):
+        for job_id in self._find_expired(now_ms):
+            if state.jobs[job_id].recorded or not state.store_up:
+                del state.jobs[job_id]
+        for job_id in list(state.jobs.open):
+            job = state.jobs[job_id]
             if job.state is JobState.ENDED and now_ms >= job.ended_ms + KEEP_ENDED_MS:
-                if job.recorded or not state.store_up:
-                    del state.jobs[job_id]
                 continue
             pending = job.decided is not None and not job.recorded
             unstored = job.revision == 0 or not job.record_known
@@ -264,6 +266,14 @@
                 written += 1
                 self.recorder.flush(job_id)
 
+    def _find_expired(self, now_ms: int) -> list[str]:
+        expired = []
+        for job_id in self.state.jobs.ended:
+            if now_ms < self.state.jobs[job_id].ended_ms + KEEP_ENDED_MS:
+                break
+            expired.append(job_id)
+        return expired
+
     def _describe(self, now_ms: int) -> dict[str, object]:
         state = self.state
         states: dict[str, int] = {}
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -6,7 +6,7 @@
 from yuccarelay.core.events import Observe, Respond, Response
 from yuccarelay.core.health import HealthTracker
 from yuccarelay.core.history import RunHistory
-from yuccarelay.core.jobs import Job
+from yuccarelay.core.jobs import Job, JobTable
 from yuccarelay.core.manifest import Manifest
 from yuccarelay.core.membership import View
 from yuccarelay.core.messages import Welcome
@@ -58,7 +58,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.run_history = RunHistory()
         self.start_history = StartHistory()
-        self.jobs: dict[str, Job] = {}
+        self.jobs = JobTable()
         self.waiters: dict[str, list[Waiter]] = {}
         self.entries: tuple[EntryRef, ...] = ()
         self.earlier_incarnations: set[int] = set()
