Keep candidates and unplaceable jobs between scheduling passes

Cause: each pass built a candidate of every worker for each kind of queued job, and tried again the kinds that had found no room although nothing had changed. Change: the view keeps a worker's candidates until its state, usage or plan change. A kind of job without room is tried again after a change of the view or 250 ms. The first pass after the start still builds everything.

--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -20,6 +20,9 @@
 # Jobs that are looked at in one scheduling pass.
 PASS_LIMIT = 200
 EARMARK_INTERVAL_MS = 1_000
+# Time alone can make room, as when an ejection or an earmark ends. Until this
+# much time has passed, only a change of the view lets a job be tried again.
+RECHECK_INTERVAL_MS = 250
 # Losses of a leader are found after several seconds of silence, so a check of
 # each running job at every tick would add nothing.
 RUNNING_CHECK_MS = 1_000
@@ -36,6 +39,9 @@
         self.earmark: Earmark | None = None
         self.next_earmark_ms = 0
         self.checks: dict[str, int] = {}
+        self.unplaceable: set[JobSpec] = set()
+        self.placed_version = -1
+        self.next_recheck_ms = 0
 
     def schedule(self, now_ms: int) -> None:
         """Start attempts for queued jobs, best first, while workers are free."""
@@ -44,7 +50,7 @@
             return
         ordered = state.queue.order(now_ms, PASS_LIMIT)
         self._update_earmark(ordered, now_ms)
-        unplaceable: set[JobSpec] = set()
+        unplaceable = self._recall_unplaceable(now_ms)
         for queued in ordered:
             job = state.jobs[queued.job_id]
             if job.spec in unplaceable or not self._may_start(job, now_ms):
@@ -61,6 +67,15 @@
             else:
                 self.acquirer.begin(job, assignments, candidates, now_ms)
 
+    def _recall_unplaceable(self, now_ms: int) -> set[JobSpec]:
+        """Return the jobs for which no room was made since they found none."""
+        version = self.state.view.version
+        if version != self.placed_version or now_ms >= self.next_recheck_ms:
+            self.unplaceable = set()
+            self.placed_version = version
+            self.next_recheck_ms = now_ms + RECHECK_INTERVAL_MS
+        return self.unplaceable
+
     def _find_candidates(self, queued: QueuedJob, now_ms: int) -> Sequence[Candidate]:
         state = self.state
         candidates = state.view.find_candidates(queued.spec, now_ms)
--- a/yuccarelay/core/membership.py
+++ b/yuccarelay/core/membership.py
@@ -41,6 +41,20 @@
     guaranteed: dict[str, int]
 
 
+class Made(NamedTuple):
+    """
+    Candidates of one worker by organisation, with what they were made from.
+
+    They hold as long as these three are the same objects. Most workers do not
+    change between two scheduling passes.
+    """
+
+    usage: Usage
+    state: WorkerState
+    plan_owned: dict[str, dict[str, int]]
+    candidates: dict[str, Candidate]
+
+
 class View:
     """Workers of the region, with the claims that are on their way to them."""
 
@@ -50,6 +64,9 @@
         self.full_until_ms: dict[str, int] = {}
         self.owned: dict[str, dict[str, int]] = {}
         self.usage: dict[str, Usage] = {}
+        self.made: dict[str, Made] = {}
+        # Rises with each change that may make room for a job.
+        self.version = 0
         self.changed: dict[str, WorkerState] = {}
         self.lost: dict[str, None] = {}
 
@@ -64,6 +81,7 @@
             # A leaving agent tells all entries; its home entry stays the same.
             home = known.home
         self._put(state, home, now_ms)
+        self.version += 1
         self.full_until_ms.pop(state.worker_id, None)
         self.usage.pop(state.worker_id, None)
         if home == 0:
@@ -116,6 +134,7 @@
             if now_ms >= record.forget_deadline_ms:
                 forgotten.append(worker_id)
                 del self.workers[worker_id]
+                self.made.pop(worker_id, None)
                 self.usage.pop(worker_id, None)
                 self.lost.pop(worker_id, None)
         return forgotten
@@ -157,6 +176,7 @@
 
     def drop_pending(self, attempt_id: str, members: tuple[MemberRef, ...]) -> None:
         """Stop counting an attempt's claims."""
+        self.version += 1
         for ref in members:
             self.pending.get(ref.worker_id, {}).pop(attempt_id, None)
             self.usage.pop(ref.worker_id, None)
@@ -189,9 +209,21 @@
 
     def _make_candidate(self, state: WorkerState, organisation: str) -> Candidate:
         usage = self._find_usage(state)
+        made = self.made.get(state.worker_id)
+        if (
+            made is None
+            or made.usage is not usage
+            or made.state is not state
+            or made.plan_owned is not self.owned
+        ):
+            made = Made(usage, state, self.owned, {})
+            self.made[state.worker_id] = made
+        known = made.candidates.get(organisation)
+        if known is not None:
+            return known
         owned = self.owned.get(state.worker_id, {})
         mine = owned.get(organisation, 0)
-        return Candidate(
+        made.candidates[organisation] = candidate = Candidate(
             worker_id=state.worker_id,
             region=state.region,
             domain=state.domain,
@@ -203,6 +235,7 @@
             others_owned=sum(owned.values()) - mine,
             reclaimable_slots=usage.borrowed_slots,
         )
+        return candidate
 
     def _find_usage(self, state: WorkerState) -> Usage:
         known = self.usage.get(state.worker_id)
