Look past queued jobs that cannot start

Cause: a pass looks at the 200 best jobs. A longer queue of jobs that find no room, or that wait for the retry budget or the store, hid all jobs behind it. Change: lanes are kept per kind of job, and a pass of up to five rounds leaves out the kinds that found no room. A job that must wait for the budget or the store is put off by 1 s.

--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -19,6 +19,12 @@
 
 # Jobs that are looked at in one scheduling pass.
 PASS_LIMIT = 200
+# Each round of a pass leaves out the kinds of jobs that found no room in the
+# rounds before, so that jobs behind a long queue of them get their turn.
+PASS_ROUNDS = 5
+# A job that waits for the store or for its service's retry budget is put off by
+# this much, so that it does not take the place of one that can start.
+HELD_MS = 1_000
 EARMARK_INTERVAL_MS = 1_000
 # Time alone can make room, as when an ejection or an earmark ends. Until this
 # much time has passed, only a change of the view lets a job be tried again.
@@ -48,12 +54,32 @@
         state = self.state
         if not state.is_serving:
             return
-        ordered = state.queue.order(now_ms, PASS_LIMIT)
-        self._update_earmark(ordered, now_ms)
+        self._update_earmark(now_ms)
         unplaceable = self._recall_unplaceable(now_ms)
+        for _ in range(PASS_ROUNDS):
+            known = len(unplaceable)
+            ordered = state.queue.order(now_ms, PASS_LIMIT, unplaceable)
+            held = self._place(ordered, unplaceable, now_ms)
+            if len(ordered) < PASS_LIMIT or (len(unplaceable) == known and not held):
+                break
+
+    def _place(
+        self,
+        ordered: list[QueuedJob],
+        unplaceable: set[JobSpec],
+        now_ms: int,
+    ) -> int:
+        """Start attempts for ordered jobs; returns how many were put off."""
+        state = self.state
+        held = 0
         for queued in ordered:
             job = state.jobs[queued.job_id]
-            if job.spec in unplaceable or not self._may_start(job, now_ms):
+            if job.spec in unplaceable or job.writing:
+                continue
+            if not self._may_start(job, now_ms):
+                held += 1
+                state.update(job.job_id, not_before_ms=now_ms + HELD_MS)
+                state.enqueue(job.job_id)
                 continue
             candidates = self._find_candidates(queued, now_ms)
             assignments = choose_workers(
@@ -66,6 +92,7 @@
                 unplaceable.add(job.spec)
             else:
                 self.acquirer.begin(job, assignments, candidates, now_ms)
+        return held
 
     def _recall_unplaceable(self, now_ms: int) -> set[JobSpec]:
         """Return the jobs for which no room was made since they found none."""
@@ -91,10 +118,11 @@
             state.run_history.measure_run_ms(queued.spec),
         )
 
-    def _update_earmark(self, ordered: list[QueuedJob], now_ms: int) -> None:
+    def _update_earmark(self, now_ms: int) -> None:
         if now_ms < self.next_earmark_ms:
             return
         self.next_earmark_ms = now_ms + EARMARK_INTERVAL_MS
+        ordered = self.state.queue.order(now_ms, PASS_LIMIT)
         waiting = find_waiting_gang(ordered, now_ms)
         if waiting is None:
             self.earmark = None
@@ -132,8 +160,6 @@
 
     def _may_start(self, job: Job, now_ms: int) -> bool:
         state = self.state
-        if now_ms < job.not_before_ms or job.writing:
-            return False
         if job.retrying and not state.find_budget(job.spec.service).count_left(now_ms):
             return False
         if not job.is_stored:
--- a/yuccarelay/core/ordering.py
+++ b/yuccarelay/core/ordering.py
@@ -3,7 +3,7 @@
 import heapq
 from bisect import bisect_right
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from typing import NamedTuple, Protocol
 
 from yuccarelay.core.models import JobClass, JobSpec
@@ -69,7 +69,12 @@
     def count_ahead(self, organisation: str, job_class: JobClass) -> int:
         """Return the jobs of an organisation that go before a new one of a class."""
 
-    def order(self, now_ms: int, limit: int) -> list[QueuedJob]:
+    def order(
+        self,
+        now_ms: int,
+        limit: int,
+        skipped: Set[JobSpec] = frozenset(),
+    ) -> list[QueuedJob]:
         """Return the jobs that may be placed now, best first."""
 
     def take_expired(self, now_ms: int) -> list[QueuedJob]:
@@ -157,7 +162,7 @@
 
 
 class Lane:
-    """Jobs of one organisation, class and lane in the order of submission."""
+    """Jobs of one kind and lane in the order of submission."""
 
     def __init__(self):
         self.jobs: OrderedDict[str, QueuedJob] = OrderedDict()
@@ -179,7 +184,7 @@
         return iter(self.jobs.values())
 
 
-LaneKey = tuple[JobClass, int]
+LaneKey = tuple[JobSpec, int]
 Ranked = tuple[int, int, int, str, QueuedJob]
 
 
@@ -236,15 +241,25 @@
         """Return the jobs of an organisation in this class and better ones."""
         return sum(
             len(lane.jobs)
-            for (other, _), lane in self.lanes.get(organisation, {}).items()
-            if other.rank <= job_class.rank
+            for (spec, _), lane in self.lanes.get(organisation, {}).items()
+            if spec.job_class.rank <= job_class.rank
         )
 
-    def order(self, now_ms: int, limit: int) -> list[QueuedJob]:
-        """Return up to `limit` jobs that may be placed now, best first."""
+    def order(
+        self,
+        now_ms: int,
+        limit: int,
+        skipped: Set[JobSpec] = frozenset(),
+    ) -> list[QueuedJob]:
+        """
+        Return up to `limit` jobs that may be placed now, best first.
+
+        Jobs of the kinds in `skipped` are left out, so that a long queue of jobs
+        that find no room does not hide the others.
+        """
         self.shares.decay(now_ms)
         self.shares.note_level(self.depths)
-        streams = {name: self._rank_jobs(name, now_ms) for name in self.lanes}
+        streams = {name: self._rank_jobs(name, now_ms, skipped) for name in self.lanes}
         heads: list[tuple[int, float, str, QueuedJob]] = []
         for name, stream in streams.items():
             self._push_head(heads, stream, self.shares.measure(name), name)
@@ -275,9 +290,18 @@
         """Replace the weights; an organisation without one has weight 1."""
         self.shares.weights = dict(weights)
 
-    def _rank_jobs(self, organisation: str, now_ms: int) -> Iterator[Ranked]:
-        lanes = self.lanes[organisation].items()
-        return heapq.merge(*(_rank_lane(key, lane, now_ms) for key, lane in lanes))
+    def _rank_jobs(
+        self,
+        organisation: str,
+        now_ms: int,
+        skipped: Set[JobSpec],
+    ) -> Iterator[Ranked]:
+        lanes = [
+            _rank_lane(key, lane, now_ms)
+            for key, lane in self.lanes[organisation].items()
+            if key[0] not in skipped
+        ]
+        return heapq.merge(*lanes)
 
     def _push_head(
         self,
@@ -304,8 +328,8 @@
 
 
 def find_lane(job: QueuedJob) -> LaneKey:
-    """Return the class and the lane of a job by its attained service."""
-    return job.spec.job_class, bisect_right(LANE_LIMITS_MS, job.attained_ms)
+    """Return the kind and the lane of a job by its attained service."""
+    return job.spec, bisect_right(LANE_LIMITS_MS, job.attained_ms)
 
 
 def rank_class(job: QueuedJob, now_ms: int) -> int:
@@ -341,9 +365,18 @@
         """Return the queued jobs of an organisation; classes do not matter here."""
         return self.depth(organisation)
 
-    def order(self, now_ms: int, limit: int) -> list[QueuedJob]:
+    def order(
+        self,
+        now_ms: int,
+        limit: int,
+        skipped: Set[JobSpec] = frozenset(),
+    ) -> list[QueuedJob]:
         """Return up to `limit` jobs that may be placed now, oldest first."""
-        ready = (job for job in self.jobs.values() if job.not_before_ms <= now_ms)
+        ready = (
+            job
+            for job in self.jobs.values()
+            if job.not_before_ms <= now_ms and job.spec not in skipped
+        )
         return heapq.nsmallest(limit, ready, key=lambda job: job.submitted_ms)
 
     def take_expired(self, now_ms: int) -> list[QueuedJob]:
