Write fewer records per second when the store is back

Cause: after an outage each entry wrote up to 200 waiting records each second, so four entries asked more of the store than the several hundred writes/s it takes. Change: 25 records per entry and second.

--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -56,8 +56,9 @@
 # one pass.
 PASS_INTERVAL_MS = 20
 FLUSH_INTERVAL_MS = 1_000
-# Writes that waited for the store go out in batches after an outage.
-FLUSH_LIMIT = 200
+# Writes that waited for the store go out in batches after an outage. With four
+# entries this is 100 writes/s, below the several hundred that the store takes.
+FLUSH_LIMIT = 25
 
 
 class EntryCore:
