Try spread ties and short waits after refused acquisitions

At the crest all cells are full, and both entries go for the same freed accelerator, not for equal workers.

--- a/tools/measure/crest.py
+++ b/tools/measure/crest.py
@@ -4,10 +4,12 @@
 from tools.measure.experiment import Column, Experiment, Metrics
 from tools.measure.figures import find_mean, find_ratio
 from tools.measure.variants import (
+    LONG_BACKOFF,
     NO_ADMISSION,
     NO_BORROWING,
     PLAIN,
     PRESENT,
+    SAME_TIES,
     Variant,
 )
 
@@ -221,7 +223,13 @@
         Column('recovery_s', 'recovery s'),
         Column('acquire_failed', 'refused acquisitions per start'),
     ),
-    variants=(PLAIN, Variant('no_admission', values=NO_ADMISSION), PRESENT),
+    variants=(
+        PLAIN,
+        Variant('no_admission', values=NO_ADMISSION),
+        Variant('same_ties', values=SAME_TIES),
+        Variant('long_backoff', values=LONG_BACKOFF),
+        PRESENT,
+    ),
     bar='in_time',
 )
 
@@ -239,6 +247,12 @@
         Column('borrowers_done', 'borrowers: jobs done'),
         Column('acquire_failed', 'refused acquisitions per start'),
     ),
-    variants=(PLAIN, Variant('no_borrowing', values=NO_BORROWING), PRESENT),
+    variants=(
+        PLAIN,
+        Variant('no_borrowing', values=NO_BORROWING),
+        Variant('same_ties', values=SAME_TIES),
+        Variant('long_backoff', values=LONG_BACKOFF),
+        PRESENT,
+    ),
     bar='utilisation_idle',
 )
