Give retries back to the budget when a retry completes

Change: a retry that completes gives back two retries, up to 40 unused ones. Retries that fail give back nothing, so the limit during a fault stays.

--- a/yuccarelay/core/retry.py
+++ b/yuccarelay/core/retry.py
@@ -12,6 +12,10 @@
 # A service with few starts must still be able to retry after a single failure.
 BUDGET_MINIMUM = 3
 
+# Retries that a completed retry gives back, while fewer than the limit are left.
+GIVEN_BACK = 2
+GIVEN_BACK_LIMIT = 40
+
 BACKOFF_BASE_MS = 200
 BACKOFF_CEILING_MS = 30_000
 
@@ -62,6 +66,17 @@
         self._add(now_ms, fresh=0, retries=1)
         return True
 
+    def give_back(self, now_ms: int) -> None:
+        """
+        Take note that a retry completed.
+
+        It gives back two retries, so that after a fault the jobs that wait for
+        the budget start at a rate that doubles, and not at `BUDGET_MINIMUM` for
+        each window. Retries that fail give back nothing.
+        """
+        if self.count_left(now_ms) < GIVEN_BACK_LIMIT:
+            self._add(now_ms, fresh=0, retries=-GIVEN_BACK)
+
     def _add(self, now_ms: int, fresh: int, retries: int) -> None:
         self._drop_old(now_ms)
         if self.buckets and now_ms < self.buckets[-1].start_ms + BUDGET_BUCKET_MS:
