--- a/tools/measure/crest.py
+++ b/tools/measure/crest.py
@@ -4,12 +4,10 @@
 from tools.measure.experiment import Column, Experiment, Metrics
 from tools.measure.figures import find_mean, find_ratio
 from tools.measure.variants import (
-    LONG_BACKOFF,
     NO_ADMISSION,
     NO_BORROWING,
     PLAIN,
     PRESENT,
-    SAME_TIES,
     Variant,
 )
 
@@ -226,8 +224,6 @@
     variants=(
         PLAIN,
         Variant('no_admission', values=NO_ADMISSION),
-        Variant('same_ties', values=SAME_TIES),
-        Variant('long_backoff', values=LONG_BACKOFF),
         PRESENT,
     ),
     bar='in_time',
@@ -250,8 +246,6 @@
     variants=(
         PLAIN,
         Variant('no_borrowing', values=NO_BORROWING),
-        Variant('same_ties', values=SAME_TIES),
-        Variant('long_backoff', values=LONG_BACKOFF),
         PRESENT,
     ),
     bar='utilisation_idle',
--- a/tools/measure/variants.py
+++ b/tools/measure/variants.py
@@ -61,8 +61,6 @@
 NO_BUDGET = {'retry.BUDGET_MINIMUM': UNLIMITED}
 NO_EARMARK = {'earmark.EARMARK_AGE_MS': NEVER_MS}
 NO_ADMISSION = {'admission.START_SAMPLES_NEEDED': UNLIMITED}
-SAME_TIES = {'dispatch.SPREADS_TIES': False}
-LONG_BACKOFF = {'retry.CONFLICT_CEILING_MS': 30_000}
 NO_BORROWING = {
     'placement._offer_free': offer_nothing,
     'placement._offer_free_or_owned': offer_nothing,
--- a/yuccarelay/core/acquire.py
+++ b/yuccarelay/core/acquire.py
@@ -229,9 +229,7 @@
             abort = Abort(job.attempt_id, ref.incarnation)
             state.outbox.send(ref.address, abort, f'abort:{job.attempt_id}')
         job = state.update(job.job_id, conflicts=job.conflicts + 1)
-        self.follower.requeue(
-            job, now_ms, self.follower.find_conflict_ms(job.conflicts)
-        )
+        self.follower.requeue(job, now_ms, self.follower.find_backoff_ms(job.conflicts))
 
     def tick(self, job: Job, now_ms: int) -> None:
         """Extend holds, ask again, and give up at the deadline."""
--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -1,6 +1,5 @@
 """Which queued jobs start next, and the deadlines of all jobs of an entry."""
 
-import zlib
 from collections.abc import Sequence
 
 from yuccarelay.core.acquire import Acquirer
@@ -26,8 +25,6 @@
 # A job that waits for the store or for its service's retry budget is put off by
 # this much, so that it does not take the place of one that can start.
 HELD_MS = 1_000
-# Whether entries of one region order equal workers differently.
-SPREADS_TIES = True
 EARMARK_INTERVAL_MS = 1_000
 # Time alone can make room, as when an ejection or an earmark ends. Until this
 # much time has passed, only a change of the view lets a job be tried again.
@@ -90,7 +87,6 @@
                 candidates,
                 state.policy,
                 job.avoid_domains,
-                zlib.crc32(state.entry.address.encode()) if SPREADS_TIES else 0,
             )
             if assignments is None:
                 unplaceable.add(job.spec)
--- a/yuccarelay/core/follow.py
+++ b/yuccarelay/core/follow.py
@@ -26,7 +26,7 @@
 )
 from yuccarelay.core.ordering import NO_DEADLINE_MS
 from yuccarelay.core.recording import Recorder
-from yuccarelay.core.retry import compute_backoff_ms, compute_conflict_ms
+from yuccarelay.core.retry import compute_backoff_ms
 from yuccarelay.core.state import EntryState
 from yuccarelay.core.timing import (
     LEASE_MS,
@@ -186,7 +186,7 @@
             self.recorder.decide(job.job_id, CancelledBeforeStart(proof), now_ms)
         else:
             job = self.state.update(job.job_id, conflicts=job.conflicts + 1)
-            self.requeue(job, now_ms, self.find_conflict_ms(job.conflicts))
+            self.requeue(job, now_ms, self.find_backoff_ms(job.conflicts))
 
     def _end_lost(self, job: Job, reason: str, now_ms: int) -> None:
         self._record_failure(job, reason, now_ms)
@@ -294,10 +294,6 @@
                 domains.add(record.state.domain)
         self.state.update(job.job_id, avoid_domains=frozenset(domains))
 
-    def find_backoff_ms(self, starts: int) -> int:
-        """Return the delay before the next attempt after a failure, with jitter."""
-        return compute_backoff_ms(starts, self.state.rng.random())
-
-    def find_conflict_ms(self, conflicts: int) -> int:
+    def find_backoff_ms(self, conflicts: int) -> int:
         """Return the delay before the next acquisition, with jitter."""
-        return compute_conflict_ms(conflicts, self.state.rng.random())
+        return compute_backoff_ms(conflicts, self.state.rng.random())
--- a/yuccarelay/core/placement.py
+++ b/yuccarelay/core/placement.py
@@ -1,7 +1,6 @@
 """Choice of workers for the members of a job."""
 
 import enum
-import zlib
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple
@@ -71,25 +70,21 @@
     candidates: Sequence[Candidate],
     policy: PlacementPolicy,
     avoid_domains: frozenset[str] = frozenset(),
-    salt: int = 0,
 ) -> tuple[Assignment, ...] | None:
     """
     Return the workers for all members of a job, or None if they do not fit.
 
-    Equal workers are taken in an order that depends on `salt`, or by name if it
-    is 0. Entries with the same view and different salts then meet less often.
-
     A worker gets at most one assignment, because an agent holds one claim per
     attempt. Own cells come first, then free capacity; avoided domains are used
     only if no other placement exists.
     """
     if avoid_domains:
         others = [c for c in candidates if c.domain not in avoid_domains]
-        chosen = _choose_from(spec, others, policy, frozenset(), salt)
+        chosen = _choose_from(spec, others, policy, frozenset())
         if chosen is not None or len(others) == len(candidates):
             return chosen
         candidates = others + [c for c in candidates if c.domain in avoid_domains]
-    return _choose_from(spec, candidates, policy, avoid_domains, salt)
+    return _choose_from(spec, candidates, policy, avoid_domains)
 
 
 def _choose_from(
@@ -97,9 +92,8 @@
     candidates: Sequence[Candidate],
     policy: PlacementPolicy,
     avoid_domains: frozenset[str],
-    salt: int,
 ) -> tuple[Assignment, ...] | None:
-    rank = _make_ranker(spec, candidates, policy, avoid_domains, salt)
+    rank = _make_ranker(spec, candidates, policy, avoid_domains)
     for source in _list_sources(spec):
         group = _choose_group(spec, source(spec, candidates), policy, rank)
         if group:
@@ -300,7 +294,6 @@
     candidates: Sequence[Candidate],
     policy: PlacementPolicy,
     avoid_domains: frozenset[str],
-    salt: int,
 ) -> Ranker:
     if policy is not PlacementPolicy.BUDDY:
         return lambda offer, members: (
@@ -320,7 +313,6 @@
             whole[locate(candidate, Adjacency.RACK)],
             _count_exposed(candidate, need),
             candidate.free_accelerators,
-            zlib.crc32(candidate.worker_id.encode(), salt) if salt else 0,
         )
 
     return rank
--- a/yuccarelay/core/retry.py
+++ b/yuccarelay/core/retry.py
@@ -19,10 +19,6 @@
 BACKOFF_BASE_MS = 200
 BACKOFF_CEILING_MS = 30_000
 
-# A refused acquisition says only that another entry was faster; the refusing
-# worker is left out until it announces a change, so a long wait gains nothing.
-CONFLICT_CEILING_MS = 800
-
 # Half of each delay is fixed and half is jitter: repeats spread out, and none
 # comes back at once.
 JITTER_SHARE = 0.5
@@ -101,17 +97,8 @@
     `retry` counts from 1 and `jitter` lies in [0, 1). The delay doubles with each
     retry up to `BACKOFF_CEILING_MS`; at least half of it is always waited.
     """
-    return _spread(retry, jitter, BACKOFF_CEILING_MS)
-
-
-def compute_conflict_ms(conflicts: int, jitter: float) -> int:
-    """Return the delay after an acquisition that other work was faster than."""
-    return _spread(conflicts, jitter, CONFLICT_CEILING_MS)
-
-
-def _spread(retry: int, jitter: float, ceiling_ms: int) -> int:
-    doublings = min(max(retry, 1) - 1, ceiling_ms.bit_length())
-    delay_ms = min(BACKOFF_BASE_MS << doublings, ceiling_ms)
+    doublings = min(max(retry, 1) - 1, BACKOFF_CEILING_MS.bit_length())
+    delay_ms = min(BACKOFF_BASE_MS << doublings, BACKOFF_CEILING_MS)
     return int(delay_ms * (1 - JITTER_SHARE + JITTER_SHARE * jitter))
 
 
