Charge fair shares while jobs run

Cause: an organisation was charged when an attempt ended. One that filled the fleet with long jobs passed for one that used nothing. Change: running jobs are charged every 15 s.

--- a/yuccarelay/core/follow.py
+++ b/yuccarelay/core/follow.py
@@ -42,6 +42,9 @@
 LAPSE_MS = LEASE_MS + START_WINDOW_MS + RENEW_INTERVAL_MS + 2 * TICK_MS
 # A running attempt is settled when its leader no longer announces it for so long.
 MISSING_MS = 10_000
+# Jobs run for hours. Charged only at their ends, an organisation that fills the
+# fleet would pass for one that uses nothing.
+CHARGE_INTERVAL_MS = 15_000
 
 
 class Follower:
@@ -244,6 +247,9 @@
 
     def tick_running(self, job: Job, now_ms: int) -> None:
         """Settle an attempt whose leader is silent or does not announce it."""
+        since_ms = max(job.started_ms, job.charged_until_ms)
+        if job.started_ms and now_ms >= since_ms + CHARGE_INTERVAL_MS:
+            self._charge_running(job, now_ms)
         leader = job.members[0]
         record = self.state.view.workers.get(leader.worker_id)
         known = record is not None and any(
@@ -263,10 +269,17 @@
     def _charge(self, job: Job, now_ms: int) -> None:
         if not job.started_ms:
             return
+        self._charge_running(job, now_ms)
         used = (now_ms - job.started_ms) * max(1, job.spec.total_accelerators)
-        self.state.queue.charge(job.spec.organisation, used)
         self.state.update(job.job_id, attained_ms=job.attained_ms + used, started_ms=0)
 
+    def _charge_running(self, job: Job, now_ms: int) -> None:
+        """Charge the organisation for the time since it was charged last."""
+        since_ms = max(job.started_ms, job.charged_until_ms)
+        used = (now_ms - since_ms) * max(1, job.spec.total_accelerators)
+        self.state.queue.charge(job.spec.organisation, used)
+        self.state.update(job.job_id, charged_until_ms=now_ms)
+
     def _record_success(self, job: Job, now_ms: int) -> None:
         health = self.state.find_health(job.spec.service)
         for ref in job.members:
--- a/yuccarelay/core/jobs.py
+++ b/yuccarelay/core/jobs.py
@@ -48,6 +48,7 @@
     deadline_ms: int = 0
     not_before_ms: int = 0
     started_ms: int = 0
+    charged_until_ms: int = 0
     attained_ms: int = 0
     ended_ms: int = 0
     conflicts: int = 0
