--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,9 @@
 capacity: install  ## Measure what the roles cost as the fleet grows
 	$(BIN)/python -m tools.capacity
 
+measure: install  ## Measure the decision code in virtual time
+	$(BIN)/python -m tools.measure
+
 dist: install  ## Build dist/yuccarelay, one file with all libraries
 	mkdir -p dist
 	$(BIN)/python tools/stage.py build/site
@@ -64,4 +67,4 @@
 clean:  ## Remove what the other targets create
 	rm -rf $(VENV) build dist *.egg-info .ruff_cache .hypothesis
 
-.PHONY: all help install test lint format fuzz mutations golden demo capacity dist check-dist clean
+.PHONY: all help install test lint format fuzz mutations golden demo capacity measure dist check-dist clean
--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -110,6 +110,7 @@
     def _handle(self, event: AgentEvent, now_ms: int) -> None:
         match event:
             case Tick():
+                self.fates.expire(now_ms)
                 self.announcer.tick(now_ms)
                 self._check_drained(now_ms)
             case MessageReceived(message, reply_to):
--- a/yuccarelay/core/dispatch.py
+++ b/yuccarelay/core/dispatch.py
@@ -20,10 +20,19 @@
 
 # Jobs that are looked at in one scheduling pass.
 PASS_LIMIT = 200
+# Each round of a pass leaves out the kinds of jobs that found no room in the
+# rounds before, so that jobs behind a long queue of them get their turn.
+PASS_ROUNDS = 5
+# A job that waits for the store or for its service's retry budget is put off by
+# this much, so that it does not take the place of one that can start.
+HELD_MS = 1_000
 EARMARK_INTERVAL_MS = 1_000
-# A silent leader is noticed this much later than its worker becomes suspect. At
-# 55,000 running tasks a look at each of them every tick took more than a core.
-FOLLOW_INTERVAL_MS = 1_000
+# Time alone can make room, as when an ejection or an earmark ends. Until this
+# much time has passed, only a change of the view lets a job be tried again.
+RECHECK_INTERVAL_MS = 250
+# Losses of a leader are found after several seconds of silence, so a check of
+# each running job at every tick would add nothing.
+RUNNING_CHECK_MS = 1_000
 
 
 class Dispatcher:
@@ -36,20 +45,43 @@
         self.acquirer = Acquirer(state, recorder, self.follower)
         self.earmark: Earmark | None = None
         self.next_earmark_ms = 0
-        self.next_follow_ms = 0
+        self.checks: dict[str, int] = {}
+        self.unplaceable: set[JobSpec] = set()
+        self.placed_version = -1
+        self.next_recheck_ms = 0
 
     def schedule(self, now_ms: int) -> None:
         """Start attempts for queued jobs, best first, while workers are free."""
         state = self.state
         if not state.is_serving:
             return
-        ordered = state.queue.order(now_ms, PASS_LIMIT)
-        self._update_earmark(ordered, now_ms)
-        unplaceable: set[JobSpec] = set()
+        self._update_earmark(now_ms)
+        unplaceable = self._recall_unplaceable(now_ms)
+        for _ in range(PASS_ROUNDS):
+            known = len(unplaceable)
+            ordered = state.queue.order(now_ms, PASS_LIMIT, unplaceable)
+            held = self._place(ordered, unplaceable, now_ms)
+            if len(ordered) < PASS_LIMIT or (len(unplaceable) == known and not held):
+                break
+
+    def _place(
+        self,
+        ordered: list[QueuedJob],
+        unplaceable: set[JobSpec],
+        now_ms: int,
+    ) -> int:
+        """Start attempts for ordered jobs; returns how many were put off."""
+        state = self.state
         rooms: dict[str, Room] = {}
+        held = 0
         for queued in ordered:
             job = state.jobs[queued.job_id]
-            if job.spec in unplaceable or not self._may_start(job, now_ms):
+            if job.spec in unplaceable or job.writing:
+                continue
+            if not self._may_start(job, now_ms):
+                held += 1
+                state.update(job.job_id, not_before_ms=now_ms + HELD_MS)
+                state.enqueue(job.job_id)
                 continue
             if not self._may_fit(job.spec, rooms):
                 unplaceable.add(job.spec)
@@ -65,6 +97,16 @@
                 unplaceable.add(job.spec)
             else:
                 self.acquirer.begin(job, assignments, candidates, now_ms)
+        return held
+
+    def _recall_unplaceable(self, now_ms: int) -> set[JobSpec]:
+        """Return the jobs for which no room was made since they found none."""
+        version = self.state.view.version
+        if version != self.placed_version or now_ms >= self.next_recheck_ms:
+            self.unplaceable = set()
+            self.placed_version = version
+            self.next_recheck_ms = now_ms + RECHECK_INTERVAL_MS
+        return self.unplaceable
 
     def _may_fit(self, spec: JobSpec, rooms: dict[str, Room]) -> bool:
         # Placements of the same pass only take from the room, so one count of all
@@ -88,10 +130,11 @@
             state.run_history.measure_run_ms(queued.spec),
         )
 
-    def _update_earmark(self, ordered: list[QueuedJob], now_ms: int) -> None:
+    def _update_earmark(self, now_ms: int) -> None:
         if now_ms < self.next_earmark_ms:
             return
         self.next_earmark_ms = now_ms + EARMARK_INTERVAL_MS
+        ordered = self.state.queue.order(now_ms, PASS_LIMIT)
         waiting = find_waiting_gang(ordered, now_ms)
         if waiting is None:
             self.earmark = None
@@ -129,8 +172,6 @@
 
     def _may_start(self, job: Job, now_ms: int) -> bool:
         state = self.state
-        if now_ms < job.not_before_ms or job.writing:
-            return False
         if job.retrying and not state.find_budget(job.spec.service).count_left(now_ms):
             return False
         if not job.is_stored:
@@ -155,22 +196,34 @@
         """Check the deadlines of queued jobs and of attempts."""
         for queued in self.state.queue.take_expired(now_ms):
             self._expire_queued(queued.job_id, now_ms)
-        for job_id in list(self.state.attended):
+        for job_id in list(self.state.jobs.acting):
             job = self.state.jobs[job_id]
             match job.state:
-                case JobState.QUEUED if job.cancelling and job.decided is None:
+                case JobState.QUEUED:
                     self.follower.requeue(job, now_ms, delay_ms=0)
                 case JobState.ACQUIRING:
                     self.acquirer.tick(job, now_ms)
                 case JobState.SETTLING:
                     self.follower.tick_settling(job, now_ms)
-        if now_ms >= self.next_follow_ms:
-            self.next_follow_ms = now_ms + FOLLOW_INTERVAL_MS
-            self._follow_running(now_ms)
-
-    def _follow_running(self, now_ms: int) -> None:
-        for job in list(self.state.jobs.values()):
-            if job.state is JobState.RUNNING:
+        self._check_running(now_ms)
+
+    def _check_running(self, now_ms: int) -> None:
+        """Check each running job once per interval; the oldest checks come first."""
+        jobs = self.state.jobs
+        for job_id in jobs.began:
+            self.checks.pop(job_id, None)
+            self.checks[job_id] = now_ms + RUNNING_CHECK_MS
+        jobs.began.clear()
+        due = []
+        for job_id, due_ms in self.checks.items():
+            if now_ms < due_ms:
+                break
+            due.append(job_id)
+        for job_id in due:
+            del self.checks[job_id]
+            job = jobs.get(job_id)
+            if job is not None and job.state is JobState.RUNNING:
+                self.checks[job_id] = now_ms + RUNNING_CHECK_MS
                 self.follower.tick_running(job, now_ms)
 
     def _expire_queued(self, job_id: str, now_ms: int) -> None:
--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -64,8 +64,9 @@
 # one pass.
 PASS_INTERVAL_MS = 20
 FLUSH_INTERVAL_MS = 1_000
-# Writes that waited for the store go out in batches after an outage.
-FLUSH_LIMIT = 200
+# Writes that waited for the store go out in batches after an outage. With four
+# entries this is 100 writes/s, below the several hundred that the store takes.
+FLUSH_LIMIT = 25
 
 
 class EntryCore:
@@ -315,10 +316,12 @@
     def _flush(self, now_ms: int) -> None:
         state = self.state
         written = 0
-        for job_id, job in list(state.jobs.items()):
+        for job_id in self._find_expired(now_ms):
+            if state.jobs[job_id].recorded or not state.store_up:
+                del state.jobs[job_id]
+        for job_id in list(state.jobs.open):
+            job = state.jobs[job_id]
             if job.state is JobState.ENDED and now_ms >= job.ended_ms + KEEP_ENDED_MS:
-                if job.recorded or not state.store_up:
-                    del state.jobs[job_id]
                 continue
             pending = job.decided is not None and not job.recorded
             unstored = job.revision == 0 or not job.record_known
@@ -326,6 +329,14 @@
                 written += 1
                 self.recorder.flush(job_id)
 
+    def _find_expired(self, now_ms: int) -> list[str]:
+        expired = []
+        for job_id in self.state.jobs.ended:
+            if now_ms < self.state.jobs[job_id].ended_ms + KEEP_ENDED_MS:
+                break
+            expired.append(job_id)
+        return expired
+
     def _describe(self, now_ms: int) -> dict[str, object]:
         state = self.state
         states: dict[str, int] = {}
--- a/yuccarelay/core/fates.py
+++ b/yuccarelay/core/fates.py
@@ -37,6 +37,7 @@
         self.outbox = outbox
         self.ended: dict[str, Ended] = {}
         self.spent: dict[str, None] = {}
+        self.unreported: dict[str, None] = {}
         self.tombstones: dict[str, None] = {}
         self.dropped_spent = False
 
@@ -66,6 +67,7 @@
             next_report_ms=now_ms,
             drop_deadline_ms=now_ms + KEEP_ENDED_MS,
         )
+        self.unreported[report.attempt_id] = None
         self._report(report.attempt_id, now_ms)
 
     def acknowledge(self, attempt_id: str) -> None:
@@ -73,6 +75,7 @@
         if attempt_id in self.ended:
             entry = self.ended[attempt_id]
             self.ended[attempt_id] = entry._replace(acknowledged=True)
+            self.unreported.pop(attempt_id, None)
 
     def set_owner(self, attempt_id: str, owner_address: str) -> None:
         """Report the end to another entry from now on."""
@@ -82,20 +85,23 @@
 
     def find_unreported(self) -> tuple[str, ...]:
         """Return the ended attempts whose owner does not know the end."""
-        return tuple(
-            attempt_id
-            for attempt_id, entry in self.ended.items()
-            if not entry.acknowledged
-        )
+        return tuple(self.unreported)
 
     def expire(self, now_ms: int) -> None:
         """Report again, and drop what the owners know for long enough."""
-        for attempt_id, entry in list(self.ended.items()):
-            if entry.acknowledged and now_ms >= entry.drop_deadline_ms:
-                del self.ended[attempt_id]
-                self.note_spent(attempt_id)
-            elif not entry.acknowledged and now_ms >= entry.next_report_ms:
+        for attempt_id in list(self.unreported):
+            if now_ms >= self.ended[attempt_id].next_report_ms:
                 self._report(attempt_id, now_ms)
+        dropped = []
+        for attempt_id, entry in self.ended.items():
+            # The ended attempts are in the order of their deadlines.
+            if now_ms < entry.drop_deadline_ms:
+                break
+            if entry.acknowledged:
+                dropped.append(attempt_id)
+        for attempt_id in dropped:
+            del self.ended[attempt_id]
+            self.note_spent(attempt_id)
 
     def _report(self, attempt_id: str, now_ms: int) -> None:
         entry = self.ended[attempt_id]
--- a/yuccarelay/core/ordering.py
+++ b/yuccarelay/core/ordering.py
@@ -3,7 +3,7 @@
 import heapq
 from bisect import bisect_right
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from typing import NamedTuple, Protocol
 
 from yuccarelay.core.models import JobClass, JobSpec
@@ -15,6 +15,9 @@
 # time would put a backlog of ordinary work level with new urgent work.
 AGEING_MS = {JobClass.ORDINARY: 1_800_000, JobClass.DEFERRABLE: 7_200_000}
 
+# Whether a job of a class goes before those that reached the class by ageing.
+FRESH_FIRST = True
+
 # Lane limits in attained accelerator time: 10 min, 2 h, 1 day. Each lane is about
 # ten times as long as the one before, so a job changes lanes only a few times.
 LANE_LIMITS_MS = (600_000, 7_200_000, 86_400_000)
@@ -69,7 +72,12 @@
     def count_ahead(self, organisation: str, job_class: JobClass) -> int:
         """Return the jobs of an organisation that go before a new one of a class."""
 
-    def order(self, now_ms: int, limit: int) -> list[QueuedJob]:
+    def order(
+        self,
+        now_ms: int,
+        limit: int,
+        skipped: Set[JobSpec] = frozenset(),
+    ) -> list[QueuedJob]:
         """Return the jobs that may be placed now, best first."""
 
     def take_expired(self, now_ms: int) -> list[QueuedJob]:
@@ -157,7 +165,7 @@
 
 
 class Lane:
-    """Jobs of one organisation, class and lane in the order of submission."""
+    """Jobs of one kind and lane in the order of submission."""
 
     def __init__(self):
         self.jobs: OrderedDict[str, QueuedJob] = OrderedDict()
@@ -179,8 +187,8 @@
         return iter(self.jobs.values())
 
 
-LaneKey = tuple[JobClass, int]
-Ranked = tuple[int, int, int, str, QueuedJob]
+LaneKey = tuple[JobSpec, int]
+Ranked = tuple[int, int, int, int, str, QueuedJob]
 
 
 class JobQueue:
@@ -236,15 +244,25 @@
         """Return the jobs of an organisation in this class and better ones."""
         return sum(
             len(lane.jobs)
-            for (other, _), lane in self.lanes.get(organisation, {}).items()
-            if other.rank <= job_class.rank
+            for (spec, _), lane in self.lanes.get(organisation, {}).items()
+            if spec.job_class.rank <= job_class.rank
         )
 
-    def order(self, now_ms: int, limit: int) -> list[QueuedJob]:
-        """Return up to `limit` jobs that may be placed now, best first."""
+    def order(
+        self,
+        now_ms: int,
+        limit: int,
+        skipped: Set[JobSpec] = frozenset(),
+    ) -> list[QueuedJob]:
+        """
+        Return up to `limit` jobs that may be placed now, best first.
+
+        Jobs of the kinds in `skipped` are left out, so that a long queue of jobs
+        that find no room does not hide the others.
+        """
         self.shares.decay(now_ms)
         self.shares.note_level(self.depths)
-        streams = {name: self._rank_jobs(name, now_ms) for name in self.lanes}
+        streams = {name: self._rank_jobs(name, now_ms, skipped) for name in self.lanes}
         heads: list[tuple[int, float, str, QueuedJob]] = []
         for name, stream in streams.items():
             self._push_head(heads, stream, self.shares.measure(name), name)
@@ -275,9 +293,18 @@
         """Replace the weights; an organisation without one has weight 1."""
         self.shares.weights = dict(weights)
 
-    def _rank_jobs(self, organisation: str, now_ms: int) -> Iterator[Ranked]:
-        lanes = self.lanes[organisation].items()
-        return heapq.merge(*(_rank_lane(key, lane, now_ms) for key, lane in lanes))
+    def _rank_jobs(
+        self,
+        organisation: str,
+        now_ms: int,
+        skipped: Set[JobSpec],
+    ) -> Iterator[Ranked]:
+        lanes = [
+            _rank_lane(key, lane, now_ms)
+            for key, lane in self.lanes[organisation].items()
+            if key[0] not in skipped
+        ]
+        return heapq.merge(*lanes)
 
     def _push_head(
         self,
@@ -296,16 +323,19 @@
     Yield the jobs of a lane that may be placed now, with their sort keys.
 
     The keys rise, because an older job has aged at least as far as a newer one.
+    Among jobs of equal rank those that have not aged go first: urgent work must
+    start within seconds, also behind a backlog of work that became urgent.
     """
+    own_rank = key[0].job_class.rank if FRESH_FIRST else 0
     for job in lane.list_jobs():
         if job.not_before_ms <= now_ms:
             rank = rank_class(job, now_ms)
-            yield rank, key[1], job.submitted_ms, job.job_id, job
+            yield rank, own_rank, key[1], job.submitted_ms, job.job_id, job
 
 
 def find_lane(job: QueuedJob) -> LaneKey:
-    """Return the class and the lane of a job by its attained service."""
-    return job.spec.job_class, bisect_right(LANE_LIMITS_MS, job.attained_ms)
+    """Return the kind and the lane of a job by its attained service."""
+    return job.spec, bisect_right(LANE_LIMITS_MS, job.attained_ms)
 
 
 def rank_class(job: QueuedJob, now_ms: int) -> int:
@@ -341,9 +371,18 @@
         """Return the queued jobs of an organisation; classes do not matter here."""
         return self.depth(organisation)
 
-    def order(self, now_ms: int, limit: int) -> list[QueuedJob]:
+    def order(
+        self,
+        now_ms: int,
+        limit: int,
+        skipped: Set[JobSpec] = frozenset(),
+    ) -> list[QueuedJob]:
         """Return up to `limit` jobs that may be placed now, oldest first."""
-        ready = (job for job in self.jobs.values() if job.not_before_ms <= now_ms)
+        ready = (
+            job
+            for job in self.jobs.values()
+            if job.not_before_ms <= now_ms and job.spec not in skipped
+        )
         return heapq.nsmallest(limit, ready, key=lambda job: job.submitted_ms)
 
     def take_expired(self, now_ms: int) -> list[QueuedJob]:
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -14,7 +14,7 @@
 from yuccarelay.core.health import HealthTracker
 from yuccarelay.core.history import RunHistory
 from yuccarelay.core.home import digest_entries
-from yuccarelay.core.jobs import Job
+from yuccarelay.core.jobs import Job, JobTable
 from yuccarelay.core.manifest import Manifest
 from yuccarelay.core.membership import View
 from yuccarelay.core.messages import JobStatus, SubmitReply, Welcome
@@ -44,17 +44,6 @@
     deadline_ms: int
 
 
-def needs_attention(job: Job) -> bool:
-    """Whether a job has work or a deadline that a tick must not miss."""
-    match job.state:
-        case JobState.ACQUIRING | JobState.SETTLING:
-            return True
-        case JobState.QUEUED:
-            return job.cancelling
-        case _:
-            return False
-
-
 class EntryState:
     """
     Jobs, queue, view and configuration of one entry.
@@ -81,9 +70,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.run_history = RunHistory()
         self.start_history = StartHistory()
-        self.jobs: dict[str, Job] = {}
-        # Jobs that every tick looks at; running ones are looked at less often.
-        self.attended: dict[str, None] = {}
+        self.jobs = JobTable()
         self.waiters: dict[str, list[Waiter]] = {}
         self.entries: tuple[EntryRef, ...] = ()
         self.entries_digest = digest_entries(())
@@ -131,10 +118,6 @@
         """Change a job and return it."""
         job = self.jobs[job_id]._replace(**changes)
         self.jobs[job_id] = job
-        if needs_attention(job):
-            self.attended.setdefault(job_id)
-        else:
-            self.attended.pop(job_id, None)
         return job
 
     def find_current(
@@ -167,7 +150,6 @@
     def forget(self, job_id: str) -> None:
         """Drop a job that another entry owns now."""
         job = self.jobs.pop(job_id, None)
-        self.attended.pop(job_id, None)
         self.queue.remove(job_id)
         if job is not None:
             self.view.drop_pending(job.attempt_id, job.members)
--- a/yuccarelay/standins/session_store.py
+++ b/yuccarelay/standins/session_store.py
@@ -189,6 +189,8 @@
         for process in list(self.members.values()):
             if self.entries.get(process.address) is None or not self.reaches(process):
                 continue
+            if not self.reaches(process):
+                continue
             deliver = self.session.deliver
             deliver(process, EntriesSeen(entries))
             if self.manifest is not None:
