--- a/tests/processes.py
+++ b/tests/processes.py
@@ -162,13 +162,15 @@
             )
             for worker in list_workers()
         }
-        self.store_url = store.find_in_log(r'store stand-in at (\S+)')[1]
+        self.store_url = store.find_in_log(r'event=standin_started .*url=(\S+)')[1]
         entries = [self.launch_entry('entry-1'), self.launch_entry('entry-2')]
         for entry in entries:
             entry.await_start()
         self.entries = entries
         for worker, target in targets.items():
-            self.targets[worker] = target.find_in_log(r'target stand-in at (\S+)')[1]
+            self.targets[worker] = target.find_in_log(
+                r'event=standin_started .*url=(\S+)'
+            )[1]
             self.start_agent(worker)
         poll_until(self.is_registered)
         self.commit_reply = self.commit(make_manifest(), 0)
--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -321,7 +321,6 @@
         for gang in list(self.gangs.values()):
             self._send_all(gang, gang.tick(now_ms))
         self._collect_ended(now_ms)
-        self.fates.expire(now_ms)
 
     def _collect_ended(self, now_ms: int) -> None:
         for attempt_id, gang in list(self.gangs.items()):
