--- a/tests/promises.py
+++ b/tests/promises.py
@@ -5,15 +5,8 @@
 from tests import oracle
 from tests.fleet import ENTRIES, SERVICE, make_session
 from yuccarelay.core.agent import AgentCore
-from yuccarelay.core.events import (
-    MessageReceived,
-    Queried,
-    Reply,
-    ReplyArrived,
-    Request,
-    StartTask,
-    Tick,
-)
+from yuccarelay.core.effects import Reply, Request, StartTask
+from yuccarelay.core.events import MessageReceived, Queried, ReplyArrived, Tick
 from yuccarelay.core.messages import ConfigChanged, Launch, Prepare, Welcome
 from yuccarelay.core.models import Claim, MemberRef, OwnedShare, WorkerState
 from yuccarelay.core.timing import HOLD_MS
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -10,7 +10,7 @@
 from tests.fakes import FakeJournal, stop_task
 from yuccarelay.adapters import codec
 from yuccarelay.adapters.clock import MonotonicClock
-from yuccarelay.core.events import KeepParts, ListKeepers, ServeAnswer
+from yuccarelay.core.effects import KeepParts, ListKeepers, ServeAnswer
 from yuccarelay.core.messages import Ack, AnswerChunk, AnswersKept, NoAnswer
 from yuccarelay.core.models import AnswerPart
 from yuccarelay.ports.transport import TransportFailure
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,7 +3,8 @@
 import unittest
 
 from tests.fleet import ENTRIES, SERVICE, make_manifest, make_session
-from yuccarelay.core.events import Accepted, NotAccepted, Queried, Undecided
+from yuccarelay.core.effects import Accepted, NotAccepted, Undecided
+from yuccarelay.core.events import Queried
 from yuccarelay.core.manifest import RackCapacity
 from yuccarelay.core.messages import JobStatus
 from yuccarelay.standins.session import Session
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -4,16 +4,13 @@
 import unittest
 
 from tests.fleet import make_manifest
+from yuccarelay.core.effects import Accepted, IdMinted, NotAccepted, Respond
 from yuccarelay.core.entry import EntryCore
 from yuccarelay.core.events import (
-    Accepted,
-    IdMinted,
     IdRequested,
     ManifestSeen,
-    NotAccepted,
     Registered,
     RegistrationLost,
-    Respond,
     StoreHealthChanged,
     Submitted,
 )
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -3,7 +3,8 @@
 import unittest
 
 from tests.fleet import ENTRIES, make_session
-from yuccarelay.core.events import Accepted, IdMinted, IdRequested, NotAccepted
+from yuccarelay.core.effects import Accepted, IdMinted, NotAccepted
+from yuccarelay.core.events import IdRequested
 from yuccarelay.core.models import Completed
 
 OUTAGE_MS = 60_000
--- a/tests/test_promises_faults.py
+++ b/tests/test_promises_faults.py
@@ -9,13 +9,8 @@
     AgentBench,
     make_claim,
 )
-from yuccarelay.core.events import (
-    DrainRequested,
-    Exit,
-    StopTask,
-    TaskEnded,
-    TaskStarted,
-)
+from yuccarelay.core.effects import Exit, StopTask
+from yuccarelay.core.events import DrainRequested, TaskEnded, TaskStarted
 from yuccarelay.core.messages import (
     Abort,
     Ack,
--- a/tests/test_promises_leaving.py
+++ b/tests/test_promises_leaving.py
@@ -12,7 +12,8 @@
     make_session,
     start_running,
 )
-from yuccarelay.core.events import Accepted, Queried
+from yuccarelay.core.effects import Accepted
+from yuccarelay.core.events import Queried
 from yuccarelay.core.messages import Announce, JobStatus
 from yuccarelay.core.timing import LEAVE_MS, RECLAIM_MS, SETTLE_MS
 
--- a/tests/test_promises_manifest.py
+++ b/tests/test_promises_manifest.py
@@ -11,7 +11,8 @@
     make_wide_session,
 )
 from tests.promises import make_claim, make_session
-from yuccarelay.core.events import ManifestSeen, NotAccepted, Submitted
+from yuccarelay.core.effects import NotAccepted
+from yuccarelay.core.events import ManifestSeen, Submitted
 from yuccarelay.core.messages import Prepare, Refusal, Refused
 from yuccarelay.core.timing import HEARTBEAT_INTERVAL_MS, HOLD_MS
 
--- a/tests/test_promises_once.py
+++ b/tests/test_promises_once.py
@@ -13,7 +13,8 @@
     make_session,
     start_running,
 )
-from yuccarelay.core.events import Accepted, MessageReceived, Tick
+from yuccarelay.core.effects import Accepted
+from yuccarelay.core.events import MessageReceived, Tick
 from yuccarelay.core.messages import FetchAnswer
 from yuccarelay.core.models import JobState
 from yuccarelay.core.timing import KEEP_ENDED_MS, LEASE_MS
--- a/tests/test_stateful.py
+++ b/tests/test_stateful.py
@@ -22,14 +22,8 @@
     make_wide_manifest,
     make_wide_session,
 )
-from yuccarelay.core.events import (
-    Accepted,
-    CancelRequested,
-    IdMinted,
-    IdRequested,
-    Queried,
-    Undecided,
-)
+from yuccarelay.core.effects import Accepted, IdMinted, Undecided
+from yuccarelay.core.events import CancelRequested, IdRequested, Queried
 
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '80'))
 LONG = 'FUZZ_EXAMPLES' in os.environ
--- a/tests/test_store_records.py
+++ b/tests/test_store_records.py
@@ -8,17 +8,19 @@
     KeeperCase,
     make_record,
 )
+from yuccarelay.core.effects import (
+    CreateRecord,
+    LoadOpenRecords,
+    LoadRecord,
+    ReplaceRecord,
+)
 from yuccarelay.core.events import (
     Conflict,
-    CreateRecord,
     KeyTaken,
     Loaded,
     LoadedMany,
-    LoadOpenRecords,
-    LoadRecord,
     Missing,
     Registered,
-    ReplaceRecord,
     Stored,
     StoreReplied,
     Unavailable,
--- a/tests/test_storekeeper.py
+++ b/tests/test_storekeeper.py
@@ -11,13 +11,11 @@
     make_record,
 )
 from yuccarelay.adapters.records import ManifestValue, encode_manifest, encode_plan
+from yuccarelay.core.effects import CreateRecord, Deregister, ProposePlan
 from yuccarelay.core.events import (
-    CreateRecord,
-    Deregister,
     EntriesSeen,
     ManifestSeen,
     PlanSeen,
-    ProposePlan,
     Registered,
     RegistrationLost,
     Stored,
--- a/tests/test_target.py
+++ b/tests/test_target.py
@@ -11,17 +11,15 @@
 from tests.fakes import FakeClock, stop_task
 from yuccarelay.adapters.clock import MonotonicClock
 from yuccarelay.adapters.target_http import HttpTarget
-from yuccarelay.core.events import (
-    AnswerFetched,
+from yuccarelay.core.effects import (
     DropAnswer,
     RenewTasks,
     Reply,
     ServeAnswer,
     StartTask,
     StopTask,
-    TaskEnded,
-    TaskStarted,
 )
+from yuccarelay.core.events import AnswerFetched, TaskEnded, TaskStarted
 from yuccarelay.core.messages import AnswerChunk, NoAnswer
 from yuccarelay.ports.target import (
     CALL_CONNECTIONS,
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -7,7 +7,8 @@
 from tests.fakes import FakeClock, FakeJournal, FakeMetrics, stop_task
 from yuccarelay.adapters import codec, nng
 from yuccarelay.adapters.clock import MonotonicClock
-from yuccarelay.core.events import Reply, ReplyArrived, Request
+from yuccarelay.core.effects import Reply, Request
+from yuccarelay.core.events import ReplyArrived
 from yuccarelay.core.messages import Ack, Heartbeat, Malformed
 from yuccarelay.tasks.links import IDLE_LIMIT_MS, LinksTask
 from yuccarelay.tasks.listener import ANSWER_LIMIT_MS, ListenerTask
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -13,7 +13,7 @@
 from yuccarelay.adapters import bodies, exchange, web
 from yuccarelay.adapters.statsd_metrics import StatsdMetrics
 from yuccarelay.adapters.tokens import make_digest
-from yuccarelay.core import events
+from yuccarelay.core import effects, events
 from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES, FieldError
 from yuccarelay.core.messages import JobStatus
 from yuccarelay.core.models import AnswerPart, OutcomeRecord
@@ -55,7 +55,7 @@
         tasks = [self.front.run(), *map(self.answer_from, self.queues[:3])]
         for coroutine in tasks:
             self.addCleanup(asyncio.create_task(coroutine).cancel)
-        self.front.take(events.Publish(1, make_manifest(), TEXT))
+        self.front.take(effects.Publish(1, make_manifest(), TEXT))
 
     async def answer_from(self, queue):
         while True:
@@ -66,7 +66,7 @@
                 await self.inbox.put(make_response(event))
 
     def respond(self, event_type, response):
-        self.script[event_type] = lambda event: events.Respond(
+        self.script[event_type] = lambda event: effects.Respond(
             event.request_id,
             response,
         )
@@ -96,7 +96,7 @@
     """Guards against jobs that reach the state machine changed or unchecked."""
 
     async def test_json_and_raw_payloads_arrive_as_sent(self):
-        self.respond(events.Submitted, events.Accepted('7-1', durable=True))
+        self.respond(events.Submitted, effects.Accepted('7-1', durable=True))
         body = b'{"job": "reprint", "payload": {"b":1.50, "a":[]}}'
         reply = await self.call('POST', '/v1/jobs', body, Idempotency_Key='k1')
         self.assertEqual(reply.code, 202)
@@ -133,7 +133,7 @@
         self.assertEqual(self.seen, [])
 
     async def test_payload_limit_is_exact(self):
-        self.respond(events.Submitted, events.Accepted('7-1', durable=True))
+        self.respond(events.Submitted, effects.Accepted('7-1', durable=True))
         path = '/v1/jobs?job=reprint'
         limit = bodies.PAYLOAD_LIMIT_BYTES
         self.assertEqual((await self.call('POST', path, b'x' * limit)).code, 202)
@@ -143,13 +143,13 @@
 
     async def test_refusals_have_stable_statuses(self):
         cases = [
-            (events.NotAccepted('unknown_job'), 404),
-            (events.NotAccepted('unknown_organisation'), 403),
-            (events.NotAccepted('id_taken'), 409),
-            (events.NotAccepted('queue_full', retry_ms=1_500), 429),
-            (events.NotAccepted('store_down', retry_ms=1_000), 503),
-            (events.NotAccepted('cannot_fit', (FieldError('job', 'too big'),)), 400),
-            (events.NotAccepted('something_new', retry_ms=10), 503),
+            (effects.NotAccepted('unknown_job'), 404),
+            (effects.NotAccepted('unknown_organisation'), 403),
+            (effects.NotAccepted('id_taken'), 409),
+            (effects.NotAccepted('queue_full', retry_ms=1_500), 429),
+            (effects.NotAccepted('store_down', retry_ms=1_000), 503),
+            (effects.NotAccepted('cannot_fit', (FieldError('job', 'too big'),)), 400),
+            (effects.NotAccepted('something_new', retry_ms=10), 503),
         ]
         for response, status in cases:
             with self.subTest(code=response.code):
@@ -172,7 +172,7 @@
         )
         self.assertEqual(document['job_id'], '7-2')
         request_id = self.seen[0].request_id
-        self.front.take(events.Respond(request_id, events.Accepted('7-2', True)))
+        self.front.take(effects.Respond(request_id, effects.Accepted('7-2', True)))
         self.assertEqual(self.front.late_responses, 1)
         self.assertEqual(self.front.metrics.counters['http.late_responses'], 1)
 
@@ -209,8 +209,8 @@
             await asyncio.sleep(0.001)
         for event in reversed(self.seen):
             status = JobStatus(event.job_id, True, 'guild')
-            await self.inbox.put(events.Respond(event.request_id, status))
-            await self.inbox.put(events.Respond(event.request_id, JOB))
+            await self.inbox.put(effects.Respond(event.request_id, status))
+            await self.inbox.put(effects.Respond(event.request_id, JOB))
         for number, reply in enumerate(await asyncio.gather(*calls)):
             self.assertEqual(json.loads(reply.body)['job_id'], f'7-{number}')
         self.assertEqual(self.front.late_responses, len(calls))
@@ -306,8 +306,8 @@
         await self.expect(401, 'unauthenticated', 'PUT', '/v1/manifest', **options)
 
     async def test_manifest_never_reverts(self):
-        self.front.take(events.Publish(3, make_manifest()))
-        self.front.take(events.Publish(2, make_manifest()._replace(organisations={})))
+        self.front.take(effects.Publish(3, make_manifest()))
+        self.front.take(effects.Publish(2, make_manifest()._replace(organisations={})))
         self.assertEqual(self.front.generation, 3)
         self.assertIn('guild', self.front.manifest.organisations)
 
@@ -347,7 +347,7 @@
     async def test_reports(self):
         self.front.metrics = StatsdMetrics(None)
         self.front.metrics.observe('wait', 'guild', 'urgent', 7)
-        self.respond(events.StatusRequested, events.StatusDocument({'jobs': 2}))
+        self.respond(events.StatusRequested, effects.StatusDocument({'jobs': 2}))
         replies = [
             await self.call('GET', path, token='operator-token')
             for path in (
@@ -374,13 +374,13 @@
         while not self.seen:
             await asyncio.sleep(0.001)
         self.assertFalse(call.done())
-        self.front.take(events.Publish(2, make_manifest(), b'{}'))
+        self.front.take(effects.Publish(2, make_manifest(), b'{}'))
         self.assertEqual((await call).headers['ETag'], '"2"')
 
     async def test_text_forms(self):
         """Guards against a form that an operator cannot read, or an unknown one."""
         fields = {'address': 'a:1', 'entries': [], 'organisations': [], 'workers': []}
-        self.respond(events.StatusRequested, events.StatusDocument(fields))
+        self.respond(events.StatusRequested, effects.StatusDocument(fields))
         options = {'token': 'operator-token'}
         reply = await self.call('GET', '/v1/status?format=text', **options)
         self.assertEqual(reply.body, b'address  a:1\nentries  \n')
@@ -402,7 +402,7 @@
         drain = asyncio.create_task(self.front.drain(web.read_clock_ms() + 5_000))
         await self.expect(503, 'draining', 'GET', '/healthz', token='')
         self.assertFalse(drain.done())
-        await self.inbox.put(events.Respond(self.seen[0].request_id, JOB))
+        await self.inbox.put(effects.Respond(self.seen[0].request_id, JOB))
         reply = await call
         self.assertEqual((reply.code, reply.headers['Connection']), (200, 'close'))
         self.assertTrue(await drain)
@@ -415,7 +415,7 @@
             await asyncio.sleep(0.001)
         writer.close()
         self.assertTrue(await self.front.drain(web.read_clock_ms() + 5_000))
-        await self.inbox.put(events.Respond(self.seen[0].request_id, JOB))
+        await self.inbox.put(effects.Respond(self.seen[0].request_id, JOB))
         while not self.front.late_responses:
             await asyncio.sleep(0.001)
 
--- a/tools/capacity/decisions.py
+++ b/tools/capacity/decisions.py
@@ -10,6 +10,7 @@
 from tools.capacity.report import Report
 from yuccarelay.adapters import codec
 from yuccarelay.adapters.records import encode_plan
+from yuccarelay.core.effects import Request
 from yuccarelay.core.entry import EntryCore
 from yuccarelay.core.events import (
     EntriesSeen,
@@ -18,7 +19,6 @@
     PlanSeen,
     Registered,
     ReplyArrived,
-    Request,
     StoreHealthChanged,
     Tick,
 )
--- a/tools/measure/bench.py
+++ b/tools/measure/bench.py
@@ -9,14 +9,8 @@
 
 from tools.measure.variants import Variant
 from yuccarelay.adapters.codec import encode
-from yuccarelay.core.events import (
-    Accepted,
-    CancelRequested,
-    Log,
-    NotAccepted,
-    Respond,
-    StartTask,
-)
+from yuccarelay.core.effects import Accepted, Log, NotAccepted, Respond, StartTask
+from yuccarelay.core.events import CancelRequested
 from yuccarelay.core.manifest import Manifest, Organisation, check_manifest
 from yuccarelay.core.models import JobSpec
 from yuccarelay.core.placement import (
--- a/yuccarelay/adapters/handlers.py
+++ b/yuccarelay/adapters/handlers.py
@@ -9,12 +9,11 @@
 from yuccarelay.adapters.exchange import BaseHandler
 from yuccarelay.adapters.replies import HttpReply, make_reply, reply_error
 from yuccarelay.adapters.tables import format_status
+from yuccarelay.core.effects import NotAccepted, StatusDocument
 from yuccarelay.core.events import (
     CancelRequested,
     IdRequested,
-    NotAccepted,
     Queried,
-    StatusDocument,
     StatusRequested,
     Submitted,
 )
--- a/yuccarelay/adapters/replies.py
+++ b/yuccarelay/adapters/replies.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from yuccarelay.adapters.bodies import Refused
-from yuccarelay.core.events import (
+from yuccarelay.core.effects import (
     Accepted,
     IdMinted,
     NotAccepted,
--- a/yuccarelay/adapters/web.py
+++ b/yuccarelay/adapters/web.py
@@ -18,7 +18,7 @@
 
 from yuccarelay.adapters import exchange, handlers
 from yuccarelay.adapters.tokens import Caller, identify_caller
-from yuccarelay.core.events import Publish, Respond
+from yuccarelay.core.effects import Publish, Respond
 from yuccarelay.core.manifest import Manifest
 from yuccarelay.tasks.mailbox import (
     AnswerUnavailable,
--- a/yuccarelay/core/adoption.py
+++ b/yuccarelay/core/adoption.py
@@ -1,14 +1,8 @@
 """Jobs of entries that are gone: find their records, take them over, settle them."""
 
 from yuccarelay.core.dispatch import Dispatcher
-from yuccarelay.core.events import (
-    Loaded,
-    LoadedMany,
-    LoadOpenRecords,
-    ReplaceRecord,
-    Stored,
-    StoreResult,
-)
+from yuccarelay.core.effects import LoadOpenRecords, ReplaceRecord
+from yuccarelay.core.events import Loaded, LoadedMany, Stored, StoreResult
 from yuccarelay.core.home import digest_entries
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.models import (
--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -7,15 +7,13 @@
 """
 
 from yuccarelay.core.announcer import Announcer
+from yuccarelay.core.effects import Effect, Exit, ServeAnswer
 from yuccarelay.core.events import (
     AgentEvent,
     AnswerFetched,
     DrainRequested,
-    Effect,
-    Exit,
     MessageReceived,
     ReplyArrived,
-    ServeAnswer,
     TaskEnded,
     TaskStarted,
     Tick,
--- a/yuccarelay/core/entry.py
+++ b/yuccarelay/core/entry.py
@@ -6,25 +6,27 @@
 
 from yuccarelay.core.adoption import Adopter
 from yuccarelay.core.dispatch import Dispatcher
+from yuccarelay.core.effects import (
+    Effect,
+    KeepParts,
+    ListKeepers,
+    Publish,
+    ServeAnswer,
+    StatusDocument,
+)
 from yuccarelay.core.events import (
     CancelRequested,
     DrainRequested,
-    Effect,
     EntriesSeen,
     EntryEvent,
     IdRequested,
-    KeepParts,
-    ListKeepers,
     ManifestSeen,
     MessageReceived,
     PlanSeen,
-    Publish,
     Queried,
     Registered,
     RegistrationLost,
     ReplyArrived,
-    ServeAnswer,
-    StatusDocument,
     StatusRequested,
     StoreHealthChanged,
     StoreReplied,
--- a/yuccarelay/core/forwarding.py
+++ b/yuccarelay/core/forwarding.py
@@ -7,17 +7,14 @@
 
 from dataclasses import dataclass
 
+from yuccarelay.core.effects import Accepted, LoadRecord, NotAccepted, Undecided
 from yuccarelay.core.events import (
-    Accepted,
     CancelRequested,
     Loaded,
-    LoadRecord,
-    NotAccepted,
     Queried,
     StoreResult,
     Submitted,
     Unavailable,
-    Undecided,
 )
 from yuccarelay.core.jobs import make_record_status
 from yuccarelay.core.messages import (
--- a/yuccarelay/core/handover.py
+++ b/yuccarelay/core/handover.py
@@ -1,7 +1,7 @@
 """Graceful shutdown of an entry: hand over every job, then leave."""
 
 from yuccarelay.core.dispatch import Dispatcher
-from yuccarelay.core.events import Deregister, Exit
+from yuccarelay.core.effects import Deregister, Exit
 from yuccarelay.core.intake import Intake
 from yuccarelay.core.models import JobState
 from yuccarelay.core.recording import Recorder
--- a/yuccarelay/core/intake.py
+++ b/yuccarelay/core/intake.py
@@ -6,15 +6,8 @@
 
 from yuccarelay.core.admission import check_admission
 from yuccarelay.core.dispatch import Dispatcher
-from yuccarelay.core.events import (
-    CancelRequested,
-    IdMinted,
-    IdRequested,
-    NotAccepted,
-    Queried,
-    Submitted,
-    Undecided,
-)
+from yuccarelay.core.effects import IdMinted, NotAccepted, Undecided
+from yuccarelay.core.events import CancelRequested, IdRequested, Queried, Submitted
 from yuccarelay.core.forwarding import Forwarder
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.manifest import FieldError
--- a/yuccarelay/core/keeping.py
+++ b/yuccarelay/core/keeping.py
@@ -1,6 +1,6 @@
 """The answers of a worker: whose fetch is open, and who keeps them when it leaves."""
 
-from yuccarelay.core.events import DropAnswer
+from yuccarelay.core.effects import DropAnswer
 from yuccarelay.core.messages import AnswersKept, KeepAnswers
 from yuccarelay.core.models import AnswerPart
 from yuccarelay.core.outbox import Outbox
--- a/yuccarelay/core/member.py
+++ b/yuccarelay/core/member.py
@@ -5,13 +5,8 @@
 and stops itself when the lease lapses.
 """
 
-from yuccarelay.core.events import (
-    RenewTasks,
-    StartTask,
-    StopTask,
-    TaskEnded,
-    TaskStarted,
-)
+from yuccarelay.core.effects import RenewTasks, StartTask, StopTask
+from yuccarelay.core.events import TaskEnded, TaskStarted
 from yuccarelay.core.fates import FateBook
 from yuccarelay.core.keeping import AnswerKeeper
 from yuccarelay.core.messages import (
--- a/yuccarelay/core/outbox.py
+++ b/yuccarelay/core/outbox.py
@@ -1,14 +1,7 @@
 """Effects of one step, with messages to the process itself kept local."""
 
-from yuccarelay.core.events import (
-    Count,
-    Effect,
-    Log,
-    MessageReceived,
-    Reply,
-    ReplyArrived,
-    Request,
-)
+from yuccarelay.core.effects import Count, Effect, Log, Reply, Request
+from yuccarelay.core.events import MessageReceived, ReplyArrived
 from yuccarelay.core.messages import Message
 from yuccarelay.core.timing import REQUEST_TIMEOUT_MS
 
--- a/yuccarelay/core/planning.py
+++ b/yuccarelay/core/planning.py
@@ -1,6 +1,6 @@
 """When an entry proposes a new guarantee plan for its region."""
 
-from yuccarelay.core.events import ProposePlan
+from yuccarelay.core.effects import ProposePlan
 from yuccarelay.core.manifest import Manifest
 from yuccarelay.core.shape import Plan, plan_homes
 from yuccarelay.core.state import EntryState
--- a/yuccarelay/core/recording.py
+++ b/yuccarelay/core/recording.py
@@ -6,20 +6,22 @@
 entry that adopts the job could still run it.
 """
 
-from yuccarelay.core.events import (
+from yuccarelay.core.effects import (
     Accepted,
-    Conflict,
     CreateRecord,
-    KeyTaken,
-    Loaded,
     LoadRecord,
-    Missing,
     NotAccepted,
     ReplaceRecord,
+    Undecided,
+)
+from yuccarelay.core.events import (
+    Conflict,
+    KeyTaken,
+    Loaded,
+    Missing,
     Stored,
     StoreResult,
     Unavailable,
-    Undecided,
 )
 from yuccarelay.core.jobs import Job
 from yuccarelay.core.models import (
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from yuccarelay.core.admission import StartHistory
-from yuccarelay.core.events import (
+from yuccarelay.core.effects import (
     Accepted,
     NotAccepted,
     Observe,
--- a/yuccarelay/core/submission.py
+++ b/yuccarelay/core/submission.py
@@ -2,7 +2,7 @@
 
 from result import Err, Ok, Result
 
-from yuccarelay.core.events import NotAccepted
+from yuccarelay.core.effects import NotAccepted
 from yuccarelay.core.manifest import FieldError, Manifest
 from yuccarelay.core.models import JobSpec
 
--- a/yuccarelay/standins/session.py
+++ b/yuccarelay/standins/session.py
@@ -19,26 +19,28 @@
 from collections.abc import Callable
 
 from yuccarelay.core.agent import AgentCore
-from yuccarelay.core.entry import EntryCore
-from yuccarelay.core.events import (
+from yuccarelay.core.effects import (
     Count,
-    DrainRequested,
     DropAnswer,
     Exit,
     KeepParts,
     ListKeepers,
     Log,
-    MessageReceived,
     Observe,
     Publish,
     RenewTasks,
     Reply,
-    ReplyArrived,
     Request,
     Respond,
     ServeAnswer,
     StartTask,
     StopTask,
+)
+from yuccarelay.core.entry import EntryCore
+from yuccarelay.core.events import (
+    DrainRequested,
+    MessageReceived,
+    ReplyArrived,
     Submitted,
     Tick,
 )
--- a/yuccarelay/standins/session_store.py
+++ b/yuccarelay/standins/session_store.py
@@ -6,23 +6,25 @@
 
 from typing import TYPE_CHECKING
 
-from yuccarelay.core.events import (
-    Conflict,
+from yuccarelay.core.effects import (
     CreateRecord,
     Deregister,
+    LoadOpenRecords,
+    LoadRecord,
+    ProposePlan,
+    ReplaceRecord,
+)
+from yuccarelay.core.events import (
+    Conflict,
     EntriesSeen,
     KeyTaken,
     Loaded,
     LoadedMany,
-    LoadOpenRecords,
-    LoadRecord,
     ManifestSeen,
     Missing,
     PlanSeen,
-    ProposePlan,
     Registered,
     RegistrationLost,
-    ReplaceRecord,
     Stored,
     StoreHealthChanged,
     StoreReplied,
--- a/yuccarelay/standins/session_target.py
+++ b/yuccarelay/standins/session_target.py
@@ -3,13 +3,8 @@
 import json
 from typing import TYPE_CHECKING, NamedTuple
 
-from yuccarelay.core.events import (
-    RenewTasks,
-    StartTask,
-    StopTask,
-    TaskEnded,
-    TaskStarted,
-)
+from yuccarelay.core.effects import RenewTasks, StartTask, StopTask
+from yuccarelay.core.events import TaskEnded, TaskStarted
 
 if TYPE_CHECKING:
     from yuccarelay.standins.session import Session
--- a/yuccarelay/tasks/answers.py
+++ b/yuccarelay/tasks/answers.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from yuccarelay.adapters import codec
-from yuccarelay.core.events import KeepParts, ListKeepers, Reply, ServeAnswer
+from yuccarelay.core.effects import KeepParts, ListKeepers, Reply, ServeAnswer
 from yuccarelay.core.messages import AnswerChunk, AnswersKept, FetchAnswer, NoAnswer
 from yuccarelay.core.models import AnswerPart
 from yuccarelay.ports.clock import Clock
--- a/yuccarelay/tasks/keeping.py
+++ b/yuccarelay/tasks/keeping.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from yuccarelay.core.events import ServeAnswer
+from yuccarelay.core.effects import ServeAnswer
 from yuccarelay.core.messages import AnswerChunk, NoAnswer
 
 CHUNK_LIMIT_BYTES = 256 * 1024
--- a/yuccarelay/tasks/links.py
+++ b/yuccarelay/tasks/links.py
@@ -5,7 +5,8 @@
 from result import Err, Ok
 
 from yuccarelay.adapters import codec
-from yuccarelay.core.events import ReplyArrived, Request
+from yuccarelay.core.effects import Request
+from yuccarelay.core.events import ReplyArrived
 from yuccarelay.core.messages import Malformed, Message
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
--- a/yuccarelay/tasks/listener.py
+++ b/yuccarelay/tasks/listener.py
@@ -5,7 +5,8 @@
 from result import Err, Ok
 
 from yuccarelay.adapters import codec
-from yuccarelay.core.events import MessageReceived, Reply
+from yuccarelay.core.effects import Reply
+from yuccarelay.core.events import MessageReceived
 from yuccarelay.core.messages import Malformed
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
--- a/yuccarelay/tasks/machine.py
+++ b/yuccarelay/tasks/machine.py
@@ -8,8 +8,7 @@
 from typing import NamedTuple
 
 from yuccarelay.core.agent import AgentCore
-from yuccarelay.core.entry import EntryCore
-from yuccarelay.core.events import (
+from yuccarelay.core.effects import (
     Count,
     CreateRecord,
     Deregister,
@@ -32,8 +31,9 @@
     ServeAnswer,
     StartTask,
     StopTask,
-    Tick,
 )
+from yuccarelay.core.entry import EntryCore
+from yuccarelay.core.events import Tick
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.metrics import Metrics
--- a/yuccarelay/tasks/runner.py
+++ b/yuccarelay/tasks/runner.py
@@ -5,17 +5,15 @@
 
 from result import Err, Ok
 
-from yuccarelay.core.events import (
-    AnswerFetched,
+from yuccarelay.core.effects import (
     DropAnswer,
     RenewTasks,
     Reply,
     ServeAnswer,
     StartTask,
     StopTask,
-    TaskEnded,
-    TaskStarted,
 )
+from yuccarelay.core.events import AnswerFetched, TaskEnded, TaskStarted
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.target import (
     CALL_CONNECTIONS,
--- a/yuccarelay/tasks/storekeeper.py
+++ b/yuccarelay/tasks/storekeeper.py
@@ -9,16 +9,18 @@
 from typing import NamedTuple
 
 from yuccarelay.adapters.records import decode_job, encode_plan
-from yuccarelay.core.events import (
+from yuccarelay.core.effects import (
     CreateRecord,
     Deregister,
-    Loaded,
-    LoadedMany,
     LoadOpenRecords,
     LoadRecord,
-    Missing,
     ProposePlan,
     ReplaceRecord,
+)
+from yuccarelay.core.events import (
+    Loaded,
+    LoadedMany,
+    Missing,
     StoreHealthChanged,
     StoreReplied,
     StoreResult,
