Pace the submissions of the outage test

The test submitted without a pause. With the store down an entry accepts 812 jobs in 0.97 s and the targets ran 361 of them in that time, so the queue limit of 500 refused the rest, truthfully. The test now pauses 20 ms between submissions; every accepted job must still complete and nothing may run twice.

--- a/tests/test_processes_failure.py
+++ b/tests/test_processes_failure.py
@@ -213,6 +213,11 @@
         self.system.await_in_force(1)
 
 
+# Without store calls an entry accepts over 800 jobs a second, more than the targets
+# run. The queue limit, which has its own tests, would then refuse some of them.
+SUBMIT_PAUSE_S = 0.02
+
+
 class StoreFailureTest(FailureTest):
     """Guards against jobs lost, doubled or refused for no reason in an outage."""
 
@@ -229,6 +234,7 @@
             during = []
             while time.monotonic() < deadline:
                 during += self.submit_many(RENDER, 2, run_ms=50, entry=len(during) % 2)
+                time.sleep(SUBMIT_PAUSE_S)
             # Repeatable work goes on without the store.
             poll_until(
                 lambda: set(during[:2]) <= set(self.system.find_runs()),
