--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -24,6 +24,7 @@
 from yuccarelay.core.events import ManifestSeen
 from yuccarelay.core.fates import FateBook
 from yuccarelay.core.follow import Follower
+from yuccarelay.core.forwarding import Forwarder
 from yuccarelay.core.gang import Gang
 from yuccarelay.core.handover import Handover
 from yuccarelay.core.intake import Intake
@@ -252,8 +253,8 @@
      f'{ONCE}.test_slow_store_does_not_lose_the_holds'),
     ('adoption', Adopter, '_consider', do_nothing,
      f'{ACCEPTED}.test_other_entry_adopts_the_jobs_of_a_dead_one'),
-    ('adoption in the own region first', Adopter, '_is_served_elsewhere',
-     lambda *_: False, f'{REGIONS}.test_jobs_stay_in_the_region_of_their_cells'),
+    ('adoption in the own region first', Adopter, '_may_adopt_from',
+     lambda *_: True, f'{REGIONS}.test_jobs_stay_in_the_region_of_their_cells'),
     # 6: leaving
     ('refusal while draining', AgentCore, '_is_closed_to', lambda *_: False,
      f'{LEAVING}.test_entries_that_missed_the_notice'),
@@ -270,7 +271,7 @@
      f'{STOPS}.test_entry_waits_for_the_store'),
     ('open waits answered before the exit', Intake, 'has_open', lambda _: False,
      f'{STOPS}.test_entry_waits_for_another_one_and_the_store'),
-    ('long polls answered while draining', Intake, 'tick', do_nothing,
+    ('long polls answered while draining', Forwarder, 'tick', do_nothing,
      f'{STOPS}.test_entry_answers_those_who_wait'),
     # 8: manifest
     ('older manifests are ignored', EntryCore, '_take_config', take_any_manifest,
