--- a/yuccarelay/demo.py
+++ b/yuccarelay/demo.py
@@ -133,8 +133,9 @@
             await self.submit('print-shop', 'price-change-reprint', work)
         await asyncio.sleep(0.5)
         name = next(iter(self.system.agents))
-        self.system.agents[name].stop.set()
-        await asyncio.wait([self.system.tasks[name]])
+        leaving = self.system.agents[name]
+        leaving.role.stop.set()
+        await leaving.task
         self.check(True, f'{name} has finished its work and left')
         for row in self.rows[-6:]:
             await self.follow(row)
--- a/yuccarelay/local.py
+++ b/yuccarelay/local.py
@@ -8,7 +8,6 @@
 import contextlib
 import hashlib
 import json
-import signal
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
@@ -34,17 +33,23 @@
 POLL_S = 0.1
 
 
+class Running(NamedTuple):
+    """A role and the task that runs it."""
+
+    role: Role
+    task: asyncio.Task
+
+
 class System(NamedTuple):
-    """Running roles, and the tasks that run them."""
+    """Running roles; agents by worker."""
 
-    entries: list[Role]
-    agents: dict[str, Role]
-    others: list[Role]
-    tasks: dict[str, asyncio.Task]
+    entries: list[Running]
+    agents: dict[str, Running]
+    standins: list[Running]
 
     def make_caller(self, token: str, entry: int = 0) -> Entry:
         """Return where a caller with this token sends its requests."""
-        return Entry(self.entries[entry].url, token)
+        return Entry(self.entries[entry].role.url, token)
 
 
 class Place(NamedTuple):
@@ -133,80 +138,84 @@
 ) -> AsyncIterator[System]:
     """Start a store, entries, targets and agents; stop all of them at the end."""
     listen = f'{settings.ip}:0'
-    store = await roles.build_store(StoreSettings(listen=listen, log=settings.log), env)
-    others = [store]
-    tasks = {'store': asyncio.create_task(store.run)}
-    entries = []
-    for number in range(settings.entries):
-        entry = await roles.build_entry(
-            EntrySettings(
-                listen=listen,
-                http=listen,
-                region=REGION,
-                domain=DOMAINS[number % len(DOMAINS)],
-                store=(store.url,),
-                bootstrap_operator_digests=(digest_token(OPERATOR),),
-                drain_s=settings.drain_s,
-                log=settings.log,
-            ),
-            env,
-        )
-        entries.append(entry)
-        tasks[f'entry-{number + 1}'] = asyncio.create_task(entry.run)
-    agents: dict[str, Role] = {}
-    for place in list_places(settings.agents):
-        target = await roles.build_target(
-            TargetSettings(listen=listen, log=settings.log), env
-        )
-        others.append(target)
-        tasks[f'target-{place.worker}'] = asyncio.create_task(target.run)
-        agents[place.worker] = await roles.build_agent(
-            AgentSettings(
-                worker=place.worker,
-                listen=listen,
-                entries=tuple(entry.address for entry in entries),
-                target=target.url,
-                service=SERVICE,
-                region=REGION,
-                domain=place.domain,
-                rack=place.rack,
-                accelerators=settings.accelerators,
-                slots=settings.slots,
-                drain_s=settings.drain_s,
-                log=settings.log,
-            ),
+    system = System([], {}, [])
+    try:
+        store = await roles.build_store(
+            StoreSettings(listen=listen, log=settings.log),
             env,
         )
-        tasks[place.worker] = asyncio.create_task(agents[place.worker].run)
-    system = System(entries, agents, others, tasks)
-    try:
+        system.standins.append(run_role(store))
+        for number in range(settings.entries):
+            entry_settings = make_entry_settings(settings, number, store.url)
+            entry = await roles.build_entry(entry_settings, env)
+            system.entries.append(run_role(entry))
+        for place in list_places(settings.agents):
+            target = await roles.build_target(
+                TargetSettings(listen=listen, log=settings.log),
+                env,
+            )
+            system.standins.append(run_role(target))
+            addresses = tuple(entry.role.address for entry in system.entries)
+            agent_settings = make_agent_settings(settings, place, addresses, target.url)
+            agent = await roles.build_agent(agent_settings, env)
+            system.agents[place.worker] = run_role(agent)
         yield system
     finally:
         await stop_system(system)
 
 
+def run_role(role: Role) -> Running:
+    """Start a role's task."""
+    return Running(role, asyncio.create_task(role.run))
+
+
+def make_entry_settings(
+    settings: LocalSettings,
+    number: int,
+    store_url: str,
+) -> EntrySettings:
+    """Return the settings of one entry."""
+    return EntrySettings(
+        listen=f'{settings.ip}:0',
+        http=f'{settings.ip}:0',
+        region=REGION,
+        domain=DOMAINS[number % len(DOMAINS)],
+        store=(store_url,),
+        bootstrap_operator_digests=(digest_token(OPERATOR),),
+        drain_s=settings.drain_s,
+        log=settings.log,
+    )
+
+
+def make_agent_settings(
+    settings: LocalSettings,
+    place: Place,
+    entries: tuple[str, ...],
+    target_url: str,
+) -> AgentSettings:
+    """Return the settings of the agent of one worker."""
+    return AgentSettings(
+        worker=place.worker,
+        listen=f'{settings.ip}:0',
+        entries=entries,
+        target=target_url,
+        service=SERVICE,
+        region=REGION,
+        domain=place.domain,
+        rack=place.rack,
+        accelerators=settings.accelerators,
+        slots=settings.slots,
+        drain_s=settings.drain_s,
+        log=settings.log,
+    )
+
+
 async def stop_system(system: System) -> None:
     """Drain the agents, then the entries, then end the stand-ins."""
-    for group in (list(system.agents.values()), system.entries, system.others):
-        for role in group:
-            role.stop.set()
-        names = [
-            name
-            for name, task in system.tasks.items()
-            if not task.done() and _is_in(name, group, system)
-        ]
-        if names:
-            await asyncio.wait([system.tasks[name] for name in names])
-    for task in system.tasks.values():
-        task.result()
-
-
-def _is_in(name: str, group: list[Role], system: System) -> bool:
-    if name in system.agents:
-        return system.agents[name] in group
-    if name.startswith('entry-'):
-        return group is system.entries
-    return group is system.others
+    for group in (list(system.agents.values()), system.entries, system.standins):
+        for running in group:
+            running.role.stop.set()
+        await asyncio.gather(*(running.task for running in group))
 
 
 async def call(entry: Entry, method: str, path: str, **options: object) -> dict:
@@ -295,14 +304,13 @@
 async def run_system(settings: LocalSettings, env: Environment) -> ExitStatus:
     """Run the system until SIGTERM or SIGINT."""
     stop = asyncio.Event()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(name, stop.set)
+    roles.stop_on_signals(stop)
     async with start_system(settings, env) as system:
         await wait_registered(system)
         await commit(system, make_manifest(settings), 0)
         await wait_in_force(system, 1)
         for number, entry in enumerate(system.entries):
-            print(f'entry {number + 1}: {entry.url}', file=env.stdout)
+            print(f'entry {number + 1}: {entry.role.url}', file=env.stdout)
         print(f'operator token: {OPERATOR}', file=env.stdout)
         for name in ('print-shop', 'bakeries'):
             print(f'caller token: demo-{name}', file=env.stdout)
--- a/yuccarelay/roles.py
+++ b/yuccarelay/roles.py
@@ -111,11 +111,7 @@
         # Only the log and the sockets of the settings are opened until here.
         print(f'yuccarelay: cannot start: {error}', file=env.stderr)
         return ExitStatus.UNAVAILABLE
-    loop = asyncio.get_running_loop()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        # The handlers of asyncio go through the loop's wake-up socket, and a burst
-        # of messages can fill it, so that the signal would be lost.
-        signal.signal(name, lambda *_: loop.call_soon_threadsafe(role.stop.set))
+    stop_on_signals(role.stop)
     status = ExitStatus.OK
     try:
         await role.run
@@ -125,6 +121,18 @@
     return status
 
 
+def stop_on_signals(stop: asyncio.Event) -> None:
+    """
+    Set an event on SIGTERM and SIGINT.
+
+    The handlers of asyncio go through the loop's wake-up socket, and a burst of
+    messages can fill it, so that the signal would be lost.
+    """
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(name, lambda *_: loop.call_soon_threadsafe(stop.set))
+
+
 async def build_entry(settings: EntrySettings, env: Environment) -> Role:
     """Return an entry that listens already; `run` serves until `stop` is set."""
     from yuccarelay.adapters.etcd import EtcdStore
