--- a/yuccarelay/local.py
+++ b/yuccarelay/local.py
@@ -21,7 +21,7 @@
     TargetSettings,
 )
 from yuccarelay.context import Environment
-from yuccarelay.roles import Role
+from yuccarelay.runtime import Role, stop_on_signals
 from yuccarelay.status import ExitStatus
 
 SERVICE = 'reorder-desk'
@@ -304,7 +304,7 @@
 async def run_system(settings: LocalSettings, env: Environment) -> ExitStatus:
     """Run the system until SIGTERM or SIGINT."""
     stop = asyncio.Event()
-    roles.stop_on_signals(stop)
+    stop_on_signals(stop)
     async with start_system(settings, env) as system:
         await wait_registered(system)
         await commit(system, make_manifest(settings), 0)
--- a/yuccarelay/roles.py
+++ b/yuccarelay/roles.py
@@ -1,23 +1,12 @@
-"""
-Puts the tasks of each role together and runs them until the role ends.
-
-A role ends on SIGTERM or SIGINT, after a graceful shutdown.
-"""
+"""Puts the tasks of each role together."""
 
 import asyncio
-import contextlib
-import logging
 import os
 import random
-import signal
 import time
-import traceback
-from collections.abc import Coroutine
 from typing import TYPE_CHECKING, NamedTuple
 
-from result import Err, Ok
-
-from yuccarelay.adapters.eliot_journal import EliotJournal, JournalHandler
+from yuccarelay.adapters.eliot_journal import EliotJournal
 from yuccarelay.adapters.statsd_metrics import StatsdMetrics
 from yuccarelay.config import AgentSettings, EntrySettings, split_address
 from yuccarelay.context import Environment, open_log
@@ -27,6 +16,13 @@
 from yuccarelay.core.models import EntryRef, WorkerState
 from yuccarelay.core.ordering import JobQueue
 from yuccarelay.core.timing import TICK_MS
+from yuccarelay.runtime import (
+    Role,
+    naming_address,
+    open_listener,
+    run_until_signal,
+    running,
+)
 from yuccarelay.status import ExitStatus
 from yuccarelay.tasks.machine import MachineTask, Routes, TickTask
 from yuccarelay.tasks.mailbox import Mailbox
@@ -40,25 +36,6 @@
 ENTRY_TICK_MS = 100
 
 
-class Role(NamedTuple):
-    """
-    A role that is running.
-
-    `address` is for processes and `url` for callers. `drain` shuts it down
-    gracefully; `run` returns when it has ended.
-    """
-
-    address: str
-    url: str
-    run: Coroutine
-    stop: asyncio.Event
-    machine: MachineTask | None = None
-
-
-class PortInUseError(OSError):
-    """An address of the settings cannot be listened on."""
-
-
 class Standin(NamedTuple):
     """What the stand-ins have in common while they run."""
 
@@ -77,22 +54,22 @@
 
 def run_entry(settings: EntrySettings, env: Environment) -> ExitStatus:
     """Run an entry until it is asked to stop."""
-    return asyncio.run(_run_until_signal(build_entry(settings, env), env))
+    return asyncio.run(run_until_signal(build_entry(settings, env), env))
 
 
 def run_agent(settings: AgentSettings, env: Environment) -> ExitStatus:
     """Run an agent until it is asked to stop."""
-    return asyncio.run(_run_until_signal(build_agent(settings, env), env))
+    return asyncio.run(run_until_signal(build_agent(settings, env), env))
 
 
 def run_store(settings: 'StoreSettings', env: Environment) -> ExitStatus:
     """Run the stand-in of the store until it is asked to stop."""
-    return asyncio.run(_run_until_signal(build_store(settings, env), env))
+    return asyncio.run(run_until_signal(build_store(settings, env), env))
 
 
 def run_target(settings: 'TargetSettings', env: Environment) -> ExitStatus:
     """Run the stand-in of a target until it is asked to stop."""
-    return asyncio.run(_run_until_signal(build_target(settings, env), env))
+    return asyncio.run(run_until_signal(build_target(settings, env), env))
 
 
 def run_local(settings: 'LocalSettings', env: Environment) -> ExitStatus:
@@ -104,35 +81,6 @@
     return asyncio.run(run(settings, env))
 
 
-async def _run_until_signal(build: Coroutine, env: Environment) -> ExitStatus:
-    try:
-        role = await build
-    except OSError as error:
-        # Only the log and the sockets of the settings are opened until here.
-        print(f'yuccarelay: cannot start: {error}', file=env.stderr)
-        return ExitStatus.UNAVAILABLE
-    stop_on_signals(role.stop)
-    status = ExitStatus.OK
-    try:
-        await role.run
-    except* Exception:
-        # `run_task` has logged the failure with its trace.
-        status = ExitStatus.FAULT
-    return status
-
-
-def stop_on_signals(stop: asyncio.Event) -> None:
-    """
-    Set an event on SIGTERM and SIGINT.
-
-    The handlers of asyncio go through the loop's wake-up socket, and a burst of
-    messages can fill it, so that the signal would be lost.
-    """
-    loop = asyncio.get_running_loop()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(name, lambda *_: loop.call_soon_threadsafe(stop.set))
-
-
 async def build_entry(settings: EntrySettings, env: Environment) -> Role:
     """Return an entry that listens already; `run` serves until `stop` is set."""
     from yuccarelay.adapters.etcd import EtcdStore
@@ -346,47 +294,6 @@
     return Role('', url, run(), stop)
 
 
-@contextlib.asynccontextmanager
-async def running(tasks: list, journal: EliotJournal):
-    """Run tasks until the block ends; a task that fails ends the block."""
-    handler = JournalHandler(journal)
-    logging.getLogger().addHandler(handler)
-    try:
-        async with asyncio.TaskGroup() as group:
-            started = [group.create_task(run_task(task, journal)) for task in tasks]
-            yield
-            for task in started:
-                task.cancel()
-    except BaseException:
-        journal.close()
-        raise
-    finally:
-        logging.getLogger().removeHandler(handler)
-
-
-async def run_task(task, journal: EliotJournal) -> None:
-    """Run one task of a role; its failure is one log line with the trace."""
-    name = type(task).__name__
-    try:
-        await task.run()
-        raise RuntimeError(f'{name} ended before its role')
-    except Exception as fault:
-        trace = ''.join(traceback.format_exception(fault))
-        fields = {'task': name, 'error': repr(fault), 'trace': trace}
-        journal.write('task_failed', fields)
-        raise
-
-
-@contextlib.contextmanager
-def naming_address(address: str):
-    """Name the address in the error of a socket that cannot listen on it."""
-    try:
-        yield
-    except OSError as error:
-        reason = f'cannot listen on {address}: {error.strerror}'
-        raise PortInUseError(reason) from error
-
-
 def make_metrics(address: str) -> StatsdMetrics:
     """Return the metrics of a role; without an address nothing is sent."""
     return StatsdMetrics(split_address(address) if address else None)
@@ -400,12 +307,3 @@
     keep the state with the highest incarnation.
     """
     return (time.time_ns() // 1_000_000 << 10) + int(rng.random() * 1024)
-
-
-def open_listener(transport, address: str):
-    """Return the listening socket of a role."""
-    match transport.listen(address):
-        case Ok(listener):
-            return listener
-        case Err(failure):
-            raise PortInUseError(failure.reason)
--- /dev/null
+++ b/yuccarelay/runtime.py
@@ -0,0 +1,120 @@
+"""
+Runs a role's tasks until the role ends.
+
+A role ends on SIGTERM or SIGINT, after a graceful shutdown, or when one of its tasks
+fails.
+"""
+
+import asyncio
+import contextlib
+import logging
+import signal
+import traceback
+from collections.abc import Coroutine
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from yuccarelay.adapters.eliot_journal import EliotJournal, JournalHandler
+from yuccarelay.context import Environment
+from yuccarelay.status import ExitStatus
+from yuccarelay.tasks.machine import MachineTask
+
+
+class Role(NamedTuple):
+    """
+    A role that is running.
+
+    `address` is for processes and `url` for callers. `stop` shuts it down
+    gracefully; `run` returns when it has ended.
+    """
+
+    address: str
+    url: str
+    run: Coroutine
+    stop: asyncio.Event
+    machine: MachineTask | None = None
+
+
+class PortInUseError(OSError):
+    """An address of the settings cannot be listened on."""
+
+
+async def run_until_signal(build: Coroutine, env: Environment) -> ExitStatus:
+    """Run a role until it was asked to stop and has shut down gracefully."""
+    try:
+        role = await build
+    except OSError as error:
+        # Only the log and the sockets of the settings are opened until here.
+        print(f'yuccarelay: cannot start: {error}', file=env.stderr)
+        return ExitStatus.UNAVAILABLE
+    stop_on_signals(role.stop)
+    status = ExitStatus.OK
+    try:
+        await role.run
+    except* Exception:
+        # `run_task` has logged the failure with its trace.
+        status = ExitStatus.FAULT
+    return status
+
+
+def stop_on_signals(stop: asyncio.Event) -> None:
+    """
+    Set an event on SIGTERM and SIGINT.
+
+    The handlers of asyncio go through the loop's wake-up socket, and a burst of
+    messages can fill it, so that the signal would be lost.
+    """
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(name, lambda *_: loop.call_soon_threadsafe(stop.set))
+
+
+@contextlib.asynccontextmanager
+async def running(tasks: list, journal: EliotJournal):
+    """Run tasks until the block ends; a task that fails ends the block."""
+    handler = JournalHandler(journal)
+    logging.getLogger().addHandler(handler)
+    try:
+        async with asyncio.TaskGroup() as group:
+            started = [group.create_task(run_task(task, journal)) for task in tasks]
+            yield
+            for task in started:
+                task.cancel()
+    except BaseException:
+        journal.close()
+        raise
+    finally:
+        logging.getLogger().removeHandler(handler)
+
+
+async def run_task(task, journal: EliotJournal) -> None:
+    """Run one task of a role; its failure is one log line with the trace."""
+    name = type(task).__name__
+    try:
+        await task.run()
+        raise RuntimeError(f'{name} ended before its role')
+    except Exception as fault:
+        trace = ''.join(traceback.format_exception(fault))
+        fields = {'task': name, 'error': repr(fault), 'trace': trace}
+        journal.write('task_failed', fields)
+        raise
+
+
+@contextlib.contextmanager
+def naming_address(address: str):
+    """Name the address in the error of a socket that cannot listen on it."""
+    try:
+        yield
+    except OSError as error:
+        reason = f'cannot listen on {address}: {error.strerror}'
+        raise PortInUseError(reason) from error
+
+
+def open_listener(transport, address: str):
+    """Return the listening socket of a role."""
+    match transport.listen(address):
+        case Ok(listener):
+            return listener
+        case Err(failure):
+            raise PortInUseError(failure.reason)
