Take one store address in the settings

The setting was a list of which only the first address was used. The platform gives one address for its service. The cases of the check are the same, without the list.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -190,7 +190,7 @@
             'http': '127.0.0.1:0',
             'region': REGION,
             'domain': DOMAINS[0],
-            'store': [self.store_url],
+            'store': self.store_url,
             'bootstrap_operator_digests': [digest_token(OPERATOR)],
             'drain_s': DRAIN_S,
         }
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -65,13 +65,13 @@
             'http': ['host:80', '127.0.0.1:-1', '127.0.0.1:٣', None],
             'region': ['', 'a b', 'x' * 64, '-a', ['south']],
             'store': [
-                [],
-                'http://127.0.0.1:1',
-                ['https://127.0.0.1:1'],
-                ['http://store:1'],
-                ['http://127.0.0.1'],
-                ['http://[::1'],
-                ['http://127.0.0.1:1/a'],
+                '',
+                ['http://127.0.0.1:1'],
+                'https://127.0.0.1:1',
+                'http://store:1',
+                'http://127.0.0.1',
+                'http://[::1',
+                'http://127.0.0.1:1/a',
             ],
             'bootstrap_operator_digests': [['sha256:00'], ['SHA256:' + '0' * 64]],
             'statsd': ['statsd:8125'],
@@ -86,7 +86,7 @@
                     self.assertTrue(errors[0].startswith(f'{field}: '))
 
     def test_right_values_at_the_edges(self):
-        changes = {'listen': '[::1]:0', 'drain_s': 0, 'store': ['http://[::1]:65535']}
+        changes = {'listen': '[::1]:0', 'drain_s': 0, 'store': 'http://[::1]:65535'}
         text = json.dumps(read_example('entry') | changes).encode()
         settings = config.decode_settings('entry', text).unwrap()
         self.assertEqual(config.split_address(settings.listen), ('::1', 0))
--- a/tools/capacity/supervisor.py
+++ b/tools/capacity/supervisor.py
@@ -101,7 +101,7 @@
             'http': LISTEN,
             'region': region,
             'domain': 'domain-0',
-            'store': [store],
+            'store': store,
             'bootstrap_operator_digests': [digest_token(OPERATOR)],
             'log': '/dev/null',
         },
--- a/yuccarelay/config.py
+++ b/yuccarelay/config.py
@@ -113,7 +113,6 @@
 OptionalAddress = Annotated[str, allow_empty(ADDRESS)]
 Addresses = Annotated[tuple[str, ...], make_list(ADDRESS, 1)]
 Url = Annotated[str, URL]
-Urls = Annotated[tuple[str, ...], make_list(URL, 1)]
 Name = Annotated[str, NAME]
 Digests = Annotated[tuple[str, ...], make_list(DIGEST, 0)]
 Log = Annotated[str, LOG]
@@ -128,7 +127,7 @@
     http: Address
     region: Name
     domain: Name
-    store: Urls
+    store: Url
     bootstrap_operator_digests: Digests = ()
     statsd: OptionalAddress = ''
     drain_s: DrainSeconds = 30
--- a/yuccarelay/local.py
+++ b/yuccarelay/local.py
@@ -180,7 +180,7 @@
         http=f'{settings.ip}:0',
         region=REGION,
         domain=DOMAINS[number % len(DOMAINS)],
-        store=(store_url,),
+        store=store_url,
         bootstrap_operator_digests=(digest_token(OPERATOR),),
         drain_s=settings.drain_s,
         log=settings.log,
--- a/yuccarelay/roles.py
+++ b/yuccarelay/roles.py
@@ -147,7 +147,7 @@
             listener=listener_box,
         ),
         StorekeeperTask(
-            EtcdStore(settings.store[0]),
+            EtcdStore(settings.store),
             entry,
             env.clock,
             rng,
