Refuse an idempotency key that is used for another job

A submission whose key was in use got the id of the first job, whatever it asked for, so a second order under the same key was dropped in silence. It costs one read for each repeat.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -140,3 +140,30 @@
         session.submit(ENTRIES[0], 'alder', 'again', run_ms=100)
         session.run(2_000)
         self.assertNotIn('jobs.forwarded', session.counts)
+
+
+class KeyTest(unittest.TestCase):
+    """Guards against a job that is dropped because its key was used before."""
+
+    def setUp(self):
+        self.session = make_session()
+
+    def submit(self, entry, job='once', run_ms=100):
+        request_id = self.session.submit(entry, 'alder', job, key='k', run_ms=run_ms)
+        self.session.run(4_000)
+        return self.session.find_response(entry, request_id)
+
+    def test_repeat_finds_the_first_job(self):
+        first = self.submit(ENTRIES[0])
+        for entry in ENTRIES:
+            self.assertEqual(self.submit(entry), first)
+
+    def test_another_payload_or_job_is_refused(self):
+        first = self.submit(ENTRIES[0])
+        for answer in (
+            self.submit(ENTRIES[1], run_ms=200),
+            self.submit(ENTRIES[0], job='again'),
+        ):
+            self.assertIsInstance(answer, NotAccepted)
+            self.assertEqual(answer.code, 'key_taken')
+            self.assertIn(first.job_id, answer.errors[0].rule)
--- a/yuccarelay/core/jobs.py
+++ b/yuccarelay/core/jobs.py
@@ -1,5 +1,6 @@
 """A job as its owner entry holds it."""
 
+import hashlib
 from typing import NamedTuple
 
 from yuccarelay.core.messages import JobStatus
@@ -76,6 +77,11 @@
         """Whether other entries may see a record of the job."""
         return self.revision > 0 or not self.record_known or self.writing == 'create'
 
+    @property
+    def payload_digest(self) -> str:
+        """SHA-256 of the payload in hexadecimal."""
+        return hashlib.sha256(self.payload).hexdigest()
+
     @property
     def needs_attempt_record(self) -> bool:
         """Whether an attempt must be in the store before it is launched."""
@@ -106,6 +112,7 @@
             members=self.members,
             adoptions=self.adoptions,
             region=region,
+            payload_digest=self.payload_digest,
             outcome=flatten_outcome(ending) if ending else None,
         )
 
--- a/yuccarelay/core/models.py
+++ b/yuccarelay/core/models.py
@@ -295,7 +295,8 @@
     `owner` is the incarnation of the entry that may dispatch it. `attempt` and
     `members` are written before a non-repeatable job is launched. `adoptions`
     counts the changes of owner and keeps the attempt ids of owners apart. Only
-    entries of the `region` take the job over.
+    entries of the `region` take the job over. The payload is dropped at the end;
+    its digest stays, so that a reused idempotency key is noticed.
     """
 
     job_id: str
@@ -309,6 +310,7 @@
     members: tuple[MemberRef, ...] = ()
     adoptions: int = 0
     region: str = ''
+    payload_digest: str = ''
     outcome: OutcomeRecord | None = None
 
 
--- a/yuccarelay/core/recording.py
+++ b/yuccarelay/core/recording.py
@@ -12,6 +12,7 @@
     LoadRecord,
     NotAccepted,
     ReplaceRecord,
+    Response,
     Undecided,
 )
 from yuccarelay.core.events import (
@@ -24,6 +25,7 @@
     Unavailable,
 )
 from yuccarelay.core.jobs import Job
+from yuccarelay.core.manifest import FieldError
 from yuccarelay.core.models import (
     CancelledBeforeStart,
     JobState,
@@ -103,13 +105,16 @@
         if job_id not in self.state.jobs:
             return ''
         self.state.update(job_id, writing='')
+        if kind == 'same':
+            self._take_same(job_id, result, now_ms)
+            return ''
         match result:
             case Stored(revision):
                 return self._take_stored(kind, job_id, revision, now_ms)
             case Conflict(record, revision) | Loaded(record, revision):
                 return self._take_current(kind, job_id, record, revision, now_ms)
             case KeyTaken(other):
-                self._take_key(job_id, other, now_ms)
+                self._take_key(job_id, other)
                 return ''
             case Missing():
                 # The write that may have created the record did not take effect.
@@ -188,14 +193,31 @@
             if job.decided is None:
                 self.state.enqueue(job_id)
 
-    def _take_key(self, job_id: str, other: str, now_ms: int) -> None:
+    def _take_key(self, job_id: str, other: str) -> None:
         if other == job_id:
             # An earlier write of this entry took effect after all.
             self.state.update(job_id, record_known=False)
             self.flush(job_id)
             return
+        # The first submission with the key counts only if it asked for the same.
+        self._begin(job_id, 'same')
+        self.state.outbox.add(LoadRecord(f'same:{job_id}', other))
+
+    def _take_same(self, job_id: str, result: StoreResult, now_ms: int) -> None:
         job = self.state.jobs[job_id]
-        self.state.respond(job.request_id, Accepted(other, durable=True))
+        match result:
+            case Loaded(record):
+                first = (record.job_name, record.payload_digest)
+                if first == (job.spec.name, job.payload_digest):
+                    response: Response = Accepted(record.job_id, durable=True)
+                else:
+                    rule = f'is in use for job {record.job_id}, which is another one'
+                    errors = (FieldError('Idempotency-Key', rule),)
+                    response = NotAccepted('key_taken', errors)
+            case _:
+                # A repeat with the key finds the first submission again.
+                response = NotAccepted('store_unavailable', retry_ms=STORE_RETRY_MS)
+        self.state.respond(job.request_id, response)
         self.state.update(job_id, request_id=0)
         self._hand_over(job_id, now_ms)
 
