--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -27,6 +27,32 @@
         self.assertEqual({type(job.outcome) for job in jobs.values()}, {Completed})
 
 
+class DrainedWorkTest(unittest.TestCase):
+    """Guards against work that is stopped at a drain deadline and then runs twice."""
+
+    def end_by_drain(self, job_name):
+        session = make_session()
+        session.submit(ENTRIES[0], 'birch', job_name, run_ms=RUN_MS)
+        session.run(1_000)
+        (job,) = session.processes[ENTRIES[0]].core.state.jobs.values()
+        session.drain(job.members[0].address, deadline_ms=0)
+        session.run(3 * RUN_MS)
+        (job,) = session.processes[ENTRIES[0]].core.state.jobs.values()
+        return job
+
+    def test_job_that_cannot_resume_does_not_start_again(self):
+        for job_name in ('once', 'gang'):
+            with self.subTest(job_name=job_name):
+                job = self.end_by_drain(job_name)
+                self.assertIsInstance(job.outcome, Failed)
+                self.assertEqual(job.starts, 1)
+
+    def test_job_that_can_resume_is_completed(self):
+        job = self.end_by_drain('resumable')
+        self.assertIsInstance(job.outcome, Completed)
+        self.assertEqual(job.starts, 2)
+
+
 class RunTimeTest(unittest.TestCase):
     """Guards against run times that are never learned."""
 
--- a/yuccarelay/core/follow.py
+++ b/yuccarelay/core/follow.py
@@ -176,7 +176,10 @@
 
     def _end_preempted(self, job: Job, detail: EndDetail, now_ms: int) -> None:
         self.state.outbox.count('preemptions')
-        if job.spec.repeatable or detail.checkpointed:
+        # A target may save the progress of any task; only a job that is declared
+        # checkpointable goes on from there.
+        resumes = job.spec.checkpointable and detail.checkpointed
+        if job.spec.repeatable or resumes:
             self.requeue(job, now_ms, delay_ms=0)
         else:
             # Another attempt would do the first part of the work twice.
