Leave the plan's epoch out of a welcome that leaves out the shares

A push for an agent that knew the plan names its epoch without the shares; an agent that had restarted meanwhile took the epoch and owned nothing until the next plan. Ruled out: a leaked hold (the agent had none). The test fails before the change and passes after it; all other tests pass.

--- /dev/null
+++ b/tests/test_announcer.py
@@ -0,0 +1,24 @@
+"""Tests of the configuration that entries give to agents."""
+
+import unittest
+
+from tests.fleet import ENTRIES, make_session
+
+
+class RestartedAgentTest(unittest.TestCase):
+    """Guards against an agent that takes a plan's epoch without its shares."""
+
+    def test_push_for_the_earlier_run_of_an_agent(self):
+        session = make_session()
+        state = session.processes[ENTRIES[0]].core.state
+        home = next(worker for worker in state.view.find_own() if worker.plan_epoch)
+        # The entry makes the push from what the earlier run announced.
+        push = state.make_welcome(home.worker_id, known_epoch=home.plan_epoch)
+        session.kill(session.workers[home.worker_id].address)
+        agent = session.start_agent(home.worker_id).core
+        agent.announcer.take_welcome(push)
+        self.assertEqual(agent.announcer.plan_epoch, 0)
+        session.run(10_000)
+        self.assertEqual(agent.announcer.plan_epoch, state.plan.epoch)
+        owned = state.view.owned[home.worker_id]
+        self.assertEqual(agent.members.ledger.owned, owned)
--- a/yuccarelay/core/state.py
+++ b/yuccarelay/core/state.py
@@ -228,11 +228,14 @@
         plan = self.plan if worker_id in self.view.workers else None
         epoch = plan.epoch if plan else 0
         is_current = known_entries == self.entries_digest
+        # Without the shares the epoch stays out too. An agent that restarted since
+        # it was last heard of would take it, and own nothing from then on.
+        is_newer = epoch > known_epoch
         return Welcome(
             entries=() if is_current else self.entries,
             generation=self.generation,
-            plan_epoch=epoch,
-            owned=self.shares.get(worker_id, ()) if epoch > known_epoch else (),
+            plan_epoch=epoch if is_newer else 0,
+            owned=self.shares.get(worker_id, ()) if is_newer else (),
             announce=announce,
             heartbeat_ms=self.view.heartbeat_ms,
         )
