--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -217,9 +217,9 @@
     ('replies belong to the current attempt', EntryState, 'find_current',
      find_any_attempt, f'{ANSWERS}.test_reply_of_an_earlier_attempt_is_ignored'),
     # 4: not run
-    ('tombstone after a proof', FateBook, 'bury', do_nothing,
+    ('tombstone after a proof', FateBook, 'add_tombstone', do_nothing,
      f'{NOT_RUN}.test_launch_after_the_refusal_starts_nothing'),
-    ('tombstone after a refused start', FateBook, 'bury', do_nothing,
+    ('tombstone after a refused start', FateBook, 'add_tombstone', do_nothing,
      f'{FAULTS}.RefusedStartTest.test_refused_start_leaves_a_tombstone'),
     ('launched attempts are settled', Acquirer, 'give_up', give_up_launched,
      f'{NOT_RUN}.test_cancelled_reclaim_asks_the_leader'),
--- a/yuccarelay/core/agent.py
+++ b/yuccarelay/core/agent.py
@@ -193,7 +193,7 @@
             return Refused(attempt_id, refusal)
         reply = self.members.answer_prepare(message, now_ms)
         if isinstance(reply, Refused):
-            self.fates.bury(attempt_id)
+            self.fates.add_tombstone(attempt_id)
         return reply
 
     def _start(self, message: Start, reply_to: int, now_ms: int) -> None:
@@ -206,7 +206,7 @@
         if refusal is not Refusal.WRONG_INCARNATION:
             # A late copy of this message must not start it after all.
             self.members.release(attempt_id)
-            self.fates.bury(attempt_id)
+            self.fates.add_tombstone(attempt_id)
         self._reply(reply_to, Refused(attempt_id, refusal))
 
     def _launch(self, message: Launch, now_ms: int) -> Message:
@@ -214,7 +214,7 @@
         if (
             attempt_id in self.gangs
             or attempt_id in self.fates.ended
-            or attempt_id in self.fates.spent
+            or attempt_id in self.fates.forgotten
         ):
             return Launched(attempt_id)
         refusal = self._check(message, now_ms)
@@ -227,7 +227,7 @@
                     return Reclaiming(attempt_id, wait)
         if refusal is not None:
             self.members.release(attempt_id)
-            self.fates.bury(attempt_id)
+            self.fates.add_tombstone(attempt_id)
             return Refused(attempt_id, refusal)
         gang = Gang(message, self.outbox.own_address, now_ms)
         self.gangs[attempt_id] = gang
@@ -260,7 +260,7 @@
             case Prepare() | Launch() if message.generation < self.announcer.generation:
                 return Refusal.STALE_GENERATION
         if self._is_closed_to(attempt_id, now_ms):
-            self.fates.bury(attempt_id)
+            self.fates.add_tombstone(attempt_id)
             return Refusal.DRAINING
         return None
 
@@ -278,7 +278,7 @@
             message = StopMember(message.attempt_id, message.incarnation, False)
         reply = self.members.stop(message, now_ms)
         if isinstance(reply, Fate) and reply.state is FateState.NOT_STARTED:
-            self.fates.bury(message.attempt_id)
+            self.fates.add_tombstone(message.attempt_id)
         return reply
 
     def _stop_attempt(self, message: StopAttempt, now_ms: int) -> Message:
@@ -311,7 +311,7 @@
         if not buried and self.fates.may_have_begun(attempt_id):
             return Fate(attempt_id, FateState.UNKNOWN)
         self.members.release(attempt_id)
-        self.fates.bury(attempt_id)
+        self.fates.add_tombstone(attempt_id)
         return Fate(attempt_id, FateState.NOT_STARTED)
 
     def _expire(self, now_ms: int) -> None:
--- a/yuccarelay/core/fates.py
+++ b/yuccarelay/core/fates.py
@@ -17,7 +17,7 @@
 
 # Ids of forgotten attempts; about 12 MB at 100 bytes each. An agent that had to
 # drop one proves no longer that an attempt unknown to it did not start.
-SPENT_LIMIT = 100_000
+FORGOTTEN_LIMIT = 100_000
 
 
 class Ended(NamedTuple):
@@ -36,27 +36,27 @@
     def __init__(self, outbox: Outbox):
         self.outbox = outbox
         self.ended: dict[str, Ended] = {}
-        self.spent: dict[str, None] = {}
+        self.forgotten: dict[str, None] = {}
         self.unreported: dict[str, None] = {}
         self.tombstones: dict[str, None] = {}
-        self.dropped_spent = False
+        self.dropped_forgotten = False
 
-    def bury(self, attempt_id: str) -> None:
+    def add_tombstone(self, attempt_id: str) -> None:
         """Make sure that an attempt never starts here."""
         self.tombstones[attempt_id] = None
         if len(self.tombstones) > TOMBSTONE_LIMIT:
             del self.tombstones[next(iter(self.tombstones))]
 
-    def note_spent(self, attempt_id: str) -> None:
+    def note_forgotten(self, attempt_id: str) -> None:
         """Remember that an attempt began here, when the rest of it is forgotten."""
-        self.spent[attempt_id] = None
-        if len(self.spent) > SPENT_LIMIT:
-            del self.spent[next(iter(self.spent))]
-            self.dropped_spent = True
+        self.forgotten[attempt_id] = None
+        if len(self.forgotten) > FORGOTTEN_LIMIT:
+            del self.forgotten[next(iter(self.forgotten))]
+            self.dropped_forgotten = True
 
     def may_have_begun(self, attempt_id: str) -> bool:
         """Whether an attempt of which nothing else is known may have begun."""
-        return attempt_id in self.spent or self.dropped_spent
+        return attempt_id in self.forgotten or self.dropped_forgotten
 
     def add_end(self, report: AttemptReport, owner_address: str, now_ms: int) -> None:
         """Keep the end of an attempt and report it to its owner."""
@@ -101,7 +101,7 @@
                 dropped.append(attempt_id)
         for attempt_id in dropped:
             del self.ended[attempt_id]
-            self.note_spent(attempt_id)
+            self.note_forgotten(attempt_id)
 
     def _report(self, attempt_id: str, now_ms: int) -> None:
         entry = self.ended[attempt_id]
--- a/yuccarelay/core/member.py
+++ b/yuccarelay/core/member.py
@@ -292,7 +292,7 @@
             del self.reservations[entry.attempt_id]
             for part in entry.parts:
                 self.answers.drop(part.task_id)
-            self.fates.note_spent(entry.attempt_id)
+            self.fates.note_forgotten(entry.attempt_id)
         elif not entry.reported and now_ms >= entry.next_report_ms:
             self._report(entry.attempt_id, now_ms)
 
