Remove the retry plan that nothing calls

plan_retry had a second copy of the limits that core/follow.py and core/dispatch.py apply, and only its test called it. A test of the running path replaces that test: a failed job waits while the budget is empty and starts when it is not. It fails when the dispatcher does not look at the budget.

--- a/tests/test_follow.py
+++ b/tests/test_follow.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from tests.fleet import ENTRIES, make_session
+from tests.fleet import ENTRIES, SERVICE, make_session
 from yuccarelay.core.follow import LAPSE_MS
 from yuccarelay.core.models import Completed, Failed
+from yuccarelay.core.retry import BUDGET_WINDOW_MS
 from yuccarelay.core.timing import SETTLE_MS, SUSPECT_MS
 
 RUN_MS = 60_000
@@ -77,6 +78,20 @@
         self.assertIsInstance(job.outcome, Failed)
         self.assertEqual(job.failures, job.spec.attempt_limit)
 
+    def test_a_retry_waits_for_the_budget(self):
+        session = make_session()
+        state = session.processes[ENTRIES[0]].core.state
+        budget = state.find_budget(SERVICE)
+        while budget.take(session.now_ms):
+            pass
+        session.submit(ENTRIES[0], 'alder', 'again', run_ms=50, fail=True)
+        session.run(30_000)
+        (job,) = state.jobs.values()
+        self.assertEqual((job.failures, job.starts), (1, 1))
+        session.run(BUDGET_WINDOW_MS)
+        (job,) = state.jobs.values()
+        self.assertGreater(job.starts, 1)
+
     def test_a_job_that_is_not_repeatable_fails_at_once(self):
         session = make_session()
         session.submit(ENTRIES[0], 'alder', 'once', run_ms=50, fail=True)
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -4,7 +4,6 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from result import Err, Ok
 
 from yuccarelay.core import retry
 from yuccarelay.core.retry import RetryBudget
@@ -45,29 +44,10 @@
 
 
 class BackoffTest(unittest.TestCase):
-    """Guards against repeats in step and against retries that come too late."""
+    """Guards against repeats in step."""
 
     def test_delay_doubles_up_to_the_ceiling_and_spreads_by_half(self):
         least = [retry.compute_backoff_ms(number, 0.0) for number in (1, 2, 3, 99)]
         self.assertEqual(least, [100, 200, 400, 15_000])
         most = [retry.compute_backoff_ms(number, 1.0) for number in (1, 2, 3, 99)]
         self.assertEqual(most, [200, 400, 800, 30_000])
-
-    def test_retry_respects_limit_deadline_and_budget(self):
-        budget = RetryBudget()
-
-        def plan(attempt: int, deadline_ms: int = 10_000):
-            return retry.plan_retry(
-                attempt=attempt,
-                attempt_limit=3,
-                budget=budget,
-                now_ms=1_000,
-                deadline_ms=deadline_ms,
-                jitter=0.0,
-            )
-
-        self.assertEqual(plan(attempt=3), Err('attempt_limit'))
-        self.assertEqual(plan(attempt=1, deadline_ms=1_050), Err('deadline'))
-        self.assertEqual(budget.count_left(1_000), retry.BUDGET_MINIMUM)
-        self.assertEqual([plan(attempt=2) for _ in range(3)], [Ok(1_200)] * 3)
-        self.assertEqual(plan(attempt=2), Err('retry_budget'))
--- a/yuccarelay/core/retry.py
+++ b/yuccarelay/core/retry.py
@@ -3,8 +3,6 @@
 from collections import deque
 from typing import NamedTuple
 
-from result import Err, Ok, Result
-
 BUDGET_WINDOW_MS = 60_000
 BUDGET_BUCKET_MS = 5_000
 BUDGET_SHARE = 0.2
@@ -100,27 +98,3 @@
     doublings = min(max(retry, 1) - 1, BACKOFF_CEILING_MS.bit_length())
     delay_ms = min(BACKOFF_BASE_MS << doublings, BACKOFF_CEILING_MS)
     return int(delay_ms * (1 - JITTER_SHARE + JITTER_SHARE * jitter))
-
-
-def plan_retry(
-    attempt: int,
-    attempt_limit: int,
-    budget: RetryBudget,
-    now_ms: int,
-    deadline_ms: int,
-    jitter: float,
-) -> Result[int, str]:
-    """
-    Return the time before which the next attempt is not placed, or why there is none.
-
-    `attempt` is the number of the attempt that failed, counted from 1. The budget
-    is charged only when a retry is granted.
-    """
-    if attempt >= attempt_limit:
-        return Err('attempt_limit')
-    not_before_ms = now_ms + compute_backoff_ms(attempt, jitter)
-    if not_before_ms > deadline_ms:
-        return Err('deadline')
-    if not budget.take(now_ms):
-        return Err('retry_budget')
-    return Ok(not_before_ms)
