Check a whole gang before the first of its starts is ordered

Cause: when a job's record was saved, Planner._start_saved walked a copy of its runs.

Change: all saved runs are checked first, then the remaining ones are started. Releasing a run that was already released with its gang does nothing; it wrote a second log line before.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -317,6 +317,29 @@
         self.assertEqual({run for _, _, run in fleet.starts(job)}, {1, 2})
         self.assertEqual(len(fleet.starts(job)), 4)
 
+    def test_a_gang_that_loses_a_worker_before_it_is_saved_starts_no_member(self):
+        """
+        The start of a member must not be ordered after its gang was released.
+
+        Such a run is not tracked, so the gang is placed again beside it.
+        """
+        for lost in ('agent-w0', 'agent-w1', 'agent-w2'):
+            with self.subTest(lost=lost):
+                fleet = make_fleet(4, run_ms=2_000)
+                fleet.workers['agent-w3'].silent = True
+                fleet.run(2_000)
+                fleet.store_down = True
+                job = fleet.submit(make_job(make_step(3, 8, gang=True)))
+                fleet.workers[lost].silent = True
+                fleet.run(2_000)
+                fleet.store_down = False
+                fleet.run(200)
+                self.assertEqual(fleet.starts(job), [])
+                fleet.workers['agent-w3'].silent = False
+                fleet.run(6_000)
+                self.assertEqual(fleet.state(job), 'completed')
+                self.assertEqual(len(fleet.starts(job)), 3)
+
     def test_a_draining_worker_gets_no_work_and_its_runs_move(self):
         fleet = make_fleet(2, run_ms=9_000)
         job = fleet.submit(make_job(make_step(1, 8, estimated_ms=9_000)))
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -212,38 +212,53 @@
         self.planner_state.end_job(plan, JobState.CANCELLED)
 
     def _start_saved(self, plan: JobPlan) -> None:
-        """Order the starts of runs whose assignment is saved."""
-        for task, run in list(plan.runs.items()):
-            if run.stage is not RunStage.RECORDING:
-                continue
-            view = self.planner_state.workers[run.worker.agent]
-            if (
-                view.id != run.worker
-                or view.basis is None
-                or not self.planner_state.may_extend_leases()
-            ):
-                self.planner_state.release(run, 'worker_changed')
-                continue
-            ticket = self.planner_state.find_ticket(plan, task, run.worker)
-            if ticket is None:
-                self.planner_state.release(run, 'no_ticket')
-                continue
-            run.move(RunStage.ORDERED, self.planner_state.now.ms)
-            view.lease_expiry_ms = max(
-                view.lease_expiry_ms,
-                self.planner_state.leases.lease_expiry_ms(view.basis_received_ms),
-            )
-            order = Start(
-                term=self.planner_state.term,
-                basis=view.basis,
-                worker=run.worker,
-                task=str(task),
-                run=run.number,
-                specification=plan.job.specification,
-                checkpoint=run.checkpoint,
-                ticket=ticket,
-            )
-            self.planner_state.order(view, order)
+        """
+        Order the starts of runs whose assignment is saved.
+
+        All runs are checked before the first start is ordered: the release of one
+        member also releases the rest of its gang.
+        """
+        for run in list(plan.runs.values()):
+            if run.stage is RunStage.RECORDING:
+                reason = self._find_start_obstacle(plan, run)
+                if reason is not None:
+                    self.planner_state.release(run, reason)
+        for run in plan.runs.values():
+            if run.stage is RunStage.RECORDING:
+                self._order_start(plan, run)
+
+    def _find_start_obstacle(self, plan: JobPlan, run: Run) -> str | None:
+        """Return why a saved run cannot start on its worker, or None if it can."""
+        view = self.planner_state.workers[run.worker.agent]
+        if (
+            view.id != run.worker
+            or view.basis is None
+            or not self.planner_state.may_extend_leases()
+        ):
+            return 'worker_changed'
+        if self.planner_state.find_ticket(plan, run.task, run.worker) is None:
+            return 'no_ticket'
+        return None
+
+    def _order_start(self, plan: JobPlan, run: Run) -> None:
+        """Order the start of a run, and extend the lease of its worker for it."""
+        view = self.planner_state.workers[run.worker.agent]
+        run.move(RunStage.ORDERED, self.planner_state.now.ms)
+        view.lease_expiry_ms = max(
+            view.lease_expiry_ms,
+            self.planner_state.leases.lease_expiry_ms(view.basis_received_ms),
+        )
+        order = Start(
+            term=self.planner_state.term,
+            basis=view.basis,
+            worker=run.worker,
+            task=str(run.task),
+            run=run.number,
+            specification=plan.job.specification,
+            checkpoint=run.checkpoint,
+            ticket=self.planner_state.find_ticket(plan, run.task, run.worker),
+        )
+        self.planner_state.order(view, order)
 
     def _handle_answer(self, event: OrderAnswered) -> None:
         """Handle the answer to an order, or its absence."""
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -284,8 +284,14 @@
             self.order(view, order)
 
     def release(self, run: Run, reason: str) -> None:
-        """Free the resources of a run that is certain not to be running."""
+        """
+        Free the resources of a run that is certain not to be running.
+
+        A run that was already released, for example with its gang, stays as it is.
+        """
         plan = self.plans[run.task.job]
+        if plan.runs.get(run.task) is not run:
+            return
         self.workers[run.worker.agent].runs.pop(run.task, None)
         plan.runs.pop(run.task, None)
         self.dirty = True
