Show and cancel jobs of a caller's own organisation only

Cause: the state and the cancellation of a job were decided by its queue alone. Any valid key could read or cancel a job of another organisation whose id it knew; an entry that relayed a read answered ended jobs of any queue.

Change: is_visible checks queue and organisation for states, cancellations and relayed reads; jobs of public queues stay visible to all of its callers. The answer is that no such job exists, as for an unknown id.

--- a/tests/test_batch_request_handler.py
+++ b/tests/test_batch_request_handler.py
@@ -81,10 +81,12 @@
         )
 
     def test_an_unknown_job_is_read_from_the_store(self):
-        self.assertEqual(self.handler.decide(make_call()), ReadJob(ID, 'ordinary'))
+        self.assertEqual(
+            self.handler.decide(make_call()), ReadJob(ID, 'ordinary', 'guild')
+        )
         self.assertEqual(
             self.handler.decide(make_call('DELETE')),
-            StoreCancel(ID, 'ordinary', False),
+            StoreCancel(ID, 'ordinary', False, 'guild'),
         )
 
     def test_a_job_of_another_queue_is_not_found(self):
@@ -92,6 +94,24 @@
         call = make_call(path=f'/u/{ID}')
         self.assertEqual(self.handler.decide(call), NoSuchJob())
 
+    def test_a_job_of_another_organisation_is_not_found(self):
+        # Members of a platform are rivals: each sees and cancels only its own jobs.
+        self.store()
+        for method in ('GET', 'DELETE'):
+            call = make_call(method, key='k2')
+            self.assertEqual(self.handler.decide(call), NoSuchJob())
+        self.assertEqual(
+            self.handler.decide(make_call('POST', key='k2', draft=DRAFT)), Taken()
+        )
+
+    def test_all_callers_of_a_public_queue_see_its_jobs(self):
+        queues = tuple(queue._replace(public=True) for queue in CONFIGURATION.queues)
+        self.handler.configure(CONFIGURATION._replace(version=2, queues=queues))
+        self.store()
+        for key in ('', 'k2'):
+            call = make_call(key=key)
+            self.assertEqual(self.handler.decide(call), State(JobState.QUEUED))
+
     def test_states_follow_record_and_cancellation(self):
         self.store()
         for record, cancelled, state in (
--- a/yuccarelay/core/batch/request_handler.py
+++ b/yuccarelay/core/batch/request_handler.py
@@ -141,19 +141,29 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadJob:
-    """Read the job from the store, because the replica may be behind."""
+    """
+    Read the job from the store, because the replica may be behind.
+
+    `organisation` is the only one that may see the job; if empty, all may.
+    """
 
     job: str
     queue: str
+    organisation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
 class StoreCancel:
-    """Store the cancellation; `known` is false when the job must be read first."""
+    """
+    Store the cancellation; `known` is false when the job must be read first.
+
+    `organisation` is the only one that may cancel the job; if empty, all may.
+    """
 
     job: str
     queue: str
     known: bool
+    organisation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +195,17 @@
     return stored._replace(accepted_at_ms=0) == submitted._replace(accepted_at_ms=0)
 
 
+def is_visible(job: Job, queue: str, organisation: str) -> bool:
+    """
+    Whether a caller of a queue may see and cancel a job.
+
+    An organisation sees only its own jobs. `organisation` is empty for callers of a
+    public queue, and a job's own is empty if it was submitted without a key.
+    """
+    is_own = not organisation or job.organisation in ('', organisation)
+    return job.queue == queue and is_own
+
+
 def derive_state(record: JobRecord | None, cancelled: bool) -> JobState:
     """Return the state of a job as it is reported to callers."""
     state = record.state if record else JobState.QUEUED
@@ -230,14 +251,15 @@
         if organisation is None and not queue.public:
             return UnknownKey()
         name = organisation.name if organisation else ''
+        viewer = '' if queue.public else name
         job_id = call.path[len(queue.prefix) :]
         match call.method:
             case 'GET' if not job_id:
                 return Pending(self.count_pending(queue.name))
             case 'GET':
-                return self._decide_state(job_id, queue)
+                return self._decide_state(job_id, queue, viewer)
             case 'DELETE':
-                return self._decide_cancel(job_id, queue)
+                return self._decide_cancel(job_id, queue, viewer)
             case 'POST':
                 return self._decide_submission(call, queue, name, job_id)
         return Invalid('the method must be GET, POST or DELETE')
@@ -253,31 +275,34 @@
         state = derive_state(record, job.id in self.cancelled)
         return state is JobState.QUEUED
 
-    def _decide_state(self, job_id: str, queue: Queue) -> Decision:
+    def _decide_state(self, job_id: str, queue: Queue, viewer: str) -> Decision:
         if not JOB_ID.fullmatch(job_id):
             return NoSuchJob()
         job = self.jobs.get(job_id)
         if job is None:
-            return ReadJob(job_id, queue.name)
-        if job.queue != queue.name:
+            return ReadJob(job_id, queue.name, viewer)
+        if not is_visible(job, queue.name, viewer):
             return NoSuchJob()
         record = self.records.get(job_id)
         return State(derive_state(record, job_id in self.cancelled))
 
-    def find_end(self, job_id: str) -> State | None:
-        """Return the state of a job that has ended, or None."""
-        state = derive_state(self.records.get(job_id), job_id in self.cancelled)
+    def find_end(self, call: ReadJob) -> State | None:
+        """Return the state of a visible job that has ended, or None."""
+        job = self.jobs.get(call.job)
+        if job is None or not is_visible(job, call.queue, call.organisation):
+            return None
+        state = derive_state(self.records.get(job.id), job.id in self.cancelled)
         return State(state) if state in ENDED else None
 
-    def _decide_cancel(self, job_id: str, queue: Queue) -> Decision:
+    def _decide_cancel(self, job_id: str, queue: Queue, viewer: str) -> Decision:
         if not JOB_ID.fullmatch(job_id):
             return NoSuchJob()
         job = self.jobs.get(job_id)
-        if job is not None and job.queue != queue.name:
+        if job is not None and not is_visible(job, queue.name, viewer):
             return NoSuchJob()
         if job is not None and not self._is_open(job_id):
             return Cancelled()
-        return StoreCancel(job_id, queue.name, job is not None)
+        return StoreCancel(job_id, queue.name, job is not None, viewer)
 
     def _is_open(self, job_id: str) -> bool:
         record = self.records.get(job_id)
--- a/yuccarelay/tasks/batch/relay.py
+++ b/yuccarelay/tasks/batch/relay.py
@@ -110,7 +110,7 @@
                 outcome: Outcome = NotAccepted(RETRY_AFTER_S)
                 end = None
                 if isinstance(call, ReadJob):
-                    end = self.handler.handler.find_end(call.job)
+                    end = self.handler.handler.find_end(call)
                 if end is not None:
                     # The state of a job that has ended never changes.
                     outcome = end
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -33,6 +33,7 @@
     Undecided,
     derive_state,
     is_same_job,
+    is_visible,
 )
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
@@ -223,8 +224,8 @@
         match call:
             case StoreJob(job):
                 return await self._store_job(job, deadline_ms)
-            case ReadJob(job, queue):
-                return await self._read_state(job, queue)
+            case ReadJob():
+                return await self._read_state(call)
             case StoreCancel():
                 return await self._store_cancel(call)
 
@@ -314,23 +315,26 @@
                     return Accepted()
         return Taken()
 
-    async def _read_state(self, job: str, queue: str) -> Outcome:
+    async def _read_state(self, call: ReadJob) -> Outcome:
         """Return the state of a job that the replica does not have."""
-        match await self.store.read(batch_records.JOBS + job):
+        match await self.store.read(batch_records.JOBS + call.job):
             case Ok(None):
                 return NoSuchJob()
             case Ok(value):
-                stored = batch_records.decode_job(value.value)
-                if stored.is_err() or stored.ok_value.queue != queue:
-                    return NoSuchJob()
-                cancelled = job in self.handler.cancelled
-                return State(derive_state(self.handler.records.get(job), cancelled))
+                match batch_records.decode_job(value.value):
+                    case Ok(job) if is_visible(job, call.queue, call.organisation):
+                        cancelled = job.id in self.handler.cancelled
+                        record = self.handler.records.get(job.id)
+                        return State(derive_state(record, cancelled))
+                return NoSuchJob()
         return NotAccepted(RETRY_AFTER_S)
 
     async def _store_cancel(self, cancel: StoreCancel) -> Outcome:
         """Store a cancellation; the write is idempotent."""
         if not cancel.known:
-            found = await self._read_state(cancel.job, cancel.queue)
+            found = await self._read_state(
+                ReadJob(cancel.job, cancel.queue, cancel.organisation)
+            )
             if not isinstance(found, State):
                 return found
         key = batch_records.CANCELS + cancel.job
