Treat a replica as stale once its watch is overdue

Cause: an entry took its replica for fresh until a call to the store had failed.

Change: each answer of a watch that came in time confirms the replica for 1.5 s; an answer that was overdue confirms nothing. With an overdue watch the configuration is read before a request is decided (one read for all that wait), and the state of a job that has not ended is asked of another entry, which reads the record itself if its own replica is not confirmed.

A silence shorter than 1.5 s still is not noticed.

--- a/tests/test_batch_relay.py
+++ b/tests/test_batch_relay.py
@@ -1,5 +1,6 @@
 """Tests of refusals and relays while the store cannot be reached."""
 
+import asyncio
 import random
 import unittest
 
@@ -7,7 +8,7 @@
 
 from tests.batch_fleet import CONFIGURATION, make_job
 from tests.fakes import FakeClock, FakeJournal
-from yuccarelay.adapters import batch_codec
+from yuccarelay.adapters import batch_codec, batch_records
 from yuccarelay.core.batch.events import Configured, JobAccepted
 from yuccarelay.core.batch.models import JobRecord, JobState
 from yuccarelay.core.batch.request_handler import (
@@ -16,21 +17,28 @@
     NewerConfiguration,
     NotAccepted,
     NothingNewer,
+    Pending,
     ReadConfiguration,
     ReadJob,
     State,
     StoreJob,
     Undecided,
+    UnknownKey,
 )
-from yuccarelay.ports.store import StoreFailure, TransactionResult
+from yuccarelay.ports.store import StoredValue, StoreFailure, TransactionResult
 from yuccarelay.ports.transport import TransportFailure
 from yuccarelay.tasks.batch.relay import PeerConfigurationTask, RelayTask
 from yuccarelay.tasks.batch.replica import (
+    ConfigurationReader,
     EntryAddressChanged,
     RecordChanged,
+    ReplicaConfirmed,
     StoreReachability,
 )
-from yuccarelay.tasks.batch.request_handler import RequestHandlerTask
+from yuccarelay.tasks.batch.request_handler import (
+    RequestHandlerTask,
+    RequestReceived,
+)
 from yuccarelay.tasks.mailbox import Mailbox
 
 DEADLINE_MS = 10_000
@@ -45,11 +53,16 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.calls = 0
+        self.values: dict[str, bytes] = {}
 
     async def transact(self, guards, writes):
         self.calls += 1
         return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
 
+    async def read(self, key):
+        self.calls += 1
+        return Ok(StoredValue(key, self.values.get(key, b''), 1, 1))
+
 
 class ScriptedSockets:
     """Answers each request with the answer given for its address."""
@@ -81,16 +94,22 @@
             Mailbox(),
             'own',
             sockets,
+            ConfigurationReader(store, 'config', self.decode_configuration),
             self.clock,
             random.Random(1),
             FakeJournal(),
         )
         handler.take(Configured(CONFIGURATION))
         handler.take(StoreReachability(True))
+        for prefix in (batch_records.ROOT, 'op/'):
+            handler.take(ReplicaConfirmed(prefix, DEADLINE_MS))
         for address in sockets.answers:
             handler.take(EntryAddressChanged(address, address))
         return handler
 
+    def decode_configuration(self, data: bytes):
+        return Ok(self.stored_configuration)
+
     async def submit(self, handler: RequestHandlerTask):
         return await handler.call_or_relay(StoreJob(make_job()), DEADLINE_MS)
 
@@ -141,6 +160,45 @@
         self.assertEqual(await self.read_job(handler, job), State(JobState.COMPLETED))
         self.assertEqual(sockets.asked, ['a'])
 
+    async def test_a_replica_with_an_overdue_watch_reads_from_another_entry(self):
+        # Soak seed 21: the link to the store was silent for 1.3 s before a job ended,
+        # and the entry reported it as running after another had shown the end.
+        job = make_job()
+        sockets = ScriptedSockets(a=State(JobState.COMPLETED))
+        handler = self.make_handler(ScriptedStore(DONE), sockets)
+        handler.take(JobAccepted(job))
+        self.clock.time_ms = DEADLINE_MS + 1
+        self.assertEqual(await self.read_job(handler, job), State(JobState.COMPLETED))
+
+    async def test_a_stale_entry_reads_the_record_for_another(self):
+        job = make_job()
+        store = ScriptedStore(DONE)
+        store.values = {
+            batch_records.JOBS + job.id: batch_records.encode(job),
+            batch_records.RECORDS + job.id: batch_records.encode(
+                JobRecord(JobState.COMPLETED)
+            ),
+        }
+        handler = self.make_handler(store, ScriptedSockets())
+        handler.take(RecordChanged(job.id, JobRecord(JobState.RUNNING, True)))
+        self.clock.time_ms = DEADLINE_MS + 1
+        found = await handler.call_store(ReadJob(job.id, job.queue), DEADLINE_MS)
+        self.assertEqual(found, State(JobState.COMPLETED))
+
+    async def test_a_paused_entry_reads_the_configuration_before_it_answers(self):
+        # The key was withdrawn while the process was paused.
+        handler = self.make_handler(ScriptedStore(DONE), ScriptedSockets())
+        self.stored_configuration = CONFIGURATION._replace(version=2, organisations=())
+        call = Call('GET', 'h', '/o/', 'k1', None, 0)
+        for time_ms, expected in (
+            (DEADLINE_MS, Pending(0)),
+            (DEADLINE_MS + 1, UnknownKey()),
+        ):
+            self.clock.time_ms = time_ms
+            reply_to = asyncio.get_running_loop().create_future()
+            handler.take(RequestReceived(call, DEADLINE_MS, reply_to))
+            self.assertEqual(await reply_to, expected)
+
     async def test_the_state_of_an_ended_job_needs_no_store(self):
         job = make_job()
         handler = self.make_handler(ScriptedStore(DONE), ScriptedSockets())
--- a/tests/test_batch_replica.py
+++ b/tests/test_batch_replica.py
@@ -5,9 +5,15 @@
 
 from result import Ok
 
-from tests.fakes import FakeJournal, stop_task
+from tests.fakes import FakeClock, FakeJournal, stop_task
+from yuccarelay.adapters import batch_records
 from yuccarelay.ports.store import Page
-from yuccarelay.tasks.batch.replica import ReplicaTask, StoreReachability
+from yuccarelay.tasks.batch.replica import (
+    WATCH_OVERDUE_MS,
+    ReplicaConfirmed,
+    ReplicaTask,
+    StoreReachability,
+)
 from yuccarelay.tasks.mailbox import Mailbox
 
 
@@ -41,6 +47,7 @@
             handler,
             Mailbox(),
             Mailbox(),
+            FakeClock(),
             FakeJournal(),
         )
         task = asyncio.create_task(replica.run())
@@ -63,5 +70,57 @@
         self.assertEqual(await self.collect_reachability(6, 6), [True] * 6)
 
 
+class DelayedStore:
+    """Answers each watch after the given delay, on a clock that the test sets."""
+
+    def __init__(self, clock: FakeClock, *delays_ms: int):
+        self.clock = clock
+        self.delays_ms = delays_ms
+
+    async def watch(self, prefix, start_revision):
+        for delay_ms in self.delays_ms:
+            self.clock.time_ms += delay_ms
+            yield ()
+
+
+class ConfirmationTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a process that was paused and takes its replica for fresh."""
+
+    async def confirm(self, *delays_ms: int) -> list[int]:
+        """Return the times until which the replica counts as fresh."""
+        clock, handler = FakeClock(), Mailbox()
+        store = DelayedStore(clock, *delays_ms)
+        replica = ReplicaTask(
+            store,
+            'op/',
+            None,
+            handler,
+            Mailbox(),
+            Mailbox(),
+            clock,
+            FakeJournal(),
+        )
+        await replica.follow(batch_records.ROOT, revision=1)
+        messages = [handler.get_nowait() for _ in range(handler.qsize())]
+        return [
+            message.fresh_until_ms
+            for message in messages
+            if isinstance(message, ReplicaConfirmed)
+        ]
+
+    async def test_each_answer_in_time_confirms_the_replica(self):
+        self.assertEqual(
+            await self.confirm(1_000, 1_000),
+            [2_000 + WATCH_OVERDUE_MS, 3_000 + WATCH_OVERDUE_MS],
+        )
+
+    async def test_an_overdue_answer_confirms_nothing(self):
+        # The answer waited in the socket while the process was paused for 4 s.
+        self.assertEqual(
+            await self.confirm(1_000, 4_000, 10),
+            [2_000 + WATCH_OVERDUE_MS, 6_010 + WATCH_OVERDUE_MS],
+        )
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/host_roles.py
+++ b/yuccarelay/host_roles.py
@@ -31,7 +31,7 @@
 from yuccarelay.tasks.batch.records import RecordsTask
 from yuccarelay.tasks.batch.register import RegisterTask
 from yuccarelay.tasks.batch.relay import PeerConfigurationTask, RelayTask
-from yuccarelay.tasks.batch.replica import ReplicaTask
+from yuccarelay.tasks.batch.replica import ConfigurationReader, ReplicaTask
 from yuccarelay.tasks.batch.request_handler import RequestHandlerTask
 from yuccarelay.tasks.mailbox import Mailbox
 from yuccarelay.tasks.metrics import MetricsTask, QueuedMetrics
@@ -134,6 +134,7 @@
         planner_box,
         settings.node,
         PeerSockets(transport, clock),
+        ConfigurationReader(store, jobs.CONFIGURATION_KEY, jobs.decode_configuration),
         clock,
         rng,
         journal,
@@ -159,6 +160,7 @@
             handler_box,
             planner_box,
             election_box,
+            clock,
             journal,
         ),
         RecordsTask(store, records_box, planner_box, election_box, rng, journal),
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from yuccarelay.adapters import batch_records
 from yuccarelay.core.batch.events import (
@@ -14,6 +14,7 @@
     JobCancelled,
 )
 from yuccarelay.core.batch.models import Configuration, Job, JobRecord
+from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.store import Store, StoredValue, WatchEvent
 from yuccarelay.tasks.mailbox import Mailbox
@@ -23,6 +24,10 @@
 RETRY_S = 0.1
 # A read takes one network round trip and, when the store is slow, 0.3 s.
 SLOW_READ_S = 0.4
+# A watch is answered every second, and up to 0.4 s later between regions or when the
+# store is slow. One that is overdue may miss changes: its connection is silent, or
+# this process was paused.
+WATCH_OVERDUE_MS = 1_500
 # A key that is absent from a fresh read was deleted while no watch was open, so a
 # read has all pages or fails.
 READ_PAGES_LIMIT = 1_000
@@ -73,6 +78,33 @@
     store_reachable: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicaConfirmed:
+    """The replica of a prefix has all changes until `fresh_until_ms`."""
+
+    prefix: str
+    fresh_until_ms: int
+
+
+class ConfigurationReader:
+    """Reads the operators' configuration from the store."""
+
+    def __init__(self, store: Store, key: str, decode: Callable):
+        self.store = store
+        self.key = key
+        self.decode = decode
+
+    async def read(self) -> Result[Configuration, str]:
+        """Return the configuration, or the reason why there is none."""
+        match await self.store.read(self.key):
+            case Ok(None):
+                return Err('the store has no configuration')
+            case Ok(value):
+                return self.decode(value.value)
+            case Err(failure):
+                return Err(failure.reason)
+
+
 async def read_all(store: Store, prefix: str):
     """Read all pages of a prefix; the revision is that of the first page."""
     values: list[StoredValue] = []
@@ -106,9 +138,11 @@
         handler: Mailbox,
         planner: Mailbox,
         election: Mailbox,
+        clock: Clock,
         journal: Journal,
     ):
         self.store = store
+        self.clock = clock
         self.configuration_prefix = configuration_prefix
         self.decode_configuration = decode_configuration
         self.handler = handler
@@ -130,15 +164,27 @@
                 case Ok((values, revision)):
                     self._report_reachability(prefix, True)
                     self._handle_listing(prefix, values)
-                    async for events in self.store.watch(prefix, revision + 1):
-                        self._report_reachability(prefix, True)
-                        for event in events:
-                            self._handle_change(event)
+                    await self.follow(prefix, revision)
                     self.journal.write('watch_ended', {'prefix': prefix})
                 case Err(failure):
                     self._report_reachability(prefix, False, failure.reason)
                     await asyncio.sleep(RETRY_S)
 
+    async def follow(self, prefix: str, revision: int) -> None:
+        """Handle the changes after a revision until the watch ends."""
+        overdue_ms = self.clock.now_ms() + WATCH_OVERDUE_MS
+        async for events in self.store.watch(prefix, revision + 1):
+            self._report_reachability(prefix, True)
+            for event in events:
+                self._handle_change(event)
+            now_ms = self.clock.now_ms()
+            # An overdue answer may have waited while this process was paused, so
+            # only the next one shows that nothing is missing.
+            if now_ms <= overdue_ms:
+                confirmed = ReplicaConfirmed(prefix, now_ms + WATCH_OVERDUE_MS)
+                self.handler.put_nowait(confirmed)
+            overdue_ms = now_ms + WATCH_OVERDUE_MS
+
     async def _read(self, prefix: str):
         """
         Read a prefix; report the store as unreachable while a read is slow.
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -41,10 +41,12 @@
 from yuccarelay.ports.transport import TransportFailure
 from yuccarelay.tasks.batch.peers import PeerSockets
 from yuccarelay.tasks.batch.replica import (
+    ConfigurationReader,
     EntryAddressChanged,
     JobRemoved,
     JobsListed,
     RecordChanged,
+    ReplicaConfirmed,
     StoreReachability,
 )
 from yuccarelay.tasks.mailbox import Mailbox
@@ -61,6 +63,8 @@
 RETRY_PAUSE_MS = 25
 # Callers wait some 3 s in all, so that a later retry would come too late.
 RETRY_AFTER_S = 1
+# Requests that arrive together share one read of the configuration.
+CONFIGURATION_READ_VALID_MS = 250
 # Share of the caller's time limit that is spent waiting for the store.
 DEADLINE_SHARE = 0.8
 
@@ -89,11 +93,13 @@
         planner: Mailbox,
         node: str,
         sockets: PeerSockets,
+        configuration_reader: ConfigurationReader,
         clock: Clock,
         rng: random.Random,
         journal: Journal,
     ):
         self.store = store
+        self.configuration_reader = configuration_reader
         self.inbox = inbox
         self.planner = planner
         self.node = node
@@ -105,6 +111,9 @@
         self.agents: dict[str, AgentAddress] = {}
         self.entries: dict[str, str] = {}
         self.store_reachable = False
+        self.jobs_fresh_until_ms = 0
+        self.configuration_fresh_until_ms = 0
+        self.configuration_lock = asyncio.Lock()
         self.relay_retry_ms = 0
         self.last_failure_ms: dict[str, int] = {}
         self.calls: set[asyncio.Task] = set()
@@ -156,6 +165,10 @@
                 self.entries[node] = address
             case StoreReachability(store_reachable):
                 self.store_reachable = store_reachable
+            case ReplicaConfirmed(batch_records.ROOT, fresh_until_ms):
+                self.jobs_fresh_until_ms = fresh_until_ms
+            case ReplicaConfirmed(_, fresh_until_ms):
+                self.configuration_fresh_until_ms = fresh_until_ms
             case ResendAll():
                 self._resend_all()
 
@@ -176,12 +189,40 @@
     async def _answer(self, request: RequestReceived) -> None:
         """Answer one request."""
         received_ms = self.clock.now_ms()
+        await self.refresh_configuration()
         decision = self.handler.decide(request.call)
         outcome = await self.conclude(request.call, decision, request.deadline_ms)
         self._log(request.call, outcome, self.clock.now_ms() - received_ms)
         if not request.reply_to.done():
             request.reply_to.set_result(outcome)
 
+    async def refresh_configuration(self) -> None:
+        """
+        Read the configuration if its watch is overdue, so that no old one is applied.
+
+        A process that was paused holds keys and queues that may have been removed
+        meanwhile. While the store is unreachable the last known version applies.
+        """
+        async with self.configuration_lock:
+            sent_ms = self.clock.now_ms()
+            if not self.store_reachable or sent_ms <= self.configuration_fresh_until_ms:
+                return
+            match await self.configuration_reader.read():
+                case Ok(configuration):
+                    for take in (self.take, self.planner.put_nowait):
+                        take(Configured(configuration))
+                    fresh_until_ms = sent_ms + CONFIGURATION_READ_VALID_MS
+                    self.configuration_fresh_until_ms = max(
+                        self.configuration_fresh_until_ms, fresh_until_ms
+                    )
+                case Err(reason):
+                    self.store_reachable = False
+                    self.journal.write('configuration_not_read', {'reason': reason})
+
+    def is_replica_fresh(self) -> bool:
+        """Whether the replica has all changes of jobs that the store has made."""
+        return self.store_reachable and self.clock.now_ms() <= self.jobs_fresh_until_ms
+
     async def conclude(
         self,
         call: Call,
@@ -191,13 +232,13 @@
         """
         Return the answer that a decision leads to.
 
-        While this entry cannot reach the store its replica is stale, so the state
-        of a job that has not ended is read from another entry.
+        While this entry's replica may be stale, the state of a job that has not
+        ended is read from another entry.
         """
         match decision:
             case StoreJob() | ReadJob() | StoreCancel():
                 return await self.call_or_relay(decision, deadline_ms)
-            case State(state) if state not in ENDED and not self.store_reachable:
+            case State(state) if state not in ENDED and not self.is_replica_fresh():
                 job = self.handler.jobs[call.path.rpartition('/')[2]]
                 found = await self._relay(ReadJob(job.id, job.queue))
                 return found if isinstance(found, State) else decision
@@ -323,12 +364,21 @@
             case Ok(value):
                 match batch_records.decode_job(value.value):
                     case Ok(job) if is_visible(job, call.queue, call.organisation):
-                        cancelled = job.id in self.handler.cancelled
-                        record = self.handler.records.get(job.id)
-                        return State(derive_state(record, cancelled))
+                        return await self._read_record(job.id)
                 return NoSuchJob()
         return NotAccepted(RETRY_AFTER_S)
 
+    async def _read_record(self, job: str) -> Outcome:
+        """Return a job's state from the replica, or from the store if it is stale."""
+        record = self.handler.records.get(job)
+        if not self.is_replica_fresh():
+            match await self.store.read(batch_records.RECORDS + job):
+                case Ok(value) if value is not None:
+                    record = batch_records.decode_record(value.value).unwrap_or(record)
+                case Err():
+                    return NotAccepted(RETRY_AFTER_S)
+        return State(derive_state(record, job in self.handler.cancelled))
+
     async def _store_cancel(self, cancel: StoreCancel) -> Outcome:
         """Store a cancellation; the write is idempotent."""
         if not cancel.known:
