Keep one malformed message or unexpected error to that message

Cause: an error that nobody expected ended the task that met it, and with it the process. Found by a probe of every decoder and then shown by tests: deeply nested JSON raised RecursionError in the four decoders that were probed with it, of which the configuration's ends all entries; a task id of 5,000 digits in a worker's list, a record with a malformed key and a stored job without steps ended each planner in turn; an agent's address with a long number ended all entries; an event of the store without a key ended the watch; a job of a billion tasks would exhaust each planner's memory; numbers beyond 64 bits in a worker's list left its polls unanswered for good; a request without a path was never answered, so its entry could not drain.

Change: decoding.decode turns the errors of decoders into values; numbers from outside are bounded to what can be encoded again; ids, records and jobs are checked when they are read; a job has at most 100,000 tasks. What is still unexpected costs one message: requests get 500, orders count as unanswered, a planner that fails gives up its term and the next one restores the state, each with one log line and the trace.

A 5xx status other than 503 from the store, and any status of a worker but the five that say that nothing was done, counted as a refusal; now the outcome is open. That could have reported a stored job as refused, or started a running task again.

--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -51,12 +51,16 @@
     found: dict[str, set[str]] = {}
     for owner, name, node in find_calls():
         is_log_call = (owner, name) in (('journal', 'write'), ('outbox', 'log'))
-        if not is_log_call and name not in ('_log', 'note'):
+        is_failure = name == 'write_failure'
+        if not (is_log_call or is_failure or name in ('_log', 'note')):
             continue
-        event = read_name(node.args[0]) if node.args else ''
+        arguments = node.args[1:] if is_failure else node.args
+        event = read_name(arguments[0]) if arguments else ''
         if not event:
             continue
         fields = found.setdefault(event, set())
+        if is_failure:
+            fields |= {'error', 'trace'}
         fields |= {keyword.arg for keyword in node.keywords}
         for argument in node.args[1:]:
             if isinstance(argument, ast.Dict):
--- a/yuccarelay/adapters/batch_codec.py
+++ b/yuccarelay/adapters/batch_codec.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from yuccarelay.adapters import decoding
 from yuccarelay.core.batch.protocol import Answer, Order
 from yuccarelay.core.batch.request_handler import (
     Outcome,
@@ -28,11 +29,10 @@
 
 def decode(data: bytes) -> Result[Message, str]:
     """Decode a message, or return the reason why it cannot be decoded."""
-    try:
-        kind, body = ENVELOPE.decode(data)
-        decoder = KINDS.get(kind)
-        if decoder is None:
+    match decoding.decode(ENVELOPE.decode, data):
+        case Ok((kind, body)) if kind in KINDS:
+            return decoding.decode(KINDS[kind].decode, body)
+        case Ok((kind, _)):
             return Err(f'unknown kind {kind[:64]!r}')
-        return Ok(decoder.decode(body))
-    except (msgspec.MsgspecError, RecursionError, ValueError) as error:
-        return Err(str(error))
+        case Err() as failed:
+            return failed
--- a/yuccarelay/adapters/batch_records.py
+++ b/yuccarelay/adapters/batch_records.py
@@ -1,8 +1,11 @@
 """Store keys, and the encoding of jobs, their records and agent addresses."""
 
+import re
+
 import msgspec
 from result import Err, Ok, Result
 
+from yuccarelay.adapters import decoding
 from yuccarelay.core.batch.models import Job, JobRecord
 from yuccarelay.core.batch.protocol import AgentAddress
 
@@ -16,6 +19,9 @@
 
 JOB_DECODER = msgspec.json.Decoder(Job)
 RECORD_DECODER = msgspec.json.Decoder(JobRecord)
+# Occurrence, step and index of a task.
+TASK_KEY = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}')
+INCARNATION = re.compile(r'[0-9]{1,15}')
 
 
 def encode(value: Job | JobRecord) -> bytes:
@@ -24,13 +30,13 @@
 
 
 def decode_job(data: bytes) -> Result[Job, str]:
-    """Decode a job."""
-    return _decode(JOB_DECODER, data)
+    """Decode a job; its steps must follow only earlier steps."""
+    return decoding.decode(JOB_DECODER.decode, data).and_then(_check_steps)
 
 
 def decode_record(data: bytes) -> Result[JobRecord, str]:
     """Decode a job record."""
-    return _decode(RECORD_DECODER, data)
+    return decoding.decode(RECORD_DECODER.decode, data).and_then(_check_tasks)
 
 
 def encode_agent(agent_address: AgentAddress) -> bytes:
@@ -41,13 +47,22 @@
 def decode_agent(data: bytes) -> Result[AgentAddress, str]:
     """Decode the address and the incarnation of an agent."""
     address, _, incarnation = data.decode(errors='replace').partition(' ')
-    if not incarnation.isdecimal():
+    if not INCARNATION.fullmatch(incarnation):
         return Err(f'no incarnation in {address[:60]!r}')
     return Ok(AgentAddress(address, int(incarnation)))
 
 
-def _decode(decoder, data: bytes):
-    try:
-        return Ok(decoder.decode(data))
-    except (msgspec.MsgspecError, ValueError) as error:
-        return Err(str(error))
+def _check_steps(job: Job) -> Result[Job, str]:
+    if not job.steps:
+        return Err('a job has at least one step')
+    for number, step in enumerate(job.steps):
+        if step.count < 1 or any(not 0 <= one < number for one in step.after):
+            return Err(f'step {number} has no tasks or follows no earlier step')
+    return Ok(job)
+
+
+def _check_tasks(record: JobRecord) -> Result[JobRecord, str]:
+    for key in record.tasks:
+        if not TASK_KEY.fullmatch(key):
+            return Err(f'{key[:60]!r} is no occurrence, step and index')
+    return Ok(record)
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -187,14 +187,14 @@
         return JobRecord(self.state, self.begun, self.ended_at_ms, tasks)
 
     def load(self, record: JobRecord) -> None:
-        """Restore the state from a stored record."""
+        """Restore the state from a record; tasks that the job lacks are left out."""
         self.state = record.state
         self.begun = record.begun
         self.ended_at_ms = record.ended_at_ms
-        self.tasks = {
-            tuple(int(part) for part in key.split('.')): task
-            for key, task in record.tasks.items()
-        }
+        for key, task in record.tasks.items():
+            occurrence, step, index = (int(part) for part in key.split('.'))
+            if step < len(self.job.steps) and index < self.job.steps[step].count:
+                self.tasks[occurrence, step, index] = task
 
 
 @dataclass(slots=True)
--- a/yuccarelay/core/batch/models.py
+++ b/yuccarelay/core/batch/models.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import re
 from typing import NamedTuple
 
 
@@ -128,10 +129,13 @@
         return f'{self.job}.{self.occurrence}.{self.step}.{self.index}'
 
 
+TASK_NUMBER = re.compile(r'[0-9]{1,9}')
+
+
 def parse_task_id(text: str) -> TaskId | None:
     """Return the task id in a text, or None if it is malformed."""
     parts = text.split('.')
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+    if len(parts) != 4 or not all(TASK_NUMBER.fullmatch(part) for part in parts[1:]):
         return None
     return TaskId(parts[0], *(int(part) for part in parts[1:]))
 
--- a/yuccarelay/core/batch/request_handler.py
+++ b/yuccarelay/core/batch/request_handler.py
@@ -87,6 +87,11 @@
     """The store did not confirm whether the change was made."""
 
 
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """An unexpected error; it is unknown whether a change was made."""
+
+
 @dataclass(frozen=True, slots=True)
 class Taken:
     """The id is in use by another job."""
@@ -124,6 +129,7 @@
     | Accepted
     | NotAccepted
     | Undecided
+    | Failed
     | Taken
     | NoSuchJob
     | State
--- a/yuccarelay/platform/front.py
+++ b/yuccarelay/platform/front.py
@@ -10,6 +10,7 @@
     Accepted,
     Call,
     Cancelled,
+    Failed,
     Invalid,
     NoSuchJob,
     NoSuchQueue,
@@ -115,6 +116,8 @@
             return 503, {'error': 'no configuration is known yet'}
         case NotAccepted():
             return 503, {'error': 'the store cannot be reached, nothing was stored'}
+        case Failed():
+            return 500, {'error': 'internal error, the outcome is unknown'}
         case Undecided():
             return 504, {'error': 'the store did not answer in time'}
 
--- a/yuccarelay/platform/jobs.py
+++ b/yuccarelay/platform/jobs.py
@@ -7,6 +7,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from yuccarelay.adapters import decoding
+from yuccarelay.adapters.decoding import Count, Integer
 from yuccarelay.core.batch.models import (
     AdviceTerms,
     Configuration,
@@ -19,16 +21,18 @@
 
 CONFIGURATION_KEY = 'op/config'
 CONFIGURATION_PREFIX = 'op/'
+# A planner holds the state of each task, about 1 kB, in memory.
+TASKS_LIMIT = 100_000
 
 
 class WireStep(msgspec.Struct, rename='camel'):
     """A step; `cpu` is in thousandths of a core, `requirements` is one label."""
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: int = 0
+    count: Integer
+    cpu: Integer = 0
+    mem_mb: Integer = 0
+    gpu: Integer = 0
+    estimated_ms: Integer = 0
     after: tuple[int, ...] = ()
     checkpointing: bool = False
     gang: bool = False
@@ -36,15 +40,15 @@
     requirements: str = ''
     data_rack: str = ''
     # The maximum number of the step's tasks on one worker.
-    anti_affinity: int = 0
+    anti_affinity: Integer = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ''
-    target_ms: int = 0
+    target_ms: Integer = 0
     # A flag despite its name: a best-effort step takes only processor time left by
     # others.
     fill_count: bool | int = False
-    miss_allowance: int = -1
+    miss_allowance: Integer = -1
 
 
 class WireJob(msgspec.Struct, rename='camel'):
@@ -52,9 +56,9 @@
 
     specification: str
     steps: tuple[WireStep, ...]
-    first_run_ms: int = 0
-    interval_ms: int = 0
-    repetitions: int = 0
+    first_run_ms: Count = 0
+    interval_ms: Count = 0
+    repetitions: Count = 0
 
 
 class WireGuarantee(msgspec.Struct):
@@ -124,10 +128,11 @@
 
 def decode_draft(body: bytes) -> Draft | str:
     """Return the job that a body describes, or what is wrong with it."""
-    try:
-        job = JOB_DECODER.decode(body)
-    except (msgspec.MsgspecError, ValueError) as fault:
-        return f'the body is no job: {fault}'
+    match decoding.decode(JOB_DECODER.decode, body):
+        case Ok(job):
+            pass
+        case Err(reason):
+            return f'the body is no job: {reason}'
     if not job.steps:
         return 'steps must have at least one step'
     for number, step in enumerate(job.steps):
@@ -137,6 +142,8 @@
             return f'steps[{number}].after must name earlier steps'
         if min(step.cpu, step.mem_mb, step.gpu, step.estimated_ms) < 0:
             return f'steps[{number}] must not ask for less than nothing'
+    if max(1, job.repetitions) * sum(step.count for step in job.steps) > TASKS_LIMIT:
+        return f'steps and repetitions must not have more than {TASKS_LIMIT} tasks'
     return Draft(
         specification=job.specification,
         steps=tuple(make_step(step) for step in job.steps),
@@ -170,23 +177,22 @@
 
 def decode_configuration(data: bytes) -> Result[Configuration, str]:
     """Decode a configuration."""
-    try:
-        wire = CONFIGURATION_DECODER.decode(data)
-    except (msgspec.MsgspecError, ValueError) as fault:
-        return Err(str(fault))
-    return Ok(
-        Configuration(
-            version=wire.version,
-            queues=tuple(make_queue(queue) for queue in wire.routes),
-            organisations=tuple(
-                Organisation(o.name, frozenset(o.api_keys), o.guaranteed.gpu)
-                for o in wire.tenants
-            ),
-            guarded_services=frozenset(
-                service.name for service in wire.services if service.admission_check
-            ),
-            body_limit_bytes=wire.limits.max_body_bytes,
+    return decoding.decode(CONFIGURATION_DECODER.decode, data).map(make_configuration)
+
+
+def make_configuration(wire: WireConfiguration) -> Configuration:
+    """Return the core's form of a configuration."""
+    return Configuration(
+        version=wire.version,
+        queues=tuple(make_queue(queue) for queue in wire.routes),
+        organisations=tuple(
+            Organisation(o.name, frozenset(o.api_keys), o.guaranteed.gpu)
+            for o in wire.tenants
+        ),
+        guarded_services=frozenset(
+            service.name for service in wire.services if service.admission_check
         ),
+        body_limit_bytes=wire.limits.max_body_bytes,
     )
 
 
--- a/yuccarelay/platform/store.py
+++ b/yuccarelay/platform/store.py
@@ -2,11 +2,13 @@
 
 import base64
 from collections.abc import AsyncIterator
+from functools import partial
 from typing import TypedDict
 
 import msgspec
 from result import Err, Ok, Result
 
+from yuccarelay.adapters import decoding
 from yuccarelay.adapters.http_client import HttpClient, HttpFailure, HttpResponse
 from yuccarelay.ports.store import (
     Delete,
@@ -212,20 +214,22 @@
             case Ok(HttpResponse(status=status)) if status in (200, *accept):
                 return answer
             case Ok(HttpResponse(status=status)):
-                # Any other status means that nothing was done. 503 and 429 are
-                # transient; with the others the same call would fail again.
-                refused = status not in (429, 503)
-                return Err(StoreFailure(f'status {status}', False, refused))
+                # 503 and the client errors mean that nothing was done; 503 and 429
+                # are transient, after the others the same call would fail again.
+                # Any other status, such as 502 or 504, leaves that open.
+                done = status >= 500 and status != 503
+                refused = 400 <= status < 500 and status != 429
+                return Err(StoreFailure(f'status {status}', done, refused))
             case Err(HttpFailure(reason, sent)):
                 return Err(StoreFailure(reason, ambiguous=sent))
 
 
 def parse(response: HttpResponse, kind) -> Result:
     """Decode a body; after an unreadable one the outcome of a write is unknown."""
-    try:
-        return Ok(msgspec.json.decode(response.body, type=kind))
-    except (msgspec.MsgspecError, ValueError) as fault:
-        return Err(StoreFailure(f'unreadable answer: {fault}', ambiguous=True))
+    found = decoding.decode(partial(msgspec.json.decode, type=kind), response.body)
+    return found.map_err(
+        lambda reason: StoreFailure(f'unreadable answer: {reason}', ambiguous=True)
+    )
 
 
 def make_value(item: Item) -> StoredValue:
@@ -246,7 +250,7 @@
 def make_event(item: Item) -> WatchEvent:
     """Return an item of a watch as an event."""
     value = None if item.get('deleted') else make_value(item)
-    return WatchEvent(item['key'], value, item.get('revision', 0))
+    return WatchEvent(item.get('key', ''), value, item.get('revision', 0))
 
 
 def make_conflict(conflict: Conflict) -> TransactionResult:
--- a/yuccarelay/platform/worker.py
+++ b/yuccarelay/platform/worker.py
@@ -1,8 +1,12 @@
 """Calls to an agent's co-located worker, and its heartbeats."""
 
+import math
+
 import msgspec
 from result import Err, Ok, Result
 
+from yuccarelay.adapters import decoding
+from yuccarelay.adapters.decoding import LARGEST_INTEGER, Integer
 from yuccarelay.adapters.http_client import HttpClient, HttpFailure, HttpResponse
 from yuccarelay.core.batch.agent import Heartbeat
 from yuccarelay.core.batch.models import EndedRun, Resources, RunningTask, WorkerInfo
@@ -22,14 +26,16 @@
 HOLD_SLACK_S = 0.8
 DRAINING = 'draining'
 STATES = ('ready', DRAINING)
+# With these statuses a worker has done nothing.
+REFUSALS = (400, 409, 421, 429, 503)
 
 
 class WireCapacity(msgspec.Struct, rename='camel'):
     """Capacity of a worker; `cpu` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Integer = 0
+    mem_mb: Integer = 0
+    gpu: Integer = 0
 
 
 class WireHeartbeat(msgspec.Struct, rename='camel'):
@@ -38,27 +44,27 @@
     service: str
     address: str
     state: str
-    sequence: int
+    sequence: Integer
     zone: str = ''
     capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
     labels: tuple[str, ...] = ()
-    clock_ms: int = 0
-    born: int = 0
-    remaining_ms: int = 0
+    clock_ms: Integer = 0
+    born: Integer = 0
+    remaining_ms: Integer = 0
 
 
 class WireAnswer(msgspec.Struct, rename='camel'):
     """Fields that every answer of a worker may have."""
 
-    clock_ms: int | None = None
+    clock_ms: Integer | None = None
     reason: str = ''
 
 
 class WireLists(msgspec.Struct, rename='camel'):
     """Answer of a hold: rows of running and of ended runs."""
 
-    clock_ms: int
-    born: int = 0
+    clock_ms: Integer
+    born: Integer = 0
     running: tuple[tuple, ...] = ()
     finished: tuple[tuple, ...] = ()
 
@@ -70,12 +76,17 @@
 
 def decode_heartbeat(name: str, body: bytes) -> Result[Heartbeat, str]:
     """Decode a heartbeat; a field of the wrong type or an unknown state is an error."""
-    try:
-        heartbeat = HEARTBEAT_DECODER.decode(body)
-    except (msgspec.MsgspecError, ValueError) as fault:
-        return Err(str(fault))
-    if heartbeat.state not in STATES:
-        return Err(f'unknown state {heartbeat.state[:40]!r}')
+    match decoding.decode(HEARTBEAT_DECODER.decode, body):
+        case Ok(heartbeat) if heartbeat.state in STATES:
+            return Ok(make_heartbeat(name, heartbeat))
+        case Ok(heartbeat):
+            return Err(f'unknown state {heartbeat.state[:40]!r}')
+        case Err() as failed:
+            return failed
+
+
+def make_heartbeat(name: str, heartbeat: WireHeartbeat) -> Heartbeat:
+    """Return the core's form of a heartbeat."""
     info = WorkerInfo(
         name=name,
         born_ms=heartbeat.born,
@@ -87,7 +98,7 @@
         draining=heartbeat.state == DRAINING,
         leaves_in_ms=heartbeat.remaining_ms,
     )
-    return Ok(Heartbeat(info, heartbeat.sequence, heartbeat.clock_ms))
+    return Heartbeat(info, heartbeat.sequence, heartbeat.clock_ms)
 
 
 class HttpWorker:
@@ -176,20 +187,21 @@
 
 def read_clock(data: bytes) -> int | None:
     """Return the worker's clock in an answer, if it has one."""
-    try:
-        return ANSWER_DECODER.decode(data).clock_ms
-    except (msgspec.MsgspecError, ValueError):
-        return None
+    return decoding.decode(ANSWER_DECODER.decode, data).unwrap_or(WireAnswer()).clock_ms
 
 
-def read_refusal(response: HttpResponse) -> Refused | Fenced:
-    """Return the reason for which a worker refused a call."""
+def read_refusal(response: HttpResponse) -> Refused | Fenced | NoAnswer:
+    """
+    Return the reason for which a worker refused a call.
+
+    A status that does not say that nothing was done, such as 502 or 504, is no answer.
+    """
+    if response.status not in REFUSALS:
+        return NoAnswer(f'status_{response.status}')
     reason = ''
     if response.status == 409:
-        try:
-            reason = ANSWER_DECODER.decode(response.body).reason
-        except (msgspec.MsgspecError, ValueError):
-            reason = 'unreadable'
+        found = decoding.decode(ANSWER_DECODER.decode, response.body)
+        reason = found.unwrap_or(WireAnswer(reason='unreadable')).reason
     if reason == 'fence':
         return Fenced()
     return Refused(reason or f'status_{response.status}')
@@ -197,22 +209,50 @@
 
 def read_lists(data: bytes) -> WorkerRuns | NoAnswer:
     """Decode both lists of a worker; lists that cannot be decoded are no answer."""
-    try:
-        lists = LISTS_DECODER.decode(data)
-        running = tuple(
-            RunningTask(
-                str(row[0]),
-                int(row[1]),
-                str(row[2]),
-                float(row[3]),
-                float(row[4]) if len(row) > 4 else 0.0,
-            )
-            for row in lists.running
+    match decoding.decode(parse_lists, data):
+        case Ok(runs):
+            return runs
+        case Err(reason):
+            return NoAnswer(f'unreadable lists: {reason}')
+
+
+def parse_lists(data: bytes) -> WorkerRuns:
+    """Return both lists of a worker; raise an error of decoding if one is malformed."""
+    lists = LISTS_DECODER.decode(data)
+    running = tuple(
+        RunningTask(
+            str(row[0]),
+            parse_count(row[1]),
+            str(row[2]),
+            parse_figure(row[3]),
+            parse_figure(row[4]) if len(row) > 4 else 0.0,
         )
-        ended = tuple(
-            EndedRun(int(row[0]), str(row[1]), int(row[2]), str(row[3]), str(row[4]))
-            for row in lists.finished
+        for row in lists.running
+    )
+    ended = tuple(
+        EndedRun(
+            parse_count(row[0]),
+            str(row[1]),
+            parse_count(row[2]),
+            str(row[3]),
+            str(row[4]),
         )
-    except (msgspec.MsgspecError, ValueError, IndexError, TypeError) as fault:
-        return NoAnswer(f'unreadable lists: {fault}')
+        for row in lists.finished
+    )
     return WorkerRuns(lists.clock_ms, lists.born, running, ended)
+
+
+def parse_count(value) -> int:
+    """Return a number that is not negative and can be encoded again."""
+    number = int(value)
+    if not 0 <= number <= LARGEST_INTEGER:
+        raise ValueError(f'{str(value)[:40]} is out of range')
+    return number
+
+
+def parse_figure(value) -> float:
+    """Return a finite number."""
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f'{str(value)[:40]} is not finite')
+    return number
--- a/yuccarelay/runtime.py
+++ b/yuccarelay/runtime.py
@@ -9,7 +9,6 @@
 import contextlib
 import logging
 import signal
-import traceback
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -18,6 +17,7 @@
 from yuccarelay.adapters.eliot_journal import EliotJournal, JournalHandler
 from yuccarelay.environment import Environment
 from yuccarelay.exit_status import ExitStatus
+from yuccarelay.tasks.failures import write_failure
 
 if TYPE_CHECKING:
     # The roles on the platform do not load the state machines of the other roles.
@@ -104,9 +104,7 @@
         await task.run()
         raise RuntimeError(f'{name} ended before its role')
     except Exception as error:
-        trace = ''.join(traceback.format_exception(error))
-        fields = {'task': name, 'error': repr(error), 'trace': trace}
-        journal.write('task_failed', fields)
+        write_failure(journal, 'task_failed', error, {'task': name})
         raise
 
 
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -37,6 +37,7 @@
     WorkerAnswer,
     WorkerRuns,
 )
+from yuccarelay.tasks.failures import write_failure
 from yuccarelay.tasks.mailbox import Mailbox
 
 # The users' platform does not charge calls from the worker's own machine, so that
@@ -104,28 +105,34 @@
 
     async def run(self) -> None:
         """Serve until cancelled, then close the socket."""
-        self.listener.start(self._receive)
+        self.listener.start(self.receive)
         try:
             while True:
-                self._handle(await self.inbox.get())
+                self.handle(await self.inbox.get())
         finally:
             self.listener.close()
 
-    def _receive(self, request_id: int, data: bytes) -> None:
+    def receive(self, request_id: int, data: bytes) -> None:
+        """Queue an order that the socket has received."""
         self.inbox.put_nowait(OrderReceived(request_id, data))
 
-    def _handle(self, message) -> None:
+    def handle(self, message) -> None:
+        """Handle one message; an unexpected error costs that message only."""
         match message:
             case HeartbeatReceived(heartbeat, recorded):
-                self._handle_heartbeat(heartbeat)
-                recorded.set_result(None)
+                try:
+                    self._handle_heartbeat(heartbeat)
+                    recorded.set_result(None)
+                except Exception as error:
+                    write_failure(self.journal, 'heartbeat_failed', error)
+                    recorded.set_exception(error)
             case WorkerDeregistered(name, recorded):
                 if self.guard.take_deregistration(name):
                     self.journal.write('worker_left', {'worker': name})
                     self._wake_polls()
                 recorded.set_result(None)
             case OrderReceived(request_id, data):
-                task = asyncio.ensure_future(self._serve(request_id, data))
+                task = asyncio.ensure_future(self.serve(request_id, data))
                 self.order_tasks.add(task)
                 task.add_done_callback(self.order_tasks.discard)
 
@@ -152,15 +159,24 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    async def _serve(self, request_id: int, data: bytes) -> None:
+    async def serve(self, request_id: int, data: bytes) -> None:
         """Carry out one order and reply."""
         match batch_codec.decode(data):
             case Ok(order):
-                answer = await self._carry_out(order)
+                reply = await self._serve_order(order)
             case Err(reason):
                 self.journal.write('order_unreadable', {'reason': reason})
-                answer = Declined('unreadable')
-        self.listener.reply(request_id, batch_codec.encode(answer))
+                reply = batch_codec.encode(Declined('unreadable'))
+        self.listener.reply(request_id, reply)
+
+    async def _serve_order(self, order: Order) -> bytes:
+        """Carry out an order; after an unexpected error its outcome is unknown."""
+        try:
+            return batch_codec.encode(await self._carry_out(order))
+        except Exception as error:
+            fields = {'order': type(order).__name__, 'term': order.term}
+            write_failure(self.journal, 'order_failed', error, fields)
+            return batch_codec.encode(Unanswered('internal error'))
 
     async def _carry_out(self, order: Order) -> Answer:
         refused = self.guard.check_term(order.term)
--- a/yuccarelay/tasks/batch/planner.py
+++ b/yuccarelay/tasks/batch/planner.py
@@ -8,7 +8,9 @@
 from yuccarelay.adapters import batch_codec
 from yuccarelay.core.batch.entities import Moment
 from yuccarelay.core.batch.events import (
+    Deposed,
     Effect,
+    Event,
     Note,
     OrderAnswered,
     PlannerTick,
@@ -24,6 +26,7 @@
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.tasks.batch.peers import PeerSockets
+from yuccarelay.tasks.failures import write_failure
 from yuccarelay.tasks.mailbox import Mailbox
 
 TICK_S = 0.1
@@ -61,11 +64,26 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._tick())
             while True:
-                event = await self.inbox.get()
-                now = Moment(self.clock.now_ms(), time.time_ns() // 1_000_000)
-                for effect in self.planner.step(event, now):
+                for effect in self.handle(await self.inbox.get()):
                     self._dispatch(effect)
 
+    def handle(self, event: Event) -> list[Effect]:
+        """
+        Return the planner's effects of an event.
+
+        After an unexpected error the planner's state may be inconsistent. Its term
+        ends, and the next planner restores the state from the store.
+        """
+        now = Moment(self.clock.now_ms(), time.time_ns() // 1_000_000)
+        term = self.planner.term
+        try:
+            return self.planner.step(event, now)
+        except Exception as error:
+            fields = {'event': type(event).__name__, 'term': term}
+            write_failure(self.journal, 'planner_failed', error, fields)
+            self.planner.step(Deposed('failed'), now)
+            return [StepDown(term)]
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- a/yuccarelay/tasks/batch/relay.py
+++ b/yuccarelay/tasks/batch/relay.py
@@ -28,6 +28,7 @@
     RETRY_AFTER_S,
     RequestHandlerTask,
 )
+from yuccarelay.tasks.failures import write_failure
 
 # The users allow 3 s from a configuration's acknowledgement to its effect.
 PEER_CONFIGURATION_S = 0.5
@@ -96,10 +97,18 @@
             self.listener.close()
 
     def _receive(self, request_id: int, data: bytes) -> None:
-        task = asyncio.ensure_future(self.serve(request_id, data))
+        task = asyncio.ensure_future(self.serve_safely(request_id, data))
         self.calls.add(task)
         task.add_done_callback(self.calls.discard)
 
+    async def serve_safely(self, request_id: int, data: bytes) -> None:
+        """Serve a call; after an unexpected error it stays without a reply."""
+        try:
+            await self.serve(request_id, data)
+        except Exception as error:
+            write_failure(self.journal, 'relayed_call_failed', error)
+            self.listener.abandon_request(request_id)
+
     async def serve(self, request_id: int, data: bytes) -> None:
         """Make a call for another entry and reply."""
         match batch_codec.decode(data):
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -17,6 +17,7 @@
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.store import Store, StoredValue, WatchEvent
+from yuccarelay.tasks.failures import write_failure
 from yuccarelay.tasks.mailbox import Mailbox
 
 # The end of a store outage is detected by a retry; only then are ended jobs shown
@@ -176,7 +177,7 @@
         async for events in self.store.watch(prefix, revision + 1):
             self._report_reachability(prefix, True)
             for event in events:
-                self._handle_change(event)
+                self.handle_change(event)
             now_ms = self.clock.now_ms()
             # An overdue answer may have waited while this process was paused, so
             # only the next one shows that nothing is missing.
@@ -225,10 +226,16 @@
                 self.election.put_nowait(PlannerKeyChanged('', 0))
         for value in values:
             event = WatchEvent(value.key, value, value.mod_revision)
-            self._handle_change(event)
+            self.handle_change(event)
 
-    def _handle_change(self, event: WatchEvent) -> None:
-        """Decode a change and pass it on."""
+    def handle_change(self, event: WatchEvent) -> None:
+        """Decode a change and pass it on; an unexpected error costs only this one."""
+        try:
+            self._pass_change(event)
+        except Exception as error:
+            write_failure(self.journal, 'change_failed', error, {'key': event.key})
+
+    def _pass_change(self, event: WatchEvent) -> None:
         key, value = event.key, event.value
         folder, _, name = key.rpartition('/')
         match folder + '/':
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -20,6 +20,7 @@
     Call,
     Cancelled,
     Decision,
+    Failed,
     NoSuchJob,
     NotAccepted,
     Outcome,
@@ -49,6 +50,7 @@
     ReplicaConfirmed,
     StoreReachability,
 )
+from yuccarelay.tasks.failures import write_failure
 from yuccarelay.tasks.mailbox import Mailbox
 
 # After a lost answer the next call shows whether the write took effect. More calls
@@ -187,12 +189,17 @@
             self.planner.put_nowait(JobCancelled(job))
 
     async def _answer(self, request: RequestReceived) -> None:
-        """Answer one request."""
+        """Answer one request; after an unexpected error its outcome is unknown."""
         received_ms = self.clock.now_ms()
-        await self.refresh_configuration()
-        decision = self.handler.decide(request.call)
-        outcome = await self.conclude(request.call, decision, request.deadline_ms)
-        self._log(request.call, outcome, self.clock.now_ms() - received_ms)
+        outcome: Outcome = Failed()
+        try:
+            await self.refresh_configuration()
+            decision = self.handler.decide(request.call)
+            outcome = await self.conclude(request.call, decision, request.deadline_ms)
+            self._log(request.call, outcome, self.clock.now_ms() - received_ms)
+        except Exception as error:
+            fields = {'method': request.call.method, 'path': request.call.path}
+            write_failure(self.journal, 'request_error', error, fields)
         if not request.reply_to.done():
             request.reply_to.set_result(outcome)
 
@@ -307,7 +314,7 @@
     def _log(self, call: Call, outcome: Outcome, took_ms: int) -> None:
         """Log the outcome of a request; reads of states and counts are left out."""
         if isinstance(outcome, State) or (
-            call.method == 'GET' and call.path[-1] == '/'
+            call.method == 'GET' and call.path.endswith('/')
         ):
             return
         configuration = self.handler.configuration
--- /dev/null
+++ b/yuccarelay/tasks/failures.py
@@ -0,0 +1,13 @@
+"""Logs an unexpected error that costs one message instead of the process."""
+
+import traceback
+
+from yuccarelay.ports.journal import Journal
+
+
+def write_failure(
+    journal: Journal, event: str, error: Exception, fields: dict | None = None
+) -> None:
+    """Write one line with the error and its traceback."""
+    trace = ''.join(traceback.format_exception(error))
+    journal.write(event, {**(fields or {}), 'error': repr(error), 'trace': trace})
