Take late ends, ignore late heartbeats, space out stops, ask for the newest version

- Work that was done while its worker was silent past its lease was run again as soon as the worker was back.
A run that counted as lost and ended done is now recorded if its task was not started again (1 start where there were 2).
- An agent that has restarted took a late heartbeat of a worker that has left for its worker's.
The planner remembers which incarnations have ended, and ignores such a report until the worker itself answers.
The pause now doubles up to 5.6 s, and starts anew when the worker is read again (15 stops in 10 s before, at most 6 now).
- An entry without the store applied the first configuration that another entry had, which may be the older one after a restart; it now asks both and applies the newest.
- Orders of a deposed planner that arrive around a handover start nothing twice: the test passed on the old code as well.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -125,6 +125,10 @@
     how: str = 'done'
     silent: bool = False
     lose_starts: int = 0
+    lose_stops: int = 0
+    stops: int = 0
+    # The machine has no worker any more; the agent knows it from a late heartbeat.
+    is_gone: bool = False
     draining: bool = False
     leaves_in_ms: int = 0
     capacity: Resources = WORKER_CAPACITY
@@ -214,6 +218,10 @@
             case Stop(_, worker, task, run):
                 if worker != self.guard.worker_id():
                     return Declined('other_worker')
+                self.stops += 1
+                if self.lose_stops:
+                    self.lose_stops -= 1
+                    return Unanswered('no answer')
                 self.refused.add((task, run))
                 if task in self.runs and self.runs[task].run == run:
                     self.end(task, 'stopped')
@@ -238,7 +246,7 @@
 
     def _poll(self, order: Look, now_ms: int) -> Report:
         worker = self.guard.worker_id()
-        if worker is not None and order.call_worker:
+        if worker is not None and order.call_worker and not self.is_gone:
             if order.worker == worker:
                 self.ended = [e for e in self.ended if e.number > order.seen]
                 end_ms = self.guard.lease_end(order.basis, now_ms)
@@ -259,7 +267,7 @@
         return Report(
             LeaseReference(7, now_ms),
             self.guard.worker,
-            worker is not None and order.call_worker,
+            worker is not None and order.call_worker and not self.is_gone,
             running,
             ended,
             self.guard.closed_below_ms,
@@ -324,9 +332,18 @@
         self.advice_down = False
         self.replace_planner()
 
-    def replace_planner(self) -> None:
-        """Replace the planner by a new one that restores its state from the store."""
+    def replace_planner(self, orders_delayed_ms: int | None = None) -> None:
+        """
+        Replace the planner by a new one that restores its state from the store.
+
+        With `orders_delayed_ms` the orders of the old one are still in the network
+        and arrive later by that time.
+        """
+        orders = [entry[2] for entry in sorted(self.queue) if entry[2][0] == 'order']
         self.queue = []
+        if orders_delayed_ms is not None:
+            for order in orders:
+                self.schedule(orders_delayed_ms, order)
         self.unsaved = []
         self.term += 1
         self.planner = Planner(make_leases(LONGEST_HOLD_MS))
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -6,6 +6,7 @@
     ADVISED,
     CONFIGURATION,
     DEFERRABLE,
+    LONGEST_HOLD_MS,
     ORDINARY,
     URGENT,
     WALL_START_MS,
@@ -13,6 +14,7 @@
     make_job,
     make_step,
 )
+from yuccarelay.core.batch.agent import WorkerGuard
 from yuccarelay.core.batch.events import AgentAddressChanged, Configured
 from yuccarelay.core.batch.leases import ABANDON_MS, TERM_TTL_S, make_leases
 from yuccarelay.core.batch.models import TaskStage
@@ -204,6 +206,18 @@
         lease_expiry_ms = make_leases(10_000).inherited_expiry_ms(elected_ms)
         self.assertGreaterEqual(starts[1][0], lease_expiry_ms)
 
+    def test_orders_of_a_deposed_planner_start_nothing_twice(self):
+        # Around a handover both planners have orders in the network.
+        for delay_ms, runs in ((0, [1]), (1, [1]), (40, [2])):
+            with self.subTest(delay_ms=delay_ms):
+                fleet = make_fleet(2, run_ms=3_000)
+                job = fleet.submit(make_job(make_step(1, 8)))
+                fleet.save()
+                fleet.replace_planner(orders_delayed_ms=delay_ms)
+                fleet.run(8_000)
+                self.assertEqual([run for _, _, run in fleet.starts(job)], runs)
+                self.assertEqual(fleet.state(job), 'completed')
+
     def test_a_job_that_has_not_started_keeps_its_age(self):
         # tmlg-reorder scale-2: after a failover, a waiting job counted as new.
         fleet = make_fleet(1, run_ms=30_000)
@@ -269,6 +283,64 @@
         self.assertEqual([run for _, _, run in starts], [1, 2])
         self.assertGreaterEqual(starts[1][0], lost.lease_end_ms)
 
+    def test_work_that_ended_while_its_worker_was_silent_is_not_repeated(self):
+        fleet = make_fleet(1, run_ms=2_000)
+        job = fleet.submit(make_job())
+        fleet.run(500)
+        fleet.workers['agent-w0'].silent = True
+        fleet.run(16_000)
+        self.assertEqual(fleet.planner.planner_state.plans[job.id].runs, {})
+        fleet.workers['agent-w0'].silent = False
+        fleet.run(3_000)
+        self.assertEqual(fleet.state(job), 'completed')
+        self.assertEqual(len(fleet.starts(job)), 1)
+
+    def test_work_that_was_started_elsewhere_is_not_completed_by_the_first_run(self):
+        fleet = make_fleet(2, run_ms=6_000)
+        job = fleet.submit(make_job())
+        fleet.run(500)
+        [worker] = [w for w in fleet.workers.values() if w.starts]
+        worker.silent = True
+        fleet.run(16_000)
+        worker.silent = False
+        fleet.run(500)
+        self.assertEqual(len(fleet.starts(job)), 2)
+        record = fleet.records[job.id].tasks['0.0.0']
+        self.assertEqual((record.stage, record.run), (TaskStage.ASSIGNED, 2))
+        fleet.run(6_000)
+        self.assertEqual(fleet.state(job), 'completed')
+
+    def test_a_late_heartbeat_of_an_ended_incarnation_names_no_worker(self):
+        # An agent that restarts accepts the first heartbeat that arrives; one of a
+        # worker that has left may have been held up in the network.
+        fleet = make_fleet(1)
+        worker = fleet.workers['agent-w0']
+        born_ms = worker.born_ms
+        worker.crash(fleet.now_ms)
+        worker.send_heartbeat(fleet.now_ms)
+        fleet.run(200)
+        worker.guard = WorkerGuard('agent-w0', 8, make_leases(LONGEST_HOLD_MS))
+        worker.born_ms = born_ms
+        worker.send_heartbeat(fleet.now_ms)
+        worker.is_gone = True
+        fleet.run(3_000)
+        view = fleet.planner.planner_state.workers['agent-w0']
+        self.assertIsNone(view.id)
+
+    def test_a_stop_without_an_answer_is_repeated_less_and_less_often(self):
+        # Soak seed 50: the repeats kept slow workers busy, so that none was answered.
+        fleet = make_fleet(1, run_ms=60_000)
+        job = fleet.submit(make_job())
+        fleet.run(500)
+        worker = fleet.workers['agent-w0']
+        worker.lose_stops = 100
+        fleet.cancel(job)
+        fleet.run(10_000)
+        self.assertLessEqual(worker.stops, 6)
+        worker.lose_stops = 0
+        fleet.run(3_000)
+        self.assertEqual(worker.runs, {})
+
     def test_a_new_incarnation_releases_the_runs_of_the_previous(self):
         fleet = make_fleet(1, run_ms=2_000)
         job = fleet.submit(make_job())
--- a/tests/test_batch_relay.py
+++ b/tests/test_batch_relay.py
@@ -233,6 +233,18 @@
         self.assertEqual(handler.planner.get_nowait(), Configured(newer))
         self.assertEqual(journal.lines[0][0], 'configuration_from_entry')
 
+    async def test_the_newest_configuration_of_the_other_entries_is_applied(self):
+        # After a restart without the store, the first entry that answered decided. It
+        # may have been cut off longer than the other, and know keys withdrawn since.
+        versions = [CONFIGURATION._replace(version=number) for number in (8, 9)]
+        for a, b in (versions, versions[::-1]):
+            sockets = ScriptedSockets(a=NewerConfiguration(a), b=NewerConfiguration(b))
+            handler = self.make_handler(ScriptedStore(REFUSED), sockets)
+            await PeerConfigurationTask(handler, FakeJournal()).query_entries()
+            handler.take(handler.inbox.get_nowait())
+            self.assertEqual(handler.handler.configuration.version, 9)
+            self.assertTrue(handler.inbox.empty())
+
     async def test_only_a_newer_configuration_is_sent(self):
         handler = self.make_handler(ScriptedStore(DONE), ScriptedSockets())
         listener = FakeListener()
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -31,8 +31,10 @@
 from yuccarelay.core.batch.unit_placement import resources_held
 
 # The connection to an agent may be silent: a stop that has not been answered is sent
-# again after this time.
+# again after this time, and then after twice as long each time, because the repeats
+# would keep a worker busy that is only slow.
 STOP_RETRY_MS = 700
+STOP_RETRY_LIMIT_MS = 5_600
 # A poll waits on the worker for a run to end, at most this long (platform limit).
 POLL_WAIT_MS = 2_000
 # Response times of latency-sensitive tasks decide the pace of co-located best-effort
@@ -277,12 +279,21 @@
         must receive the stop as well, so that it refuses a start that was delayed
         in the network.
         """
-        run.stop_sent_ms = self.now.ms
+        pause_ms = min(STOP_RETRY_LIMIT_MS, STOP_RETRY_MS * 2**run.stops_sent)
+        run.stop_due_ms = self.now.ms + pause_ms
+        run.stops_sent += 1
         view = self.workers[run.worker.agent]
         if view.agent_address.address and view.id is not None:
             order = Stop(self.term, view.id, str(run.task), run.number)
             self.order(view, order)
 
+    def repeat_stops(self, view: WorkerView) -> None:
+        """Send the stops that a worker has not answered while it was silent."""
+        for run in view.runs.values():
+            if run.stage is RunStage.STOPPING:
+                run.stops_sent = 0
+                self.send_stop(run)
+
     def release(self, run: Run, reason: str) -> None:
         """
         Free the resources of a run that is certain not to be running.
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -5,6 +5,8 @@
 of the planner does not lose any.
 """
 
+from dataclasses import replace
+
 from yuccarelay.core.batch.entities import JobPlan, Run, RunStage, WorkerView
 from yuccarelay.core.batch.events import OrderAnswered
 from yuccarelay.core.batch.models import (
@@ -12,6 +14,7 @@
     EndedRun,
     JobState,
     RunningTask,
+    TaskId,
     TaskStage,
     WorkerId,
     parse_task_id,
@@ -39,12 +42,16 @@
         planner_state = self.planner_state
         now_ms = planner_state.now.ms
         view.closed_below_ms = max(view.closed_below_ms, report.closed_below_ms)
+        if not report.lists_read and is_outdated(view, report):
+            # An agent that has restarted takes a late heartbeat for its worker's.
+            report = replace(report, worker=None)
         self._note_incarnation(view, report)
         if report.worker is not None:
             view.drain_deadline_ms = now_ms + report.worker.leaves_in_ms
         if report.lists_read:
             if not view.read_ms:
                 planner_state.dirty = True
+                planner_state.repeat_stops(view)
                 planner_state.note(
                     'worker_read', agent=view.agent, runs=len(report.running)
                 )
@@ -124,10 +131,13 @@
             task = parse_task_id(end.task)
             plan = self.planner_state.plans.get(task.job) if task else None
             run = plan.runs.get(task) if plan else None
-            if not is_run_of(run, end.run, view):
+            if is_run_of(run, end.run, view):
+                self._record_end(view, plan, run, end)
+            elif plan is not None and is_last_run(plan, task, end):
+                self._record_late_end(view, plan, task, end)
+            else:
                 view.ends[end.number] = ('', 0)
                 continue
-            self._record_end(view, plan, run, end)
             view.ends[end.number] = (plan.job.id, plan.version)
         self.acknowledge(view)
 
@@ -163,30 +173,51 @@
         run.move(RunStage.STOPPED, planner_state.now.ms)
         match end.end:
             case End.DONE:
-                self._record_done(view, plan, run)
+                self._learn_duration(plan, run)
+                self._record_done(view, plan, run.task)
             case End.FAILED:
                 self._record_failure(view, plan, run)
         planner_state.release(run, end.end)
         if not plan.ended and plan.is_done():
             planner_state.end_job(plan, JobState.COMPLETED)
 
-    def _record_done(self, view: WorkerView, plan: JobPlan, run: Run) -> None:
-        view.failures = 0
-        view.failed_jobs.clear()
+    def _record_late_end(
+        self, view: WorkerView, plan: JobPlan, task: TaskId, end: EndedRun
+    ) -> None:
+        """
+        Record work that was done by a run which counted as lost.
+
+        Its worker was silent until the lease had expired. The task was not started
+        again yet, so a second run would only repeat the work.
+        """
+        self.planner_state.note(
+            'run_ended_late', task=task, run=end.run, worker=view.id.name
+        )
+        self._record_done(view, plan, task)
+        if not plan.ended and plan.is_done():
+            self.planner_state.end_job(plan, JobState.COMPLETED)
+
+    def _learn_duration(self, plan: JobPlan, run: Run) -> None:
+        """Learn from the duration of a run that began without a checkpoint."""
         step = plan.step(run.task)
-        if step.is_long_running:
-            return
-        if run.started_ms and not run.checkpoint:
+        if run.started_ms and not run.checkpoint and not step.is_long_running:
             self.planner_state.durations.learn(
                 plan.job.queue,
                 step.estimated_ms,
                 self.planner_state.now.ms - run.started_ms,
             )
-        tasks = (run.task,)
+
+    def _record_done(self, view: WorkerView, plan: JobPlan, task: TaskId) -> None:
+        view.failures = 0
+        view.failed_jobs.clear()
+        step = plan.step(task)
+        if step.is_long_running:
+            return
+        tasks = (task,)
         if step.gang:
-            tasks = plan.step_tasks(run.task.occurrence, run.task.step)
-        for task in tasks:
-            plan.put(task, plan.task(task)._replace(stage=TaskStage.DONE, worker=None))
+            tasks = plan.step_tasks(task.occurrence, task.step)
+        for done in tasks:
+            plan.put(done, plan.task(done)._replace(stage=TaskStage.DONE, worker=None))
         self.planner_state.changed.add(plan.job.id)
 
     def _record_failure(self, view: WorkerView, plan: JobPlan, run: Run) -> None:
@@ -310,3 +341,21 @@
     A later incarnation of the worker than the assigned one may list it.
     """
     return run is not None and run.number == number and run.worker.agent == view.agent
+
+
+def is_last_run(plan: JobPlan, task: TaskId, end: EndedRun) -> bool:
+    """Whether an end is that of a task's last run, and the task waits for another."""
+    record = plan.tasks.get(task[1:])
+    return (
+        end.end == End.DONE
+        and not plan.ended
+        and record is not None
+        and record.stage is TaskStage.WAITING
+        and record.run == end.run
+        and not plan.step(task).is_long_running
+    )
+
+
+def is_outdated(view: WorkerView, report: Report) -> bool:
+    """Whether a report names an incarnation of the worker that has ended."""
+    return report.worker is not None and report.worker.born_ms < view.closed_below_ms
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -4,7 +4,7 @@
 from yuccarelay.core.batch.events import RemoveJob
 from yuccarelay.core.batch.models import ENDED
 from yuccarelay.core.batch.pacing import FULL_PERCENT, PACE_PERIOD_MS, choose_pace
-from yuccarelay.core.batch.planner_state import STOP_RETRY_MS, PlannerState
+from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.protocol import Pace
 from yuccarelay.core.batch.slow_workers import Progress, find_slow_workers
 
@@ -39,8 +39,8 @@
     note_state(planner_state)
     for plan in list(planner_state.plans.values()):
         for run in list(plan.runs.values()):
-            late = planner_state.now.ms >= run.stop_sent_ms + STOP_RETRY_MS
-            if run.stage is RunStage.STOPPING and late:
+            is_due = planner_state.now.ms >= run.stop_due_ms
+            if run.stage is RunStage.STOPPING and is_due:
                 planner_state.send_stop(run)
             elif run.stage is RunStage.RUNNING:
                 log_slow_run(planner_state, plan, run)
--- a/yuccarelay/tasks/batch/relay.py
+++ b/yuccarelay/tasks/batch/relay.py
@@ -11,6 +11,7 @@
 
 from yuccarelay.adapters import batch_codec
 from yuccarelay.core.batch.events import Configured
+from yuccarelay.core.batch.models import Configuration
 from yuccarelay.core.batch.request_handler import (
     NewerConfiguration,
     NotAccepted,
@@ -54,9 +55,15 @@
                 await self.query_entries()
 
     async def query_entries(self) -> None:
-        """Query other entries in turn until one has a newer configuration."""
+        """
+        Query other entries, and apply the newest configuration that they have.
+
+        An entry that is cut off from the store as well may have an older one. After
+        a restart that one would allow keys that have been withdrawn.
+        """
         known = self.handler.handler.configuration
         query = ReadConfiguration(known.version if known else 0)
+        newest: Configuration | None = None
         for address in self.handler.list_others()[:RELAYS_LIMIT]:
             found = await self.handler.sockets.request(
                 address,
@@ -67,9 +74,11 @@
                 case Ok(NewerConfiguration(configuration)):
                     fields = {'version': configuration.version, 'address': address}
                     self.journal.write('configuration_from_entry', fields)
-                    for inbox in (self.handler.inbox, self.handler.planner):
-                        inbox.put_nowait(Configured(configuration))
-                    return
+                    if newest is None or configuration.version > newest.version:
+                        newest = configuration
+        if newest is not None:
+            for inbox in (self.handler.inbox, self.handler.planner):
+                inbox.put_nowait(Configured(newest))
 
 
 class RelayTask:
