Wait in tests for what they count and read, not for a time

Change: they wait until the registration was made, until a member is listed, and until /proc shows that SIGHUP is ignored or caught. The hang-up of the soak now reaches a process as soon as it can handle it, which is earlier than before.

--- a/tests/host_system.py
+++ b/tests/host_system.py
@@ -6,11 +6,11 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import sys
 import tempfile
-import time
 import unittest
 
 import aiohttp
@@ -59,6 +59,18 @@
     raise AssertionError('no free port was found')
 
 
+def is_hangup_handled(pid: int) -> bool:
+    """
+    Whether a process ignores or catches SIGHUP.
+
+    It cannot before its interpreter has run the first line, which takes a second and
+    more on a busy machine.
+    """
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    masks = re.findall(r'^Sig(?:Ign|Cgt):\s*([0-9a-f]+)$', status, re.MULTILINE)
+    return any(int(mask, 16) >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
+
 class HostSystem:
     """
     A store, entries, and workers with their agents.
@@ -71,7 +83,6 @@
     def __init__(self, workers: int = 2, entries: int = 2):
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.front_addresses: dict[str, str] = {}
-        self.started_s: dict[str, float] = {}
         self.settings: dict[str, tuple[str, pathlib.Path]] = {}
         self.store = PlatformStoreStandin(MonotonicClock())
         self.workers: list[PlatformWorkerStandin] = []
@@ -149,7 +160,6 @@
     async def start_process(self, node: str) -> None:
         """Start a process, or start it again, with its settings."""
         role, path = self.settings[node]
-        self.started_s[node] = time.monotonic()
         with open(self.folder / f'{node}.log', 'ab') as log:
             self.processes[node] = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,10 +5,9 @@
 import os
 import random
 import signal
-import time
 import traceback
 
-from tests.host_system import CONFIGURATION, HostSystem
+from tests.host_system import CONFIGURATION, HostSystem, is_hangup_handled
 from tests.soak import checks
 from tests.soak.callers import Caller, Submission
 from tests.soak.faults import (
@@ -39,8 +38,6 @@
 # with a new planner; then the tasks themselves run.
 SETTLE_LIMIT_S = 45.0
 TASK_MS = (150, 1_500)
-# Until its first line of Python runs, a process cannot ignore a signal.
-STARTING_S = 0.15
 
 
 class SoakSystem(HostSystem):
@@ -153,12 +150,8 @@
 
     def _hang_up(self) -> None:
         """Send SIGHUP to all processes except those whose interpreter is starting."""
-        started_before_s = time.monotonic() - STARTING_S
-        for node, process in self.system.processes.items():
-            if (
-                process.returncode is None
-                and self.system.started_s[node] < started_before_s
-            ):
+        for process in self.system.processes.values():
+            if process.returncode is None and is_hangup_handled(process.pid):
                 process.send_signal(signal.SIGHUP)
 
     def _reconfigure(self) -> None:
--- a/tests/test_host_processes.py
+++ b/tests/test_host_processes.py
@@ -4,11 +4,11 @@
 import signal
 import unittest
 
-from tests.host_system import HostCase
-from tests.soak.run import STARTING_S
+from tests.host_system import HostCase, is_hangup_handled
 
 JOB = '5c0e7a21d94b36f8'
 OTHER = 'a' * 16
+HANGUP_GAP_S = 0.15
 
 
 class EndToEndTest(HostCase):
@@ -66,9 +66,12 @@
         # Soak seed 50. Imports take 0.3 s and more.
         await self.kill('agent-0')
         await self.start_process('agent-0')
+        process = self.processes['agent-0']
+        while not is_hangup_handled(process.pid):
+            await asyncio.sleep(0.002)
         for _ in range(6):
-            await asyncio.sleep(STARTING_S)
-            self.processes['agent-0'].send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(HANGUP_GAP_S)
         self.assertEqual(await self.submit(JOB, {'count': 2, 'gpu': 8}), 200)
         await self.await_state(JOB, 'completed')
         self.assertIsNone(self.processes['agent-0'].returncode)
--- a/tests/test_processes_drain.py
+++ b/tests/test_processes_drain.py
@@ -113,6 +113,14 @@
         process.send_signal(signal.SIGTERM)
         return process.popen.wait(STOP_LIMIT_S)
 
+    def find_member_workers(self, job_id: str) -> list[str]:
+        """Return the workers with a short drain that list a member of a gang."""
+        return [
+            run['worker']
+            for run in self.system.find_runs().get(job_id, [])
+            if run['member'] and run['worker'] != processes.list_workers()[0]
+        ]
+
     def test_1_answers_remain_available_after_agents_drain(self):
         work = {'run_ms': 50, 'answer_bytes': ANSWER_BYTES}
         job_ids = [self.system.submit(RENDER, work) for _ in range(4)]
@@ -144,11 +152,8 @@
         # A gang that runs longer than the drain time must not delay the end of a drain.
         job_id = self.system.submit('seasonal-batch', {'run_ms': 60_000})
         self.system.await_state(job_id, 'running')
-        worker = next(
-            run['worker']
-            for run in self.system.find_runs()[job_id]
-            if run['member'] and run['worker'] != processes.list_workers()[0]
-        )
+        # Targets list a start up to 0.4 s after the job is shown as running.
+        worker = poll_until(lambda: self.find_member_workers(job_id))[0]
         started = time.monotonic()
         self.assertEqual(self.stop(self.system.agents[worker]), 0)
         self.assertLess(time.monotonic() - started, SHORT_DRAIN_S + 7)
--- a/tests/test_store_task.py
+++ b/tests/test_store_task.py
@@ -265,6 +265,9 @@
     async def test_outage_and_recovery_cost_few_calls(self):
         """Guards against calls to a store that is down, and a burst afterwards."""
         await self.expect(EntriesSeen)
+        # A registration that is under way would be counted as a call of the outage.
+        while not self.standin.counts['kv/txn']:
+            await asyncio.sleep(0.001)
         self.standin.set_faults(down='refuse')
         while (await self.expect(StoreHealthChanged)).up:
             pass
