Rank workers and list candidates anew only where something changed

Cause: with a backlog, each task that an eviction plan places ranked every worker again, and each unit of a step listed all candidates again.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -27,6 +27,10 @@
         self.advance_reservations: list[Reservation] = []
         self.open: dict[str, list[WorkerView]] = {}
         self.free: dict[str, Resources] = {}
+        # Candidates of the step that was asked for last; its units follow each other.
+        self.listed_step: tuple = ()
+        self.listed: dict[str, Candidate] = {}
+        self.changed: set[str] = set()
         for view in planner_state.workers.values():
             if is_open(view):
                 self.open.setdefault(view.info.service, []).append(view)
@@ -42,36 +46,46 @@
         failed_on = plan.failed_on.get(unit[1:3], frozenset())
         step = plan.job.steps[unit.step]
         own_reservation = planner_state.reserved.get(tuple(unit))
-        candidates = []
+        if self.listed_step != unit[:3]:
+            self.listed_step, self.listed = unit[:3], {}
         for view in self.open.get(queue.service, ()):
-            free = self.free[view.agent]
-            if own_reservation is not None:
-                for _ in range(own_reservation.placement.count(view.agent)):
-                    free = free.plus(own_reservation.need)
-            colocated = 0
-            if step.per_worker:
-                colocated = sum(run.task[:3] == unit[:3] for run in view.runs.values())
-            avoided = (
-                planner_state.now.ms < view.avoid_until_ms or view.agent in failed_on
-            )
-            info = view.info
-            candidates.append(
-                Candidate(
-                    view.agent,
-                    info.rack,
-                    info.labels,
-                    free,
-                    info.capacity,
-                    colocated,
-                    avoided,
-                    self._would_interfere(step, view),
-                ),
-            )
+            if view.agent not in self.listed or view.agent in self.changed:
+                avoided = (
+                    planner_state.now.ms < view.avoid_until_ms
+                    or view.agent in failed_on
+                )
+                self.listed[view.agent] = self._make_candidate(
+                    unit, step, view, avoided
+                )
+        self.changed.clear()
+        candidates = list(self.listed.values())
+        if own_reservation is not None:
+            candidates = [
+                add_reservation(candidate, own_reservation) for candidate in candidates
+            ]
         if all(candidate.avoided for candidate in candidates):
             # A fault that affects all workers must not stop all scheduling.
             return [candidate._replace(avoided=False) for candidate in candidates]
         return candidates
 
+    def _make_candidate(
+        self, unit: Unit, step: Step, view: WorkerView, avoided: bool
+    ) -> Candidate:
+        colocated = 0
+        if step.per_worker:
+            colocated = sum(run.task[:3] == unit[:3] for run in view.runs.values())
+        info = view.info
+        return Candidate(
+            view.agent,
+            info.rack,
+            info.labels,
+            self.free[view.agent],
+            info.capacity,
+            colocated,
+            avoided,
+            self._would_interfere(step, view),
+        )
+
     def _would_interfere(self, step: Step, view: WorkerView) -> bool:
         """Whether latency-sensitive and best-effort tasks would share the worker."""
         if not (step.best_effort or step.target_ms):
@@ -96,6 +110,7 @@
                 for _ in range(reservation.placement.count(agent)):
                     free = free.minus(reservation.need)
             self.free[agent] = free
+            self.changed.add(agent)
 
     def add_advance_reservation(self, reservation: Reservation) -> None:
         """Withhold resources from the units that are placed later in the pass."""
@@ -106,6 +121,7 @@
         for agent in reservation.placement:
             if agent in self.free:
                 self.free[agent] = self.free[agent].minus(reservation.need)
+                self.changed.add(agent)
 
     def list_expected_ends(self) -> VictimsByAgent:
         """Return all runs on each worker, with their expected ends as costs."""
@@ -122,6 +138,14 @@
         return self.ends
 
 
+def add_reservation(candidate: Candidate, reservation: Reservation) -> Candidate:
+    """Return a candidate with the resources that are reserved for its own unit."""
+    free = candidate.free
+    for _ in range(reservation.placement.count(candidate.agent)):
+        free = free.plus(reservation.need)
+    return candidate._replace(free=free)
+
+
 def is_open(view: WorkerView) -> bool:
     """Whether a worker takes new work."""
     info = view.info
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -224,12 +224,14 @@
 
     def plan(self, count: int) -> Eviction | None:
         """Place a number of tasks, or return None if they do not fit."""
-        options = {agent: self._find_victims(agent) for agent in self.candidates}
+        options: dict[str, list[Victim]] = {}
+        ranks: dict[str, tuple] = {}
+        self._rank(self.candidates, options, ranks)
         placement: list[str] = []
         for _ in range(count):
-            agent = self._choose(options)
-            if agent is None:
+            if not ranks:
                 return None
+            agent = min(ranks.values())[-1]
             touched = {agent}
             for victim in options[agent]:
                 self.chosen[victim.key] = victim
@@ -240,23 +242,34 @@
             self.free[agent] = self.free[agent].minus(self.need)
             self.colocated[agent] += 1
             placement.append(agent)
-            for other in touched:
-                options[other] = self._find_victims(other)
+            self._rank(touched, options, ranks)
         cost = self.combine(victim.cost for victim in self.chosen.values())
         return Eviction(tuple(placement), tuple(self.chosen), cost)
 
-    def _choose(self, options: dict[str, list[Victim] | None]) -> str | None:
-        """Return the worker whose victims cost least, the fullest among equals."""
-        ranked = [
-            (
+    def _rank(
+        self,
+        agents: Iterable[str],
+        options: dict[str, list[Victim]],
+        ranks: dict[str, tuple],
+    ) -> None:
+        """
+        Update the victims that one more task needs on some workers, and their ranks.
+
+        The worker whose victims cost least has the lowest rank, the fullest among
+        equals. Workers on which the task does not fit have none.
+        """
+        for agent in agents:
+            found = self._find_victims(agent)
+            if found is None:
+                options.pop(agent, None)
+                ranks.pop(agent, None)
+                continue
+            options[agent] = found
+            ranks[agent] = (
                 self.combine(victim.cost for victim in found),
                 candidate_order(self.candidates[agent]._replace(free=self.free[agent])),
                 agent,
             )
-            for agent, found in options.items()
-            if found is not None
-        ]
-        return min(ranked, default=(0, (), None))[2]
 
     def _find_victims(self, agent: str) -> list[Victim] | None:
         """Return the victims that one more task needs on a worker, or None."""
