Keep work off workers that a rolling release drains next

Ruled out: to see a release by the version of the workers' software. Stopping gangs later: each worker left 5.5 s after its notice, so what does not end by then is lost anyway.

Change: three drains of a service in a row are a series; until 10 s after the last, workers born before the series, less 6 s for the new ones that start first, are chosen after all others. Places, not limits: where no new worker is free, earlier ones are used.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -20,6 +20,7 @@
 from yuccarelay.core.batch.models import TaskStage
 from yuccarelay.core.batch.planner_state import SETTLE_WAIT_MS
 from yuccarelay.core.batch.protocol import AgentAddress
+from yuccarelay.core.batch.releases import SERIES_GAP_MS
 
 
 class EndToEndTest(unittest.TestCase):
@@ -427,6 +428,54 @@
         self.assertEqual(len(draining_worker.starts), 1)
 
 
+class ReleaseTest(unittest.TestCase):
+    """Guards against work placed on workers that a rolling release drains next."""
+
+    def drain(self, fleet, count: int) -> None:
+        """Drain some workers, while the last three are new."""
+        for name in ('w7', 'w8', 'w9'):
+            fleet.workers[f'agent-{name}'].crash(WALL_START_MS + fleet.now_ms)
+        for number in range(count):
+            worker = fleet.workers[f'agent-w{number}']
+            worker.draining, worker.leaves_in_ms = True, 5_000
+        fleet.run(500)
+
+    def place(self, fleet, step) -> set[str]:
+        """Return the agents on which a job of a step starts."""
+        job = fleet.submit(make_job(step))
+        fleet.run(200)
+        return {
+            agent
+            for agent, worker in fleet.workers.items()
+            if any(task.startswith(job.id) for task in worker.runs)
+        }
+
+    def test_a_gang_runs_on_the_new_workers_of_a_release(self):
+        # smc-relay-grown scale-1: a release of 29 workers stopped one gang five times.
+        fleet = make_fleet(10, run_ms=9_000)
+        self.drain(fleet, 3)
+        self.assertEqual(
+            self.place(fleet, make_step(3, 8, gang=True)),
+            {'agent-w7', 'agent-w8', 'agent-w9'},
+        )
+
+    def test_earlier_workers_are_used_when_no_new_one_is_free(self):
+        fleet = make_fleet(10, run_ms=9_000)
+        self.drain(fleet, 3)
+        self.assertEqual(len(self.place(fleet, make_step(7, 8))), 7)
+
+    def test_single_drains_are_no_release(self):
+        fleet = make_fleet(10, run_ms=9_000)
+        self.drain(fleet, 2)
+        self.assertEqual(self.place(fleet, make_step(1, 8)), {'agent-w2'})
+
+    def test_a_release_that_is_over_is_forgotten(self):
+        fleet = make_fleet(10, run_ms=9_000)
+        self.drain(fleet, 3)
+        fleet.run(SERIES_GAP_MS)
+        self.assertEqual(self.place(fleet, make_step(1, 8)), {'agent-w3'})
+
+
 class AttemptTest(unittest.TestCase):
     """Guards against more or fewer attempts than allowed."""
 
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -38,6 +38,12 @@
         for reservation in planner_state.reserved.values():
             self._subtract(reservation)
         self.ends: VictimsByAgent | None = None
+        self.cutoffs_ms = {
+            service: planner_state.releases.find_cutoff_ms(
+                service, planner_state.now.wall_ms
+            )
+            for service in self.open
+        }
 
     def list_candidates(self, unit: Unit, queue: Queue) -> list[Candidate]:
         """Return the workers that may take a unit, with their free resources."""
@@ -84,6 +90,7 @@
             colocated,
             avoided,
             self._would_interfere(step, view),
+            view.id.born_ms < self.cutoffs_ms[info.service],
         )
 
     def _would_interfere(self, step: Step, view: WorkerView) -> bool:
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -28,6 +28,7 @@
 )
 from yuccarelay.core.batch.protocol import AgentAddress, Look, Pace, Start, Stop
 from yuccarelay.core.batch.ranking import Durations
+from yuccarelay.core.batch.releases import Releases
 from yuccarelay.core.batch.unit_placement import resources_held
 
 # The connection to an agent may be silent: a stop that has not been answered is sent
@@ -69,6 +70,7 @@
         self.plans: dict[str, JobPlan] = {}
         self.workers: dict[str, WorkerView] = {}
         self.reserved: dict[tuple, Reservation] = {}
+        self.releases = Releases()
         self.pass_due_ms = 0
         self.changed: set[str] = set()
         self.effects: list[Effect] = []
--- a/yuccarelay/core/batch/releases.py
+++ b/yuccarelay/core/batch/releases.py
@@ -1,48 +1,57 @@
 """
 Foresees which workers a rolling release replaces next.
 
-A release replaces the workers of a service one after the other by workers with
-another version of their software. While it is under way, the workers that still have
-an earlier version will be drained soon. Work placed there is moved or lost.
+A release starts new workers of a service and drains the earlier ones, some at a time,
+for longer than most runs take. While workers are drained one after the other, those
+that were born before will probably be drained as well, and work placed there is moved
+or lost.
 """
 
 from dataclasses import dataclass
 
-# A release is under way for this time after a worker with its version was born.
-RELEASE_GAP_MS = 10_000
+# A series of drains is over after this time without another one.
+SERIES_GAP_MS = 10_000
+# Fewer workers drain in a row where no release is under way, too.
+SERIES_MINIMUM = 3
+# A release starts the new workers this long before it drains the first earlier one.
+NEW_WORKERS_LEAD_MS = 6_000
 
 
 @dataclass(slots=True)
-class Births:
-    """Times of day at which the first and the last worker of a version were born."""
+class DrainSeries:
+    """Workers of a service that were drained one after the other, by time of day."""
 
     first_ms: int
     last_ms: int
+    count: int = 1
 
 
 class Releases:
-    """The versions of the workers of each service."""
+    """The latest series of drains of each service."""
 
     def __init__(self):
-        self.versions: dict[str, dict[str, Births]] = {}
-
-    def note_worker(self, service: str, version: str, born_ms: int) -> bool:
-        """Note a worker; return whether its version is a new one of the service."""
-        versions = self.versions.setdefault(service, {})
-        births = versions.get(version)
-        if births is None:
-            versions[version] = Births(born_ms, born_ms)
-            return len(versions) > 1
-        births.first_ms = min(births.first_ms, born_ms)
-        births.last_ms = max(births.last_ms, born_ms)
-        return False
-
-    def find_release(self, service: str, wall_ms: int) -> str | None:
-        """Return the version that a release under way brings, or None."""
-        versions = self.versions.get(service, {})
-        if len(versions) < 2:
-            return None
-        # A worker of an earlier version that restarts does not make that version new.
-        newest = max(versions, key=lambda version: versions[version].first_ms)
-        is_under_way = wall_ms < versions[newest].last_ms + RELEASE_GAP_MS
-        return newest if is_under_way else None
+        self.series: dict[str, DrainSeries] = {}
+
+    def note_drain(self, service: str, wall_ms: int) -> None:
+        """Note that a worker of a service has begun to drain."""
+        series = self.series.get(service)
+        if series is None or wall_ms > series.last_ms + SERIES_GAP_MS:
+            self.series[service] = DrainSeries(wall_ms, wall_ms)
+            return
+        series.last_ms = max(series.last_ms, wall_ms)
+        series.count += 1
+
+    def find_cutoff_ms(self, service: str, wall_ms: int) -> int:
+        """
+        Return the time of birth before which workers will probably be drained.
+
+        It is 0 while no release is under way.
+        """
+        series = self.series.get(service)
+        if (
+            series is None
+            or series.count < SERIES_MINIMUM
+            or wall_ms > series.last_ms + SERIES_GAP_MS
+        ):
+            return 0
+        return series.first_ms - NEW_WORKERS_LEAD_MS
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -93,6 +93,7 @@
             planner_state.dirty = True
         view.info = info
         if info is not None and info.draining and not was_draining:
+            planner_state.releases.note_drain(info.service, planner_state.now.wall_ms)
             planner_state.note(
                 'worker_draining',
                 agent=view.agent,
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -18,7 +18,8 @@
 
     `colocated` is the number of tasks of the unit's step and occurrence that run on it.
     `avoided` marks a worker that recently failed or was slow, and `interferes` one
-    where a best-effort and a latency-sensitive task would run together.
+    where a best-effort and a latency-sensitive task would run together. `outdated`
+    marks one that a release will probably drain soon.
     """
 
     agent: str
@@ -29,6 +30,7 @@
     colocated: int = 0
     avoided: bool = False
     interferes: bool = False
+    outdated: bool = False
 
 
 Placement = tuple[str, ...]
@@ -56,12 +58,17 @@
         return place_tasks(step, count, candidates) or fill_candidates(
             step, count, healthy
         )
+    outdated = {candidate.agent for candidate in candidates if candidate.outdated}
     placed = [
-        (free_accelerators_after(step, count, members), placement)
+        (
+            sum(agent in outdated for agent in placement),
+            free_accelerators_after(step, count, members),
+            placement,
+        )
         for members in group_candidates(step, count, candidates)
         if (placement := fill_candidates(step, count, members)) is not None
     ]
-    return min(placed)[1] if placed else None
+    return min(placed)[-1] if placed else None
 
 
 def is_usable(step: Step, candidate: Candidate) -> bool:
@@ -95,9 +102,15 @@
 
 
 def candidate_order(candidate: Candidate) -> tuple:
-    """Return a sort key: fullest workers first, those that interfere last."""
+    """
+    Return a sort key: fullest workers first.
+
+    Workers that a release will probably drain soon come after the others, and those
+    where tasks would interfere come last.
+    """
     return (
         candidate.interferes,
+        candidate.outdated,
         candidate.free.accelerators,
         candidate.free.millicores,
         candidate.agent,
