Leave the planner's key to another entry after a failure

Cause: an entry whose planner fails on what the store or a worker holds recognised the key as its own and took it again at once; the same failure would follow several times a second, each with a read of all keys.

Change: after StepDown the lease is revoked and the entry does not compete for 2 s, so that another entry plans. decode_draft is split into its check and its conversion.

Measured: the new test saw the next read and write at once before; with the change the key is revoked and taken again only after the pause.

--- /dev/null
+++ b/tests/test_batch_election.py
@@ -0,0 +1,89 @@
+"""Tests of how an entry gives up planning."""
+
+import asyncio
+import random
+import unittest
+from unittest import mock
+
+from result import Ok
+
+from tests.fakes import FakeClock, FakeJournal, stop_task
+from yuccarelay.core.batch.events import Deposed, StepDown
+from yuccarelay.ports.store import Page, TransactionResult
+from yuccarelay.tasks.batch import election
+from yuccarelay.tasks.batch.election import ElectionTask
+from yuccarelay.tasks.mailbox import Mailbox
+
+
+class RecordingStore:
+    """Gives the key to whoever asks, and records the calls."""
+
+    def __init__(self):
+        self.calls: list[str] = []
+
+    async def read(self, key):
+        self.calls.append('read')
+        return Ok(None)
+
+    async def read_prefix(self, prefix, *, start_after='', limit=0):
+        return Ok(Page((), 1, False))
+
+    async def transact(self, guards, writes):
+        self.calls.append('write')
+        return Ok(TransactionResult(True, 7))
+
+    async def grant_lease(self, ttl_s):
+        return Ok(3)
+
+    async def renew_lease(self, lease):
+        return Ok(True)
+
+    async def revoke_lease(self, lease):
+        self.calls.append('revoke')
+        return Ok(None)
+
+
+class StepDownTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a planner that fails and is elected again at once, each time."""
+
+    async def test_the_key_is_left_to_another_entry_for_a_while(self):
+        store, inbox, planner = RecordingStore(), Mailbox(), Mailbox()
+        task = ElectionTask(
+            'own',
+            store,
+            inbox,
+            planner,
+            Mailbox(),
+            Mailbox(),
+            FakeClock(),
+            random.Random(1),
+            FakeJournal(),
+        )
+        paused = asyncio.Event()
+        resumed = asyncio.Event()
+        sleep = asyncio.sleep
+
+        async def pause(seconds):
+            if seconds != election.STAND_BACK_S:
+                return await sleep(seconds)
+            paused.set()
+            return await resumed.wait()
+
+        with mock.patch.object(election.asyncio, 'sleep', pause):
+            running = asyncio.create_task(task.run())
+            while not task.term:
+                await sleep(0)
+            inbox.put_nowait(StepDown(7))
+            await paused.wait()
+            self.assertEqual(store.calls, ['read', 'write', 'revoke'])
+            events = [planner.get_nowait() for _ in range(planner.qsize())]
+            self.assertIsInstance(events[-1], Deposed)
+            resumed.set()
+            while not task.term:
+                await sleep(0)
+            self.assertEqual(store.calls[3:], ['read', 'write'])
+            await stop_task(running)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/yuccarelay/platform/jobs.py
+++ b/yuccarelay/platform/jobs.py
@@ -130,9 +130,13 @@
     """Return the job that a body describes, or what is wrong with it."""
     match decoding.decode(JOB_DECODER.decode, body):
         case Ok(job):
-            pass
+            return find_fault(job) or make_draft(job)
         case Err(reason):
             return f'the body is no job: {reason}'
+
+
+def find_fault(job: WireJob) -> str:
+    """Return which field of a submission breaks which rule, or an empty text."""
     if not job.steps:
         return 'steps must have at least one step'
     for number, step in enumerate(job.steps):
@@ -144,6 +148,11 @@
             return f'steps[{number}] must not ask for less than nothing'
     if max(1, job.repetitions) * sum(step.count for step in job.steps) > TASKS_LIMIT:
         return f'steps and repetitions must not have more than {TASKS_LIMIT} tasks'
+    return ''
+
+
+def make_draft(job: WireJob) -> Draft:
+    """Return the core's form of a submission."""
     return Draft(
         specification=job.specification,
         steps=tuple(make_step(step) for step in job.steps),
--- a/yuccarelay/platform/store.py
+++ b/yuccarelay/platform/store.py
@@ -217,9 +217,9 @@
                 # 503 and the client errors mean that nothing was done; 503 and 429
                 # are transient, after the others the same call would fail again.
                 # Any other status, such as 502 or 504, leaves that open.
-                done = status >= 500 and status != 503
+                ambiguous = status >= 500 and status != 503
                 refused = 400 <= status < 500 and status != 429
-                return Err(StoreFailure(f'status {status}', done, refused))
+                return Err(StoreFailure(f'status {status}', ambiguous, refused))
             case Err(HttpFailure(reason, sent)):
                 return Err(StoreFailure(reason, ambiguous=sent))
 
--- a/yuccarelay/tasks/batch/election.py
+++ b/yuccarelay/tasks/batch/election.py
@@ -30,6 +30,9 @@
 # A watch may miss the deletion of the key; the key is read again after this time.
 RECHECK_S = 1.5
 RETRY_S = 0.3
+# A process whose planner failed or was refused leaves the key to another for this time.
+# Its own next planner would probably fail on the same state.
+STAND_BACK_S = 2.0
 
 
 class ElectionTask:
@@ -60,12 +63,15 @@
         self.lease = 0
         self.term = 0
         self.resigned = False
+        self.steps_down = False
 
     async def run(self) -> None:
         """Compete and renew until cancelled."""
         while not self.resigned:
             await self._compete()
             await self._renew()
+            if self.steps_down:
+                await self._stand_back()
         await asyncio.Event().wait()
 
     async def resign(self) -> None:
@@ -76,6 +82,13 @@
         if self.lease:
             await self.store.revoke_lease(self.lease)
 
+    async def _stand_back(self) -> None:
+        """Release the key, and do not compete for it for a while."""
+        self.steps_down = False
+        self.journal.write('election_left', {'node': self.node})
+        await self.store.revoke_lease(self.lease)
+        await asyncio.sleep(STAND_BACK_S)
+
     async def _compete(self) -> None:
         """Return once this process holds the key and began its term, or resigned."""
         while not self.term and not self.resigned:
@@ -187,7 +200,10 @@
                 case PlannerKeyChanged(holder, revision):
                     if holder != self.holder and revision > self.term:
                         return True
-                case TermEnded() | StepDown():
+                case StepDown():
+                    self.steps_down = True
+                    return True
+                case TermEnded():
                     return True
         return False
 
