Log and count the work that is lost, by class and cause

Change: run_released has the cause (why the run was stopped, or how it ended), the queue and lost_core_s, the work that no checkpoint holds; the metric wasted_core_seconds sums them. A checkpoint written at a stop counts as saved, and lost_core_s of a victim uses the same sum.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -31,6 +31,7 @@
         self.counts = {}
         self.times = []
         self.states = {}
+        self.waste = {}
 
     def count(self, name, amount):
         self.counts[name] = self.counts.get(name, 0) + amount
@@ -38,6 +39,10 @@
     def observe(self, name, organisation, job_class, value_ms):
         self.times.append((name, organisation, job_class, value_ms))
 
+    def count_waste(self, job_class, cause, core_s):
+        key = (job_class, cause)
+        self.waste[key] = self.waste.get(key, 0) + core_s
+
     def gauge(self, name, value):
         self.states[name] = value
 
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -476,6 +476,46 @@
         self.assertEqual(self.place(fleet, make_step(1, 8)), {'agent-w3'})
 
 
+class WasteTest(unittest.TestCase):
+    """Guards against lost work that the log does not show, or counts twice."""
+
+    def find_waste(self, fleet) -> dict[str, float]:
+        """Return the core-seconds lost, by cause."""
+        found: dict[str, float] = {}
+        for name, fields in fleet.notes:
+            if name == 'run_released' and fields['lost_core_s']:
+                cause = fields['cause']
+                found[cause] = found.get(cause, 0) + fields['lost_core_s']
+        return found
+
+    def test_work_that_is_done_is_not_lost(self):
+        fleet = make_fleet(3, run_ms=2_000)
+        fleet.submit(make_job(make_step(2, 8, gang=True)))
+        fleet.submit(make_job())
+        fleet.run(5_000)
+        self.assertEqual(self.find_waste(fleet), {})
+
+    def test_a_cancelled_gang_loses_the_work_of_all_members(self):
+        fleet = make_fleet(3, run_ms=30_000)
+        job = fleet.submit(make_job(make_step(2, 8, gang=True)))
+        fleet.run(2_000)
+        fleet.cancel(job)
+        fleet.run(1_000)
+        waste = self.find_waste(fleet)
+        self.assertEqual(list(waste), ['job_cancelled'])
+        # Two tasks of 1 core and 8 accelerators, which count as 8 cores each.
+        self.assertAlmostEqual(waste['job_cancelled'], 2 * 65 * 2, delta=30)
+
+    def test_members_of_a_failed_gang_have_the_failure_as_their_cause(self):
+        fleet = make_fleet(3, run_ms=30_000)
+        fleet.submit(make_job(make_step(3, 8, gang=True)))
+        fleet.run(2_000)
+        worker = fleet.workers['agent-w1']
+        worker.end(next(iter(worker.runs)), 'failed')
+        fleet.run(1_000)
+        self.assertEqual(set(self.find_waste(fleet)), {'failed', 'gang_failed'})
+
+
 class AttemptTest(unittest.TestCase):
     """Guards against more or fewer attempts than allowed."""
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -36,6 +36,14 @@
         self.assertEqual(fake_metrics.times, [('request', 'guild', 'POST', 12)])
         self.assertEqual(fake_metrics.states, {'term': 3, 'jobs': 2})
 
+    def test_lost_work_is_summed_by_class_and_cause(self):
+        fake_metrics = FakeMetrics()
+        metered = MeteredJournal(FakeJournal(), fake_metrics)
+        released = {'reason': 'stopped', 'queue': 'proof', 'cause': 'reclaimed'}
+        for lost_core_s in (0.0, 2.5, 4.0):
+            metered.write('run_released', {**released, 'lost_core_s': lost_core_s})
+        self.assertEqual(fake_metrics.waste, {('proof', 'reclaimed'): 6.5})
+
 
 class PrometheusMetricsTest(unittest.TestCase):
     """Guards against memory that grows with the names in a configuration."""
@@ -44,6 +52,7 @@
         prometheus = PrometheusMetrics()
         prometheus.count('run_ended.done', 2)
         prometheus.observe('job', 'guild', 'proof', 1_500)
+        prometheus.count_waste('proof', 'reclaimed', 6.5)
         prometheus.gauge('jobs', 4)
         text = prometheus.render().decode()
         self.assertIn(
@@ -53,6 +62,9 @@
             'class="proof",le="2.0",metric="job",organisation="guild"} 1', text
         )
         self.assertIn('yuccarelay_state{name="jobs"} 4', text)
+        self.assertIn(
+            'wasted_core_seconds_total{cause="reclaimed",class="proof"} 6.5', text
+        )
 
     def test_labels_are_bounded(self):
         with mock.patch.object(prometheus_metrics, 'LABELS_LIMIT', 3):
@@ -76,6 +88,7 @@
                 task = asyncio.create_task(
                     MetricsTask(queued_metrics, 'a:1', '/m', FakeJournal()).run()
                 )
+                queued_metrics.count_waste('proof', 'lapsed', 2.0)
                 queued_metrics.gauge('jobs', 1)
                 while server.metrics is None or not queued_metrics.inbox.empty():
                     await asyncio.sleep(0)
@@ -83,6 +96,7 @@
                 text = server.metrics.render().decode()
                 await stop_task(task)
         self.assertIn('event="entry_started"', text)
+        self.assertIn('{cause="lapsed",class="proof"} 2.0', text)
         self.assertIn('yuccarelay_state{name="jobs"} 1', text)
         self.assertTrue(server.stopped)
 
--- a/yuccarelay/adapters/metered_journal.py
+++ b/yuccarelay/adapters/metered_journal.py
@@ -45,6 +45,10 @@
                 str(fields.get(job_class, '')),
                 int(fields[time]),
             )
+        if fields.get('lost_core_s'):
+            self.metrics.count_waste(
+                str(fields['queue']), str(fields['cause']), float(fields['lost_core_s'])
+            )
         if event in STATES:
             for name, value in fields.items():
                 self.metrics.gauge(name, float(value))
--- a/yuccarelay/adapters/prometheus_metrics.py
+++ b/yuccarelay/adapters/prometheus_metrics.py
@@ -32,6 +32,12 @@
             buckets=BUCKETS_S,
             registry=self.registry,
         )
+        self.waste = Counter(
+            'yuccarelay_wasted_core_seconds',
+            'Work that was lost, by class and cause.',
+            ('class', 'cause'),
+            registry=self.registry,
+        )
         self.states = Gauge(
             'yuccarelay_state',
             'Latest state of the process by name.',
@@ -58,6 +64,12 @@
             organisation = job_class = OTHER
         self.times.labels(name, organisation, job_class).observe(value_ms / 1000)
 
+    def count_waste(self, job_class: str, cause: str, core_s: float) -> None:
+        """Add to the core-seconds of work that was lost to a cause."""
+        if not self._has_own_metric('waste', job_class, cause):
+            job_class = cause = OTHER
+        self.waste.labels(job_class, cause).inc(core_s)
+
     def gauge(self, name: str, value: float) -> None:
         """Set the gauge of a state to its latest value."""
         self.states.labels(name).set(value)
--- a/yuccarelay/adapters/statsd_metrics.py
+++ b/yuccarelay/adapters/statsd_metrics.py
@@ -76,6 +76,11 @@
             self.histograms[key] = histogram
         histogram.record_value(min(max(value_ms, 0), HIGHEST_MS))
 
+    def count_waste(self, job_class: str, cause: str, core_s: float) -> None:
+        """Send the core-seconds of work that was lost to a cause."""
+        if self.client is not None:
+            self.client.incr(f'wasted_core_seconds.{job_class}.{cause}', round(core_s))
+
     def gauge(self, name: str, value: float) -> None:
         """Send the latest value of a state as a gauge."""
         if self.client is not None:
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -59,7 +59,8 @@
     `since_ms` is when the stage began. `percent` was first reported at
     `percent_since_ms`. `listed` means that this incarnation of the worker listed it
     as running, and `start_repeated` that a lost start may still be carried out.
-    A stop that has not been answered is sent again at `stop_due_ms`.
+    A stop that has not been answered is sent again at `stop_due_ms`; `stop_reason` is
+    why the run was stopped, empty while it was not.
     `recent_metric` is the worker's metric over the last half second. `pace` is the
     ordered speed in percent of full speed, None while it is not known.
     """
@@ -77,6 +78,7 @@
     saved_ms: int = 0
     stops_sent: int = 0
     stop_due_ms: int = 0
+    stop_reason: str = ''
     listed: bool = False
     start_repeated: bool = False
     recent_metric: float = 0
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -25,6 +25,7 @@
     TaskId,
     TaskStage,
     WorkerId,
+    count_cores,
 )
 from yuccarelay.core.batch.protocol import AgentAddress, Look, Pace, Start, Stop
 from yuccarelay.core.batch.ranking import Durations
@@ -264,6 +265,7 @@
         if run.stage in STOP_STAGES:
             return
         run.move(RunStage.STOPPING, self.now.ms)
+        run.stop_reason = reason
         self.note(
             'run_stopping',
             task=run.task,
@@ -305,10 +307,13 @@
         plan = self.plans[run.task.job]
         if plan.runs.get(run.task) is not run:
             return
+        lost_core_s = self.unsaved_core_s(run)
         self.workers[run.worker.agent].runs.pop(run.task, None)
         plan.runs.pop(run.task, None)
         self.dirty = True
         record = plan.task(run.task)
+        if record.stage is TaskStage.DONE:
+            lost_core_s = 0.0
         if record.stage is TaskStage.ASSIGNED and record.run == run.number:
             waiting = record._replace(
                 stage=TaskStage.WAITING,
@@ -324,8 +329,20 @@
             run=run.number,
             worker=run.worker.name,
             reason=reason,
+            queue=plan.job.queue,
+            cause=run.stop_reason or reason,
+            lost_core_s=round(lost_core_s, 1),
         )
 
+    def unsaved_core_s(self, run: Run) -> float:
+        """Return the work of a run that no checkpoint holds, in core-seconds."""
+        if not run.started_ms:
+            return 0.0
+        since_ms = run.started_ms
+        if self.plans[run.task.job].step(run.task).checkpointing:
+            since_ms = max(since_ms, run.saved_ms)
+        return count_cores(run.need) * max(0, self.now.ms - since_ms) / 1000
+
     def break_gang(self, plan: JobPlan, task: TaskId, reason: str) -> None:
         """Stop the remaining members of a gang after one was lost."""
         if not plan.step(task).gang:
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -173,7 +173,8 @@
             ran_ms=planner_state.now.ms - run.started_ms if run.started_ms else 0,
         )
         run.worker = view.id
-        run.checkpoint = max(run.checkpoint, end.checkpoint)
+        if end.checkpoint > run.checkpoint:
+            run.checkpoint, run.saved_ms = end.checkpoint, planner_state.now.ms
         run.move(RunStage.STOPPED, planner_state.now.ms)
         match end.end:
             case End.DONE:
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -8,6 +8,7 @@
     STOP_STAGES,
     JobPlan,
     Reservation,
+    Run,
     RunStage,
     Unit,
 )
@@ -393,7 +394,7 @@
             weight = VICTIM_WEIGHTS.get(priority, 1.0) * (
                 1 + REPEAT_WEIGHT * earlier_runs
             )
-            waste = weight * sum(lost_core_s(planner_state, plan, run) for run in runs)
+            waste = weight * sum(lost_core_s(planner_state, run) for run in runs)
             freed = tuple((run.worker.agent, run.need) for run in runs)
             victims.append(Victim(key, freed, waste))
     return victims
@@ -419,9 +420,8 @@
     return max(0, step.max_unavailable - (step.count - available))
 
 
-def lost_core_s(planner_state: PlannerState, plan: JobPlan, run) -> float:
+def lost_core_s(planner_state: PlannerState, run: Run) -> float:
     """Return the work that is lost by stopping a run, in core-seconds."""
     if run.stage in STOP_STAGES or run.stage is RunStage.RECORDING:
         return 0.0
-    since_ms = run.saved_ms if plan.step(run.task).checkpointing else run.started_ms
-    return count_cores(run.need) * max(0, planner_state.now.ms - since_ms) / 1000
+    return planner_state.unsaved_core_s(run)
--- a/yuccarelay/ports/metrics.py
+++ b/yuccarelay/ports/metrics.py
@@ -20,6 +20,10 @@
         """Record a time in the histogram of an organisation and class."""
         ...
 
+    def count_waste(self, job_class: str, cause: str, core_s: float) -> None:
+        """Add to the core-seconds of work that was lost to a cause."""
+        ...
+
     def gauge(self, name: str, value: float) -> None:
         """Set the gauge of a state to its latest value."""
         ...
--- a/yuccarelay/tasks/metrics.py
+++ b/yuccarelay/tasks/metrics.py
@@ -35,6 +35,15 @@
     value_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class CountWaste:
+    """Add to the core-seconds of work that was lost to a cause."""
+
+    job_class: str
+    cause: str
+    core_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class SetGauge:
     """Set a gauge to its latest value."""
@@ -64,11 +73,15 @@
         """Record a duration in the histogram of an organisation and class."""
         self._put(Observe(name, organisation, job_class, value_ms))
 
+    def count_waste(self, job_class: str, cause: str, core_s: float) -> None:
+        """Add to the core-seconds of work that was lost to a cause."""
+        self._put(CountWaste(job_class, cause, core_s))
+
     def gauge(self, name: str, value: float) -> None:
         """Set a gauge to its latest value."""
         self._put(SetGauge(name, value))
 
-    def _put(self, message: Count | Observe | SetGauge) -> None:
+    def _put(self, message: Count | Observe | CountWaste | SetGauge) -> None:
         try:
             self.inbox.put_nowait(message)
         except asyncio.QueueFull:
@@ -116,6 +129,8 @@
                 metrics.count(name, amount)
             case Observe(name, organisation, job_class, value_ms):
                 metrics.observe(name, organisation, job_class, value_ms)
+            case CountWaste(job_class, cause, core_s):
+                metrics.count_waste(job_class, cause, core_s)
             case SetGauge(name, value):
                 metrics.gauge(name, value)
         if self.queued_metrics.dropped:
