Report changes of a worker that a poll has missed, and retry on proven workers

Cause 1: a heartbeat that arrives while a report or the next poll is on its way woke no poll. Change: reports carry the agent's count of changes, polls the count of the last report; an agent with another count answers at once. A lost report is covered as well.

Cause 2: after its first failure a job tried the next unknown worker, and one job still used up four attempts in 1.1 s on workers that had just begun to fail. Change: after a failure workers come first that have run or done a task in the last 8 s; then unknown ones, then those whose last run failed.

The new tests fail before: two of PollTest by their time limit, the retry with three starts.

--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -1,14 +1,16 @@
 """Tests of an agent's checks of orders, its retries and the codec of orders."""
 
+import asyncio
 import unittest
 
+from tests.fakes import FakeClock, FakeJournal
 from yuccarelay.adapters import batch_codec
 from yuccarelay.core.batch.agent import Heartbeat, WorkerGuard
 from yuccarelay.core.batch.leases import make_leases
 from yuccarelay.core.batch.models import Resources, WorkerId, WorkerInfo
 from yuccarelay.core.batch.protocol import Declined, LeaseReference, Look, OldTerm
-from yuccarelay.ports.worker import Accepted, NoAnswer, Refused
-from yuccarelay.tasks.batch.agent import ORDER_TRIES, retry_order
+from yuccarelay.ports.worker import Accepted, NoAnswer, Refused, WorkerRuns
+from yuccarelay.tasks.batch.agent import ORDER_TRIES, WorkerAgentTask, retry_order
 
 LEASES = make_leases(6_000)
 
@@ -74,6 +76,84 @@
         self.assertIsNone(self.guard.lease_end(None, 1_300))
 
 
+class FakeWorker:
+    """A worker without runs that notes how long its calls may wait."""
+
+    def __init__(self):
+        self.waits = []
+
+    async def hold(self, name, term, seen, wait_ms, until_ms):
+        self.waits.append(wait_ms)
+        return WorkerRuns(500, 10, (), ())
+
+
+class PollTest(unittest.IsolatedAsyncioTestCase):
+    """
+    Guards against a change that the planner learns of seconds later.
+
+    A heartbeat may arrive while the last report or the next poll is on its way. On
+    smc-relay-grown a planner placed gangs on workers that had drained for 2 s.
+    """
+
+    LONG_WAIT_MS = 60_000
+    ANSWER_LIMIT_S = 5
+
+    def setUp(self):
+        self.worker = FakeWorker()
+        self.replies = []
+        self.guard = WorkerGuard('agent-1', 7, LEASES)
+        self.agent = WorkerAgentTask(
+            self.guard, self.worker, self, FakeClock(), FakeJournal()
+        )
+        self.guard.take_heartbeat(make_heartbeat(), 1_000)
+
+    def reply(self, _request, data):
+        """Receive a reply in place of the agent's socket."""
+        self.replies.append(batch_codec.decode(data).unwrap())
+
+    async def poll(self, report=None, wait_ms=0, call_worker=False):
+        """Send the poll that follows a report, and return its reply."""
+        worker, changes = self.guard.worker_id(), None
+        if report is not None:
+            worker = WorkerId('agent-1', report.worker.name, report.worker.born_ms)
+            changes = report.changes
+        order = Look(1, None, worker, 0, wait_ms, call_worker, changes)
+        async with asyncio.timeout(self.ANSWER_LIMIT_S):
+            await self.agent.serve(1, batch_codec.encode(order))
+        return self.replies.pop()
+
+    async def test_a_change_after_the_last_report_is_reported_at_once(self):
+        for call_worker in (False, True):
+            with self.subTest(call_worker=call_worker):
+                self.setUp()
+                report = await self.poll(call_worker=call_worker)
+                self.guard.take_heartbeat(make_heartbeat(2, draining=True), 1_100)
+                report = await self.poll(report, self.LONG_WAIT_MS, call_worker)
+                self.assertTrue(report.worker.draining)
+
+    async def test_the_end_of_a_worker_is_reported_at_once(self):
+        report = await self.poll()
+        self.guard.take_deregistration('i-1')
+        report = await self.poll(report, self.LONG_WAIT_MS)
+        self.assertIsNone(report.worker)
+
+    async def test_a_poll_without_news_waits(self):
+        report = await self.poll(call_worker=True)
+        await self.poll(report, 500, call_worker=True)
+        self.assertEqual(self.worker.waits, [0, 300, 200])
+
+    async def test_the_first_poll_of_a_planner_waits_as_it_asks(self):
+        await self.poll(wait_ms=100, call_worker=True)
+        self.assertEqual(self.worker.waits, [100])
+
+    async def test_repeated_heartbeats_are_no_news(self):
+        report = await self.poll(call_worker=True)
+        for sequence in (2, 3, 4):
+            self.guard.take_heartbeat(make_heartbeat(sequence), 1_100)
+        await self.poll(report, 100, call_worker=True)
+        self.assertEqual(self.worker.waits, [0, 100])
+
+
 class RetryOrderTest(unittest.IsolatedAsyncioTestCase):
     """Guards against gangs abandoned for one lost answer, and lost ends of runs."""
 
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -553,6 +553,19 @@
             self.assertEqual(fleet.state(job), 'completed')
             self.assertEqual(len(fleet.starts(job)), 2)
 
+    def test_a_retry_prefers_workers_that_have_run_tasks(self):
+        # The first attempt tells nothing about the other workers that fail by now.
+        fleet = make_fleet(6, per_rack=1, run_ms=400)
+        for label in ('r4', 'r5'):
+            fleet.submit(make_job(make_step(1, 8, label=label)))
+        fleet.run(1_000)
+        for name in ('w0', 'w1', 'w2', 'w3'):
+            fleet.workers[f'agent-{name}'].how = 'failed'
+        job = fleet.submit(make_job(make_step(1, 8)))
+        fleet.run(3_000)
+        self.assertEqual(fleet.state(job), 'completed')
+        self.assertEqual(len(fleet.starts(job)), 2)
+
     def test_the_last_attempt_waits_for_a_worker_without_a_failure(self):
         fleet = make_fleet(4, per_rack=1, run_ms=400)
         for name in ('w0', 'w1', 'w2'):
--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -42,6 +42,7 @@
         self.drain_deadline_ms = 0
         self.sequence = -1
         self.closed_below_ms = 0
+        self.changes = 0
         self.sample: ClockSample | None = None
 
     def take_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
@@ -59,6 +60,8 @@
         if not same_incarnation:
             self.sample = None
         self.closed_below_ms = max(self.closed_below_ms, info.born_ms)
+        if has_changed(known, info):
+            self.changes += 1
         self.worker = info
         self.drain_deadline_ms = now_ms + info.leaves_in_ms
         self.sequence = heartbeat.sequence
@@ -70,6 +73,7 @@
         if self.worker is None or self.worker.name != name:
             return False
         self.closed_below_ms = self.worker.born_ms + 1
+        self.changes += 1
         self.worker = None
         self.sample = None
         return True
@@ -112,3 +116,10 @@
         if self.worker.draining:
             return Declined('draining')
         return None
+
+
+def has_changed(before: WorkerInfo | None, now: WorkerInfo) -> bool:
+    """Whether a heartbeat differs from the last in more than the time to drain."""
+    if before is None:
+        return True
+    return before._replace(leaves_in_ms=0) != now._replace(leaves_in_ms=0)
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -7,6 +7,7 @@
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.unit_placement import (
     Candidate,
+    Suspicion,
     Victim,
     VictimsByAgent,
     group_victims,
@@ -27,8 +28,8 @@
         self.advance_reservations: list[Reservation] = []
         self.open: dict[str, list[WorkerView]] = {}
         self.free: dict[str, Resources] = {}
-        # Candidates of the step that was asked for last, and whether they are for a
-        # last attempt; the units of a step follow each other.
+        # Candidates of the step that was asked for last, for units with as many
+        # failures; the units of a step follow each other.
         self.listed_step: tuple = ()
         self.listed: dict[str, Candidate] = {}
         self.changed: set[str] = set()
@@ -52,14 +53,16 @@
         plan = planner_state.plans[unit.job]
         step = plan.job.steps[unit.step]
         own_reservation = planner_state.reserved.get(tuple(unit))
-        is_last_attempt = has_one_attempt_left(plan, unit, queue)
-        if self.listed_step != (*unit[:3], is_last_attempt):
-            self.listed_step, self.listed = (*unit[:3], is_last_attempt), {}
+        failures = max(plan.task(task).failures for task in unit.tasks)
+        # One more failure would end the job.
+        is_last_attempt = 0 < queue.max_attempts - 1 <= failures
+        if self.listed_step != (*unit[:3], failures):
+            self.listed_step, self.listed = (*unit[:3], failures), {}
         for view in self.open.get(queue.service, ()):
             if view.agent not in self.listed or view.agent in self.changed:
                 avoided = self._is_avoided(plan, unit, view, is_last_attempt)
                 self.listed[view.agent] = self._make_candidate(
-                    unit, step, view, avoided
+                    unit, step, view, avoided, self._find_suspicion(view, failures)
                 )
         self.changed.clear()
         candidates = list(self.listed.values())
@@ -88,8 +91,27 @@
             return True
         return is_last_attempt and now_ms < view.suspect_until_ms
 
+    def _find_suspicion(self, view: WorkerView, failures: int) -> Suspicion:
+        """
+        Return whether a worker is likely to fail a task of a unit.
+
+        After a failure a unit goes to workers that are known to run tasks, because
+        several workers often begin to fail at the same time.
+        """
+        now_ms = self.planner_state.now.ms
+        if now_ms < view.suspect_until_ms:
+            return Suspicion.FAILED
+        if failures and now_ms >= view.proven_until_ms:
+            return Suspicion.UNPROVEN
+        return Suspicion.NONE
+
     def _make_candidate(
-        self, unit: Unit, step: Step, view: WorkerView, avoided: bool
+        self,
+        unit: Unit,
+        step: Step,
+        view: WorkerView,
+        avoided: bool,
+        suspicion: Suspicion,
     ) -> Candidate:
         colocated = 0
         if step.per_worker:
@@ -105,7 +127,7 @@
             avoided,
             self._would_interfere(step, view),
             view.id.born_ms < self.cutoffs_ms[info.service],
-            self.planner_state.now.ms < view.suspect_until_ms,
+            suspicion,
         )
 
     def _would_interfere(self, step: Step, view: WorkerView) -> bool:
@@ -160,12 +182,6 @@
         return self.ends
 
 
-def has_one_attempt_left(plan: JobPlan, unit: Unit, queue: Queue) -> bool:
-    """Whether a unit has failed so often that one more failure ends its job."""
-    failures = max(plan.task(task).failures for task in unit.tasks)
-    return 0 < queue.max_attempts - 1 <= failures
-
-
 def add_reservation(candidate: Candidate, reservation: Reservation) -> Candidate:
     """Return a candidate with the resources that are reserved for its own unit."""
     free = candidate.free
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -212,8 +212,10 @@
     of the last ended run that is recorded, and `acknowledged_end` the last one
     acknowledged to the worker. `ends` maps the numbers of listed ended runs to the job
     and the version of its record that must be saved before they are acknowledged.
-    `suspect_until_ms` follows a failed run, because the worker may be the cause.
-    `poll` is the poll that has not been answered yet.
+    `suspect_until_ms` follows a failed run, because the worker may be the cause, and
+    `proven_until_ms` one that made progress or was done.
+    `poll` is the poll that has not been answered yet, and `changes` the agent's count
+    in the last report.
     """
 
     agent: str
@@ -229,6 +231,7 @@
     drain_deadline_ms: int = 0
     poll_sent_ms: int = 0
     poll: Look | None = None
+    changes: int | None = None
     poll_due_ms: int = 0
     seen: int = 0
     acknowledged_end: int = 0
@@ -236,6 +239,7 @@
     runs: dict[TaskId, Run] = field(default_factory=dict)
     avoid_until_ms: int = 0
     suspect_until_ms: int = 0
+    proven_until_ms: int = 0
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     orphaned_runs: dict[tuple[str, int], int] = field(default_factory=dict)
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -133,7 +133,15 @@
             wait_ms = min(wait_ms, SETTLE_WAIT_MS)
         if self.list_interfering(view)[1]:
             wait_ms = min(wait_ms, INTERFERENCE_WAIT_MS)
-        order = Look(self.term, basis, view.id, view.seen, wait_ms, reads_lists)
+        order = Look(
+            self.term,
+            basis,
+            view.id,
+            view.seen,
+            wait_ms,
+            reads_lists,
+            view.changes,
+        )
         view.poll = order
         view.poll_sent_ms = self.now.ms
         self.order(view, order)
--- a/yuccarelay/core/batch/protocol.py
+++ b/yuccarelay/core/batch/protocol.py
@@ -36,6 +36,10 @@
     renewed. `seen` is the number of the last ended run of `worker` that is recorded.
     The reply is held up to `wait_ms` until something changes. Without `call_worker`
     the agent answers from the worker's heartbeats alone.
+
+    `changes` is that of the last report. If the agent's is another one, it answers at
+    once: the worker changed while the last report or this poll was on its way. It is
+    None in the first poll.
     """
 
     term: int
@@ -44,6 +48,7 @@
     seen: int
     wait_ms: int
     call_worker: bool
+    changes: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +58,8 @@
 
     `worker` is None while no worker is known. `lists_read` is false when the
     worker was not called or did not answer. `closed_below_ms` is the `born_ms` of the
-    oldest incarnation of the worker that may still have runs.
+    oldest incarnation of the worker that may still have runs. `changes` counts the
+    changes of the worker that this incarnation of the agent has learned of.
     """
 
     basis: LeaseReference
@@ -62,6 +68,7 @@
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedRun, ...] = ()
     closed_below_ms: int = 0
+    changes: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -32,6 +32,10 @@
 # After a single failure a worker is suspect for this time, unless a task is done there.
 # The job may as well be the cause, so the worker is only chosen after the others.
 SUSPECT_MS = 8_000
+# A worker on which a run has gone on for `PROVEN_RUN_MS`, or was done, can run tasks.
+# Workers that cannot do so fail their runs within half a second.
+PROVEN_RUN_MS = 1_000
+PROVEN_MS = 8_000
 
 
 class ReportReader:
@@ -45,6 +49,7 @@
         planner_state = self.planner_state
         now_ms = planner_state.now.ms
         view.closed_below_ms = max(view.closed_below_ms, report.closed_below_ms)
+        view.changes = report.changes
         if not report.lists_read and is_outdated(view, report):
             # An agent that has restarted takes a late heartbeat for its worker's.
             report = replace(report, worker=None)
@@ -92,7 +97,7 @@
             view.read_ms = 0
             view.basis = None
             view.failures, view.failed_jobs = 0, set()
-            view.avoid_until_ms = view.suspect_until_ms = 0
+            view.avoid_until_ms = view.suspect_until_ms = view.proven_until_ms = 0
             planner_state.dirty = True
         view.info = info
         if info is not None and info.draining and not was_draining:
@@ -216,6 +221,7 @@
         view.failures = 0
         view.failed_jobs.clear()
         view.suspect_until_ms = 0
+        view.proven_until_ms = self.planner_state.now.ms + PROVEN_MS
         step = plan.step(task)
         if step.is_long_running:
             return
@@ -284,6 +290,8 @@
             if entry.percent != run.percent:
                 run.percent = entry.percent
                 run.percent_since_ms = now_ms
+                if run.started_ms and now_ms >= run.started_ms + PROVEN_RUN_MS:
+                    view.proven_until_ms = now_ms + PROVEN_MS
             if run.stage in (RunStage.UNCERTAIN, RunStage.ORDERED):
                 run.move(RunStage.RUNNING, now_ms)
                 run.started_ms = run.started_ms or now_ms
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -6,12 +6,26 @@
 accelerators left over.
 """
 
+import enum
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from yuccarelay.core.batch.models import Resources, Step
 
 
+class Suspicion(enum.IntEnum):
+    """
+    Whether a worker is likely to fail a task, which it then gets after other workers.
+
+    UNPROVEN: it has not run a task lately, and the unit has failed elsewhere. FAILED:
+    its last run failed.
+    """
+
+    NONE = 0
+    UNPROVEN = 1
+    FAILED = 2
+
+
 class Candidate(NamedTuple):
     """
     A worker that may take a unit, with its free resources.
@@ -19,8 +33,7 @@
     `colocated` is the number of tasks of the unit's step and occurrence that run on it.
     `avoided` marks a worker that recently failed or was slow, and `interferes` one
     where a best-effort and a latency-sensitive task would run together. `outdated`
-    marks one that a release will probably drain soon, and `suspect` one whose last run
-    failed.
+    marks one that a release will probably drain soon.
     """
 
     agent: str
@@ -32,7 +45,7 @@
     avoided: bool = False
     interferes: bool = False
     outdated: bool = False
-    suspect: bool = False
+    suspicion: Suspicion = Suspicion.NONE
 
 
 Placement = tuple[str, ...]
@@ -63,7 +76,7 @@
     last_choices = {
         candidate.agent
         for candidate in candidates
-        if candidate.outdated or candidate.suspect
+        if candidate.outdated or candidate.suspicion
     }
     placed = [
         (
@@ -112,11 +125,11 @@
     Return a sort key: fullest workers first.
 
     Workers that a release will probably drain soon come after the others, then those
-    whose last run failed, and last those where tasks would interfere.
+    that are likely to fail, and last those where tasks would interfere.
     """
     return (
         candidate.interferes,
-        candidate.suspect,
+        candidate.suspicion,
         candidate.outdated,
         candidate.free.accelerators,
         candidate.free.millicores,
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -8,7 +8,6 @@
 
 from yuccarelay.adapters import batch_codec
 from yuccarelay.core.batch.agent import Heartbeat, WorkerGuard
-from yuccarelay.core.batch.models import WorkerInfo
 from yuccarelay.core.batch.protocol import (
     Answer,
     Declined,
@@ -137,12 +136,12 @@
                 task.add_done_callback(self.order_tasks.discard)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
-        before = self.guard.worker
+        changes = self.guard.changes
         if not self.guard.take_heartbeat(heartbeat, self.clock.now_ms()):
             fields = {'worker': heartbeat.info.name, 'sequence': heartbeat.sequence}
             self.journal.write('heartbeat_late', fields)
             return
-        if has_changed(before, heartbeat.info):
+        if self.guard.changes != changes:
             self.journal.write(
                 'worker_heard',
                 {
@@ -234,7 +233,7 @@
         after that stop.
         """
         changed = self.changed
-        remaining_ms = order.wait_ms
+        remaining_ms = 0 if self._has_news(order) else order.wait_ms
         while True:
             wait_ms = min(remaining_ms, HOLD_WAIT_MS)
             found = await self.worker.hold(name, order.term, seen, wait_ms, until_ms)
@@ -247,12 +246,17 @@
         """Report without a call to the worker, once it changed or after the wait."""
         try:
             async with asyncio.timeout(order.wait_ms / 1000):
-                if order.worker == self.guard.worker_id():
+                if not self._has_news(order):
                     await self.changed.wait()
         except TimeoutError:
             pass
         return self._make_report(False)
 
+    def _has_news(self, order: Look) -> bool:
+        """Whether the worker changed since the last report that the planner read."""
+        is_unread = order.changes not in (None, self.guard.changes)
+        return is_unread or order.worker != self.guard.worker_id()
+
     def _make_report(self, lists_read: bool, running=(), ended=()) -> Report:
         guard, now_ms = self.guard, self.clock.now_ms()
         info = guard.worker
@@ -266,6 +270,7 @@
             running=running,
             ended=ended,
             closed_below_ms=guard.closed_below_ms,
+            changes=guard.changes,
         )
 
     async def _start(self, order: Start) -> Answer:
@@ -338,10 +343,3 @@
         if isinstance(answer, Refused):
             return NoAnswer(f'repeated: {answer.reason}'), tries
     return answer, ORDER_TRIES
-
-
-def has_changed(before: WorkerInfo | None, now: WorkerInfo) -> bool:
-    """Whether a heartbeat differs from the last in more than the time to drain."""
-    if before is None:
-        return True
-    return before._replace(leaves_in_ms=0) != now._replace(leaves_in_ms=0)
