Let gangs wait while a release drains their workers

Change: while workers of a service drain in turns, a gang that would need an earlier worker waits, for at most 6 s and not if it is within its guarantee. Workers that are taken away together are no release.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -20,7 +20,8 @@
 from yuccarelay.core.batch.models import TaskStage
 from yuccarelay.core.batch.planner_state import SETTLE_WAIT_MS
 from yuccarelay.core.batch.protocol import AgentAddress
-from yuccarelay.core.batch.releases import SERIES_GAP_MS
+from yuccarelay.core.batch.releases import SERIES_GAP_MS, TURN_GAP_MS
+from yuccarelay.core.batch.scheduling import RELEASE_WAIT_MS
 
 
 class EndToEndTest(unittest.TestCase):
@@ -469,6 +470,57 @@
         self.drain(fleet, 2)
         self.assertEqual(self.place(fleet, make_step(1, 8)), {'agent-w2'})
 
+    def drain_in_turns(self, fleet, count: int) -> None:
+        """Drain some workers, half a second after each other."""
+        for number in range(count):
+            worker = fleet.workers[f'agent-w{number}']
+            worker.draining, worker.leaves_in_ms = True, 5_000
+            fleet.run(500)
+
+    def test_a_gang_waits_while_a_release_drains_its_workers(self):
+        # smc-relay-grown scale-1: gangs were started up to six times in a release, and
+        # displaced other work each time.
+        fleet = make_fleet(10, run_ms=1_500)
+        self.drain_in_turns(fleet, 3)
+        job = fleet.submit(make_job(make_step(4, 8, gang=True)))
+        self.drain_in_turns(fleet, 4)
+        self.assertEqual(fleet.starts(job), [])
+        for number in range(7):
+            fleet.workers[f'agent-w{number}'].draining = False
+        fleet.run(TURN_GAP_MS + 2_500)
+        self.assertEqual(fleet.state(job), 'completed')
+        self.assertEqual(len(fleet.starts(job)), 4)
+
+    def test_a_gang_does_not_wait_for_a_release_without_end(self):
+        fleet = make_fleet(40, run_ms=1_500)
+        self.drain_in_turns(fleet, 3)
+        submitted_ms = fleet.now_ms
+        job = fleet.submit(make_job(make_step(2, 8, gang=True)))
+        for number in range(3, 30):
+            fleet.workers[f'agent-w{number}'].draining = True
+            fleet.run(500)
+        first_ms = fleet.starts(job)[0][0]
+        self.assertGreater(first_ms, submitted_ms + RELEASE_WAIT_MS)
+        self.assertLess(first_ms, submitted_ms + RELEASE_WAIT_MS + 1_000)
+
+    def test_guaranteed_and_single_tasks_start_during_a_release(self):
+        fleet = make_fleet(10, run_ms=9_000)
+        self.drain_in_turns(fleet, 3)
+        gang = fleet.submit(make_job(make_step(2, 8, gang=True), queue=URGENT))
+        single = fleet.submit(make_job(make_step(2, 8)))
+        fleet.run(300)
+        self.assertEqual(len(fleet.starts(gang)), 2)
+        self.assertEqual(len(fleet.starts(single)), 2)
+
+    def test_workers_that_are_taken_away_together_are_no_release(self):
+        fleet = make_fleet(10, run_ms=9_000)
+        for number in range(3):
+            fleet.workers[f'agent-w{number}'].draining = True
+        fleet.run(300)
+        job = fleet.submit(make_job(make_step(2, 8, gang=True)))
+        fleet.run(300)
+        self.assertEqual(len(fleet.starts(job)), 2)
+
     def test_a_release_that_is_over_is_forgotten(self):
         fleet = make_fleet(10, run_ms=9_000)
         self.drain(fleet, 3)
--- a/yuccarelay/core/batch/releases.py
+++ b/yuccarelay/core/batch/releases.py
@@ -13,6 +13,10 @@
 SERIES_GAP_MS = 10_000
 # Fewer workers drain in a row where no release is under way, too.
 SERIES_MINIMUM = 3
+# Workers that are taken away together drain within this time; those of a release drain
+# in turns, at most `TURN_GAP_MS` apart.
+TOGETHER_MS = 800
+TURN_GAP_MS = 3_000
 # A release starts the new workers this long before it drains the first earlier one.
 NEW_WORKERS_LEAD_MS = 6_000
 
@@ -55,3 +59,13 @@
         ):
             return 0
         return series.first_ms - NEW_WORKERS_LEAD_MS
+
+    def is_draining(self, service: str, wall_ms: int) -> bool:
+        """Whether a release is under way and will soon drain more workers."""
+        series = self.series.get(service)
+        return (
+            series is not None
+            and series.count >= SERIES_MINIMUM
+            and series.last_ms > series.first_ms + TOGETHER_MS
+            and wall_ms <= series.last_ms + TURN_GAP_MS
+        )
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -25,6 +25,7 @@
 from yuccarelay.core.batch.unit_placement import (
     Candidate,
     Eviction,
+    Placement,
     Victim,
     candidate_order,
     group_victims,
@@ -41,6 +42,8 @@
 # A step that is slower when spread over racks waits this long for a single rack,
 # unless its job is already late. Resources should not stay idle for 3 s.
 SPREAD_AFTER_MS = 2_000
+# A gang waits at most this long for a release, because a release may stop and go on.
+RELEASE_WAIT_MS = 6_000
 # Units with an advance reservation while units of lower rank are placed. More would
 # leave resources idle for work that starts much later.
 ADVANCE_RESERVATIONS_LIMIT = 4
@@ -189,6 +192,8 @@
             if candidate.agent in reservation.placement
         ]
     placement = place_tasks(step, count, candidates, entry.spread)
+    if waits_for_release(planner_state, entry, candidates, placement):
+        return False
     if placement is not None:
         planner_state.reserved.pop(key, None)
         planner_state.assign(entry.plan, entry.unit, placement)
@@ -204,6 +209,31 @@
     return False
 
 
+def waits_for_release(
+    planner_state: PlannerState,
+    entry: WaitingUnit,
+    candidates: list[Candidate],
+    placement: Placement | None,
+) -> bool:
+    """
+    Whether a gang waits until a release has drained more workers.
+
+    The gang would be stopped whole with the first of its workers that drains, and lose
+    its work and that of the runs it displaced. Work within its guarantee does not wait.
+    """
+    key = entry.unit[1:3]
+    now = planner_state.now
+    if (
+        entry.entitled
+        or len(entry.unit.tasks) == 1
+        or now.ms > entry.plan.ready_ms[key] + RELEASE_WAIT_MS
+        or not planner_state.releases.is_draining(entry.queue.service, now.wall_ms)
+    ):
+        return False
+    outdated = {candidate.agent for candidate in candidates if candidate.outdated}
+    return placement is None or not outdated.isdisjoint(placement)
+
+
 def filter_approved(
     planner_state: PlannerState, entry: WaitingUnit, candidates: list[Candidate]
 ) -> list[Candidate]:
