Load only what a role on the platform runs

Cause: an agent loaded the planner, the entry's HTTP handlers and, through the mailbox module, the product's manifests.

Change: host_roles is split into host_entry, host_agent and what they have in common; front into the interfaces of callers and of workers; the messages of the product's front end have a module of their own.

--- a/tests/store_fixture.py
+++ b/tests/store_fixture.py
@@ -12,7 +12,9 @@
 from yuccarelay.core.manifest import FieldError, Manifest
 from yuccarelay.core.models import EntryRef, JobRecord, JobState
 from yuccarelay.standins.etcd_store import EtcdStoreStandin
-from yuccarelay.tasks.mailbox import CommitManifest
+from yuccarelay.tasks.messages import (
+    CommitManifest,
+)
 from yuccarelay.tasks.store import StoreTask, StoreTimes
 
 SHORT_DEADLINE_MS = 200
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -15,11 +15,11 @@
 from yuccarelay.core.models import AnswerPart
 from yuccarelay.ports.transport import TransportFailure
 from yuccarelay.tasks import answers
-from yuccarelay.tasks.mailbox import (
+from yuccarelay.tasks.mailbox import Mailbox
+from yuccarelay.tasks.messages import (
     AnswerUnavailable,
     FetchFullAnswer,
     FullAnswer,
-    Mailbox,
 )
 from yuccarelay.tasks.retained_answers import RetainedAnswer, RetainedAnswers
 
--- a/tests/test_store_task.py
+++ b/tests/test_store_task.py
@@ -26,7 +26,7 @@
 from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES
 from yuccarelay.ports.store import Put
 from yuccarelay.tasks.breaker import FAILURE_LIMIT
-from yuccarelay.tasks.mailbox import (
+from yuccarelay.tasks.messages import (
     CommitManifest,
     CommitRefused,
     Committed,
--- a/yuccarelay/adapters/handlers.py
+++ b/yuccarelay/adapters/handlers.py
@@ -20,7 +20,11 @@
 from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES, FieldError
 from yuccarelay.core.messages import JobStatus
 from yuccarelay.tasks.answers import FETCH_LIMIT_MS
-from yuccarelay.tasks.mailbox import CommitManifest, Committed, FetchFullAnswer
+from yuccarelay.tasks.messages import (
+    CommitManifest,
+    Committed,
+    FetchFullAnswer,
+)
 
 if TYPE_CHECKING:
     from yuccarelay.adapters.web import FrontEnd
--- a/yuccarelay/adapters/replies.py
+++ b/yuccarelay/adapters/replies.py
@@ -17,7 +17,7 @@
 from yuccarelay.core.manifest import FieldError
 from yuccarelay.core.messages import JobStatus
 from yuccarelay.core.models import OutcomeRecord
-from yuccarelay.tasks.mailbox import (
+from yuccarelay.tasks.messages import (
     AnswerUnavailable,
     CommitRefused,
     Committed,
--- a/yuccarelay/adapters/web.py
+++ b/yuccarelay/adapters/web.py
@@ -20,11 +20,11 @@
 from yuccarelay.adapters.tokens import Caller, identify_caller
 from yuccarelay.core.effects import ActivateManifest, RespondToCaller
 from yuccarelay.core.manifest import Manifest
-from yuccarelay.tasks.mailbox import (
+from yuccarelay.tasks.mailbox import Mailbox
+from yuccarelay.tasks.messages import (
     AnswerUnavailable,
     CommitReplied,
     FullAnswer,
-    Mailbox,
 )
 
 if TYPE_CHECKING:
--- a/yuccarelay/host.py
+++ b/yuccarelay/host.py
@@ -39,7 +39,7 @@
     env: Env,
 ) -> ExitStatus:
     """Run an entry on the platform: it serves callers, and plans if elected."""
-    from yuccarelay.host_roles import build_host_entry
+    from yuccarelay.host_entry import build_host_entry
 
     return run_host_role(build_host_entry, settings, metrics, env)
 
@@ -51,7 +51,7 @@
     env: Env,
 ) -> ExitStatus:
     """Run the agent of a worker of the platform, on the same instance."""
-    from yuccarelay.host_roles import build_host_agent
+    from yuccarelay.host_agent import build_host_agent
 
     return run_host_role(build_host_agent, settings, metrics, env)
 
--- a/yuccarelay/host_roles.py
+++ b/yuccarelay/host_entry.py
@@ -1,30 +1,21 @@
-"""Builds the roles that run on the users' platform."""
+"""Builds the entry on the users' platform."""
 
 import asyncio
 import os
 import random
-import time
-
-from result import Err, Ok
 
 from yuccarelay.adapters import batch_records
-from yuccarelay.adapters.eliot_journal import EliotJournal
-from yuccarelay.adapters.metered_journal import MeteredJournal
 from yuccarelay.adapters.nng import NngTransport
-from yuccarelay.core.batch.agent import WorkerGuard
 from yuccarelay.core.batch.leases import make_leases
 from yuccarelay.core.batch.planner import Planner
-from yuccarelay.core.batch.protocol import AgentAddress
 from yuccarelay.environment import Environment
+from yuccarelay.host_process import BootClock, open_journal, report_settings
 from yuccarelay.platform import front, jobs
 from yuccarelay.platform.advice import HttpAdvisor
-from yuccarelay.platform.settings import HostSettings, read_settings
+from yuccarelay.platform.settings import HostSettings
 from yuccarelay.platform.store import PlatformStore
-from yuccarelay.platform.worker import HttpWorker
-from yuccarelay.ports.journal import Journal
 from yuccarelay.runtime import Role, call_on_hangup, open_listener, running
 from yuccarelay.tasks.batch.advice import AdviceTask
-from yuccarelay.tasks.batch.agent import WorkerAgentTask
 from yuccarelay.tasks.batch.election import ElectionTask
 from yuccarelay.tasks.batch.peers import PeerSockets
 from yuccarelay.tasks.batch.planner import OrderLinksTask, PlannerTask
@@ -34,7 +25,6 @@
 from yuccarelay.tasks.batch.replica import ConfigurationReader, ReplicaTask
 from yuccarelay.tasks.batch.request_handler import RequestHandlerTask
 from yuccarelay.tasks.mailbox import Mailbox
-from yuccarelay.tasks.metrics import MetricsTask, QueuedMetrics
 
 # Share of the platform's grace period for which the process continues to serve after
 # SIGTERM, so that the load balancer and open connections can move to other entries.
@@ -42,19 +32,6 @@
 LAST_READS_S = 0.2
 
 
-class BootClock:
-    """
-    Clock that also counts the time for which an instance is suspended.
-
-    A lease in the store continues to run while an instance is suspended, so a planner
-    that resumes must see that the time has passed.
-    """
-
-    def now_ms(self) -> int:
-        """Return the current time in milliseconds."""
-        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
-
-
 class OpenCalls:
     """Counts the requests of callers that are not answered yet."""
 
@@ -71,47 +48,6 @@
             self.count -= 1
 
 
-def report_settings(
-    settings: HostSettings,
-    path: str,
-    journal: Journal,
-) -> None:
-    """
-    Read the settings again and log the fields that changed.
-
-    A process applies its addresses and limits at its start; a change of them takes
-    effect at its next start.
-    """
-    match read_settings(path):
-        case Ok(found):
-            names = [
-                name
-                for name in HostSettings._fields
-                if getattr(found, name) != getattr(settings, name)
-            ]
-            journal.write('settings_read', {'changed': ','.join(names)})
-        case Err(reason):
-            journal.write('settings_unreadable', {'reason': reason})
-
-
-def open_journal(
-    settings: HostSettings,
-    env: Environment,
-) -> tuple[EliotJournal | MeteredJournal, list[MetricsTask]]:
-    """Return the journal, and the metrics task if metrics have an address."""
-    journal = EliotJournal(env.stdout)
-    if not settings.metrics_address:
-        return journal, []
-    queued_metrics = QueuedMetrics()
-    task = MetricsTask(
-        queued_metrics,
-        settings.metrics_address,
-        settings.metrics_path,
-        journal,
-    )
-    return MeteredJournal(journal, queued_metrics), [task]
-
-
 async def build_host_entry(
     settings: HostSettings,
     path: str,
@@ -214,46 +150,3 @@
         journal.close()
 
     return Role(settings.front, '', run(), stop)
-
-
-async def build_host_agent(
-    settings: HostSettings,
-    path: str,
-    env: Environment,
-) -> Role:
-    """Return the agent of a worker, which runs on the same instance."""
-    journal, metrics_tasks = open_journal(settings, env)
-    clock = BootClock()
-    rng = random.Random(os.urandom(16))
-    store = PlatformStore(settings.store)
-    worker = HttpWorker(settings.worker)
-    address = f'{settings.ip}:{settings.internal_port}'
-    listener = open_listener(NngTransport(clock), address)
-    guard = WorkerGuard(
-        settings.node,
-        rng.getrandbits(48),
-        make_leases(settings.longest_hold_ms),
-    )
-    agent_task = WorkerAgentTask(guard, worker, listener, clock, journal)
-    agent_address = batch_records.encode_agent(AgentAddress(address, guard.incarnation))
-    register = RegisterTask(
-        batch_records.AGENTS + settings.node, agent_address, store, journal
-    )
-    tasks = [agent_task, register, *metrics_tasks]
-    server = front.serve_worker(
-        settings.control, agent_task.receive_heartbeat, agent_task.deregister, journal
-    )
-    stop = asyncio.Event()
-
-    async def run() -> None:
-        journal.write('agent_started', {'node': settings.node, 'address': address})
-        call_on_hangup(lambda: report_settings(settings, path, journal))
-        async with running(tasks, journal):
-            await stop.wait()
-            server.stop()
-        await worker.close()
-        await store.close()
-        journal.write('agent_stopped', {'node': settings.node})
-        journal.close()
-
-    return Role(address, '', run(), stop)
--- /dev/null
+++ b/yuccarelay/host_process.py
@@ -0,0 +1,66 @@
+"""What the roles on the users' platform have in common: clock, settings and journal."""
+
+import time
+
+from result import Err, Ok
+
+from yuccarelay.adapters.eliot_journal import EliotJournal
+from yuccarelay.adapters.metered_journal import MeteredJournal
+from yuccarelay.environment import Environment
+from yuccarelay.platform.settings import HostSettings, read_settings
+from yuccarelay.ports.journal import Journal
+from yuccarelay.tasks.metrics import MetricsTask, QueuedMetrics
+
+
+class BootClock:
+    """
+    Clock that also counts the time for which an instance is suspended.
+
+    A lease in the store continues to run while an instance is suspended, so a planner
+    that resumes must see that the time has passed.
+    """
+
+    def now_ms(self) -> int:
+        """Return the current time in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+def report_settings(
+    settings: HostSettings,
+    path: str,
+    journal: Journal,
+) -> None:
+    """
+    Read the settings again and log the fields that changed.
+
+    A process applies its addresses and limits at its start; a change of them takes
+    effect at its next start.
+    """
+    match read_settings(path):
+        case Ok(found):
+            names = [
+                name
+                for name in HostSettings._fields
+                if getattr(found, name) != getattr(settings, name)
+            ]
+            journal.write('settings_read', {'changed': ','.join(names)})
+        case Err(reason):
+            journal.write('settings_unreadable', {'reason': reason})
+
+
+def open_journal(
+    settings: HostSettings,
+    env: Environment,
+) -> tuple[EliotJournal | MeteredJournal, list[MetricsTask]]:
+    """Return the journal, and the metrics task if metrics have an address."""
+    journal = EliotJournal(env.stdout)
+    if not settings.metrics_address:
+        return journal, []
+    queued_metrics = QueuedMetrics()
+    task = MetricsTask(
+        queued_metrics,
+        settings.metrics_address,
+        settings.metrics_path,
+        journal,
+    )
+    return MeteredJournal(journal, queued_metrics), [task]
--- /dev/null
+++ b/yuccarelay/platform/control.py
@@ -0,0 +1,58 @@
+"""HTTP interface that a worker calls: its heartbeats and its deregistration."""
+
+import tornado.web
+from result import Err, Ok
+from tornado.httpserver import HTTPServer
+
+from yuccarelay.platform.serving import listen, make_app
+from yuccarelay.platform.worker import decode_heartbeat
+
+
+class HeartbeatHandler(tornado.web.RequestHandler):
+    """Heartbeats of an agent's co-located worker."""
+
+    def initialize(self, receive_heartbeat, journal) -> None:
+        """Take the function that receives a heartbeat, and the journal."""
+        self.receive_heartbeat = receive_heartbeat
+        self.journal = journal
+
+    async def post(self, name: str) -> None:
+        """Receive a heartbeat; one that cannot be decoded is logged and ignored."""
+        match decode_heartbeat(name, self.request.body):
+            case Ok(heartbeat):
+                await self.receive_heartbeat(heartbeat)
+            case Err(reason):
+                self.journal.write(
+                    'heartbeat_ignored', {'worker': name, 'reason': reason}
+                )
+        await self.finish({})
+
+
+class DeregisterHandler(tornado.web.RequestHandler):
+    """Deregistration of an agent's co-located worker."""
+
+    def initialize(self, deregister) -> None:
+        """Take the function that deregisters a worker."""
+        self.deregister = deregister
+
+    async def post(self, name: str) -> None:
+        """Deregister the worker."""
+        await self.deregister(name)
+        await self.finish({})
+
+
+def serve_worker(address: str, receive_heartbeat, deregister, journal) -> HTTPServer:
+    """Serve an agent's co-located worker."""
+    handlers = [
+        (
+            r'/api/Instances\.Heartbeat/(.+)',
+            HeartbeatHandler,
+            {'receive_heartbeat': receive_heartbeat, 'journal': journal},
+        ),
+        (
+            r'/api/Instances\.Deregister/(.+)',
+            DeregisterHandler,
+            {'deregister': deregister},
+        ),
+    ]
+    return listen(make_app(handlers), address)
--- a/yuccarelay/platform/front.py
+++ b/yuccarelay/platform/front.py
@@ -1,9 +1,8 @@
-"""HTTP interfaces that the platform calls: callers, readiness and heartbeats."""
+"""HTTP interfaces that the platform calls: callers and readiness."""
 
 import time
 
 import tornado.web
-from result import Err, Ok
 from tornado.httpserver import HTTPServer
 
 from yuccarelay.core.batch.request_handler import (
@@ -24,13 +23,12 @@
     UnknownKey,
 )
 from yuccarelay.platform.jobs import decode_draft
-from yuccarelay.platform.worker import decode_heartbeat
+from yuccarelay.platform.serving import listen, make_app
 
 DEADLINE_HEADER = 'X-Yuccarelay-Deadline-Ms'
 KEY_SCHEME = 'Token '
 DEFAULT_DEADLINE_MS = 3_000
 LONGEST_DEADLINE_MS = 30_000
-BODY_LIMIT_BYTES = 4_194_304
 
 
 class CallerHandler(tornado.web.RequestHandler):
@@ -134,47 +132,6 @@
         self.set_status(200 if self.ready() else 503)
 
 
-class HeartbeatHandler(tornado.web.RequestHandler):
-    """Heartbeats of an agent's co-located worker."""
-
-    def initialize(self, receive_heartbeat, journal) -> None:
-        """Take the function that receives a heartbeat, and the journal."""
-        self.receive_heartbeat = receive_heartbeat
-        self.journal = journal
-
-    async def post(self, name: str) -> None:
-        """Receive a heartbeat; one that cannot be decoded is logged and ignored."""
-        match decode_heartbeat(name, self.request.body):
-            case Ok(heartbeat):
-                await self.receive_heartbeat(heartbeat)
-            case Err(reason):
-                self.journal.write(
-                    'heartbeat_ignored', {'worker': name, 'reason': reason}
-                )
-        await self.finish({})
-
-
-class DeregisterHandler(tornado.web.RequestHandler):
-    """Deregistration of an agent's co-located worker."""
-
-    def initialize(self, deregister) -> None:
-        """Take the function that deregisters a worker."""
-        self.deregister = deregister
-
-    async def post(self, name: str) -> None:
-        """Deregister the worker."""
-        await self.deregister(name)
-        await self.finish({})
-
-
-def listen(app: tornado.web.Application, address: str) -> HTTPServer:
-    """Serve an application at an address."""
-    server = HTTPServer(app, max_body_size=BODY_LIMIT_BYTES)
-    host, _, port = address.rpartition(':')
-    server.listen(int(port), address=host)
-    return server
-
-
 def serve_callers(address: str, ask, draining) -> HTTPServer:
     """Serve callers."""
     parts = {'ask': ask, 'draining': draining}
@@ -185,25 +142,3 @@
     """Serve the load balancer's readiness check."""
     handlers = [('/api/readiness', ReadinessHandler, {'ready': ready})]
     return listen(make_app(handlers), address)
-
-
-def serve_worker(address: str, receive_heartbeat, deregister, journal) -> HTTPServer:
-    """Serve an agent's co-located worker."""
-    handlers = [
-        (
-            r'/api/Instances\.Heartbeat/(.+)',
-            HeartbeatHandler,
-            {'receive_heartbeat': receive_heartbeat, 'journal': journal},
-        ),
-        (
-            r'/api/Instances\.Deregister/(.+)',
-            DeregisterHandler,
-            {'deregister': deregister},
-        ),
-    ]
-    return listen(make_app(handlers), address)
-
-
-def make_app(handlers: list) -> tornado.web.Application:
-    """Return an application that writes no access log."""
-    return tornado.web.Application(handlers, log_function=lambda _: None)
--- a/yuccarelay/tasks/answers.py
+++ b/yuccarelay/tasks/answers.py
@@ -18,11 +18,11 @@
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.transport import Peer, Transport
-from yuccarelay.tasks.mailbox import (
+from yuccarelay.tasks.mailbox import Mailbox
+from yuccarelay.tasks.messages import (
     AnswerUnavailable,
     FetchFullAnswer,
     FullAnswer,
-    Mailbox,
 )
 from yuccarelay.tasks.retained_answers import RetainedAnswer, RetainedAnswers
 
--- a/yuccarelay/tasks/manifest_commit.py
+++ b/yuccarelay/tasks/manifest_commit.py
@@ -21,7 +21,7 @@
 )
 from yuccarelay.tasks.breaker import CircuitBreakerStore, jitter
 from yuccarelay.tasks.config_watch import MANIFEST_KEY, ConfigWatch, SeenVersion
-from yuccarelay.tasks.mailbox import (
+from yuccarelay.tasks.messages import (
     CommitManifest,
     CommitRefused,
     Committed,
--- a/yuccarelay/tasks/store.py
+++ b/yuccarelay/tasks/store.py
@@ -35,8 +35,12 @@
 from yuccarelay.tasks import breaker, config_watch, record_writer, registration
 from yuccarelay.tasks.breaker import CircuitBreakerStore
 from yuccarelay.tasks.config_watch import ConfigWatch, ManifestCheck
-from yuccarelay.tasks.mailbox import CommitManifest, CommitReplied, Mailbox
+from yuccarelay.tasks.mailbox import Mailbox
 from yuccarelay.tasks.manifest_commit import ManifestCommitter
+from yuccarelay.tasks.messages import (
+    CommitManifest,
+    CommitReplied,
+)
 from yuccarelay.tasks.record_writer import JOBS_PREFIX, RecordWriter
 from yuccarelay.tasks.registration import Registration
 
