Resume watches after an outage, and let requests wait briefly for the store

Callers make five tries within 3 s. Each was refused at once, so their tries were used up when the store was back. Then all 35 entries read all jobs and records anew; those of the other region had them only after 0.5 to 2.7 s and refused requests meanwhile.

Change: a watch goes on from the last revision it has; everything is read again only if the store has dropped its history or a change cannot be read. A request that the store cannot serve waits for it for at most 1.2 s, and is offered to other entries meanwhile, before it is refused.

--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -315,6 +315,9 @@
 
     def test_an_unreadable_answer_of_the_store_leaves_a_write_open(self):
         for body in (b'', b'{}', DEEP):
+            changes = store.parse_changes(HttpResponse(200, body)).unwrap_err()
+            # The replica reads everything again instead of asking for them forever.
+            self.assertTrue(changes.refused)
             found = store.parse(HttpResponse(200, body), store.Revision)
             self.assertTrue(isinstance(found, Err) and found.err_value.ambiguous)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -52,6 +52,24 @@
             break
         self.assertEqual(found, [('a/2', b'y'), ('a/1', None)])
 
+    async def test_changes_are_read_from_a_revision_on(self):
+        first = (await self.put('a/1', b'x')).unwrap().revision
+        await self.put('b/1', b'y')
+        changes = (await self.store.read_changes('a/', first, 1)).unwrap()
+        self.assertEqual(changes.events, ())
+        self.assertGreater(changes.revision, first)
+        changes = (await self.store.read_changes('a/', first - 1, 1)).unwrap()
+        self.assertEqual([event.key for event in changes.events], ['a/1'])
+
+    async def test_only_a_dropped_history_refuses_to_read_changes(self):
+        await self.put('a/1', b'x')
+        self.standin.memory.compact(self.standin.memory.revision)
+        failure = (await self.store.read_changes('a/', 0, 1)).unwrap_err()
+        self.assertTrue(failure.refused)
+        self.standin.down = True
+        failure = (await self.store.read_changes('a/', 0, 1)).unwrap_err()
+        self.assertFalse(failure.refused)
+
     async def test_a_watch_ends_when_its_history_is_gone(self):
         await self.put('a/1', b'x')
         self.standin.memory.compact(self.standin.memory.revision)
--- a/yuccarelay/platform/store.py
+++ b/yuccarelay/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 from collections.abc import AsyncIterator
+from dataclasses import replace
 from functools import partial
 from typing import TypedDict
 
@@ -12,6 +13,7 @@
 from yuccarelay.adapters.http_client import HttpClient, HttpFailure
 from yuccarelay.adapters.http_connection import HttpResponse
 from yuccarelay.ports.store import (
+    Changes,
     Delete,
     Guard,
     Page,
@@ -25,10 +27,7 @@
 # The store answers in 4 ms, in up to 300 ms when it is slow, and in 60 ms between
 # regions.
 CALL_LIMIT_S = 0.8
-# Only the time limit of a waiting watch shows that its connection is dead. Until
-# then the entry reports stale states.
 WATCH_WAIT_MS = 1_000
-WATCH_LIMIT_S = 1.8
 PAGE_LIMIT_S = 2.0
 
 
@@ -164,6 +163,15 @@
         answer = await self._call('DELETE', path, accept=(404,))
         return answer.map(lambda _: None)
 
+    async def read_changes(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> Result[Changes, StoreFailure]:
+        """Return the changes of a prefix after a revision."""
+        query = {'prefix': prefix, 'after': str(after), 'waitMs': str(wait_ms)}
+        limit = CALL_LIMIT_S + wait_ms / 1000
+        answer = await self._call('GET', '/api/kv-watch', query=query, limit=limit)
+        return answer.and_then(parse_changes)
+
     async def watch(
         self,
         prefix: str,
@@ -172,21 +180,10 @@
         """Yield a prefix's changes; an empty tuple shows that the watch is alive."""
         after = start_revision - 1
         while True:
-            query = {
-                'prefix': prefix,
-                'after': str(after),
-                'waitMs': str(WATCH_WAIT_MS),
-            }
-            answer = await self._call(
-                'GET',
-                '/api/kv-watch',
-                query=query,
-                limit=WATCH_LIMIT_S,
-            )
-            match answer.and_then(lambda response: parse(response, ItemEvents)):
-                case Ok(page):
-                    after = page['at']
-                    yield tuple(make_event(item) for item in page['events'])
+            match await self.read_changes(prefix, after, WATCH_WAIT_MS):
+                case Ok(changes):
+                    after = changes.revision
+                    yield changes.events
                 case Err():
                     return
 
@@ -233,6 +230,20 @@
     )
 
 
+def parse_changes(response: HttpResponse) -> Result[Changes, StoreFailure]:
+    """Decode changes; the same call would give the same unreadable ones again."""
+    return (
+        parse(response, ItemEvents)
+        .map(
+            lambda page: Changes(
+                tuple(make_event(item) for item in page['events']),
+                page['at'],
+            ),
+        )
+        .map_err(lambda failure: replace(failure, refused=True))
+    )
+
+
 def make_value(item: Item) -> StoredValue:
     """Return an item; a value that is not base64 is passed on as it is."""
     text = item.get('value', '')
--- a/yuccarelay/ports/store.py
+++ b/yuccarelay/ports/store.py
@@ -77,6 +77,13 @@
     revision: int
 
 
+class Changes(NamedTuple):
+    """Changes of a prefix in revision order, and the revision that they reach."""
+
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class StoreFailure:
     """
@@ -142,3 +149,18 @@
         again and opens a new watch.
         """
         ...
+
+
+class ChangeFeed(Store, Protocol):
+    """A store whose watches can go on after an outage, without another full read."""
+
+    async def read_changes(
+        self, prefix: str, after: int, wait_ms: int
+    ) -> Result[Changes, StoreFailure]:
+        """
+        Return the changes of a prefix after a revision.
+
+        Without any the answer is held until there is one, at most `wait_ms`. The
+        failure is `refused` if the store has dropped the history from there on.
+        """
+        ...
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -16,7 +16,13 @@
 from yuccarelay.core.batch.models import Configuration, Job, JobRecord
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
-from yuccarelay.ports.store import Store, StoredValue, WatchEvent
+from yuccarelay.ports.store import (
+    ChangeFeed,
+    Store,
+    StoredValue,
+    StoreFailure,
+    WatchEvent,
+)
 from yuccarelay.tasks.failures import write_failure
 from yuccarelay.tasks.mailbox import Mailbox
 
@@ -25,6 +31,11 @@
 RETRY_S = 0.1
 # A read takes one network round trip and, when the store is slow, 0.3 s.
 SLOW_READ_S = 0.4
+# Only the time limit of a waiting watch shows that its connection is dead. Until then
+# the entry reports stale states.
+WATCH_WAIT_MS = 1_000
+# After a failure an answer without much of a wait shows that the store is back.
+PROBE_WAIT_MS = 1
 # A watch is answered every second, and up to 0.4 s later between regions or when the
 # store is slow. One that is overdue may miss changes: its connection is silent, or
 # this process was paused.
@@ -133,7 +144,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: ChangeFeed,
         configuration_prefix: str,
         decode_configuration: Callable,
         handler: Mailbox,
@@ -172,19 +183,40 @@
                     await asyncio.sleep(RETRY_S)
 
     async def follow(self, prefix: str, revision: int) -> None:
-        """Handle the changes after a revision until the watch ends."""
+        """
+        Handle the changes after a revision until the store has dropped its history.
+
+        After an outage the watch goes on where it was. If each entry read everything
+        again, their reads would take seconds between regions.
+        """
+        wait_ms = WATCH_WAIT_MS
         overdue_ms = self.clock.now_ms() + WATCH_OVERDUE_MS
-        async for events in self.store.watch(prefix, revision + 1):
-            self._report_reachability(prefix, True)
-            for event in events:
-                self.handle_change(event)
-            now_ms = self.clock.now_ms()
-            # An overdue answer may have waited while this process was paused, so
-            # only the next one shows that nothing is missing.
-            if now_ms <= overdue_ms:
-                confirmed = ReplicaConfirmed(prefix, now_ms + WATCH_OVERDUE_MS)
-                self.handler.put_nowait(confirmed)
-            overdue_ms = now_ms + WATCH_OVERDUE_MS
+        while True:
+            match await self.store.read_changes(prefix, revision, wait_ms):
+                case Ok(changes):
+                    self._report_reachability(prefix, True)
+                    for event in changes.events:
+                        self.handle_change(event)
+                    self._confirm(prefix, overdue_ms)
+                    revision, wait_ms = changes.revision, WATCH_WAIT_MS
+                case Err(StoreFailure(refused=True)):
+                    return
+                case Err(failure):
+                    self._report_reachability(prefix, False, failure.reason)
+                    await asyncio.sleep(RETRY_S)
+                    wait_ms = PROBE_WAIT_MS
+            overdue_ms = self.clock.now_ms() + WATCH_OVERDUE_MS
+
+    def _confirm(self, prefix: str, overdue_ms: int) -> None:
+        """
+        Confirm the replica after an answer of the watch that came in time.
+
+        An overdue answer may have waited while this process was paused, so only the
+        next one shows that nothing is missing.
+        """
+        now_ms = self.clock.now_ms()
+        if now_ms <= overdue_ms:
+            self.handler.put_nowait(ReplicaConfirmed(prefix, now_ms + WATCH_OVERDUE_MS))
 
     async def _read(self, prefix: str):
         """
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -1,6 +1,7 @@
 """The task that answers callers' requests and owns the replica of the jobs."""
 
 import asyncio
+import contextlib
 import random
 from dataclasses import dataclass
 
@@ -63,6 +64,9 @@
 # without another relay; the watch detects the end of an outage.
 RELAY_PAUSE_MS = 300
 RETRY_PAUSE_MS = 25
+# A request waits this long for a store that is away, a part of the 3 s that its caller
+# waits in all.
+STORE_WAIT_MS = 1_200
 # Callers wait some 3 s in all, so that a later retry would come too late.
 RETRY_AFTER_S = 1
 # Requests that arrive together share one read of the configuration.
@@ -113,6 +117,7 @@
         self.agents: dict[str, AgentAddress] = {}
         self.entries: dict[str, str] = {}
         self.store_reachable = False
+        self.store_found = asyncio.Event()
         self.jobs_fresh_until_ms = 0
         self.configuration_fresh_until_ms = 0
         self.configuration_lock = asyncio.Lock()
@@ -166,7 +171,7 @@
             case EntryAddressChanged(node, address):
                 self.entries[node] = address
             case StoreReachability(store_reachable):
-                self.store_reachable = store_reachable
+                self.set_store_reachable(store_reachable)
             case ReplicaConfirmed(batch_records.ROOT, fresh_until_ms):
                 self.jobs_fresh_until_ms = fresh_until_ms
             case ReplicaConfirmed(_, fresh_until_ms):
@@ -223,7 +228,7 @@
                         self.configuration_fresh_until_ms, fresh_until_ms
                     )
                 case Err(reason):
-                    self.store_reachable = False
+                    self.set_store_reachable(False)
                     self.journal.write('configuration_not_read', {'reason': reason})
 
     def is_replica_fresh(self) -> bool:
@@ -256,16 +261,36 @@
         Make a call to the store, or relay it to another entry.
 
         The store may reject calls of this machine and serve the others. While it
-        serves neither, a request is refused at once: its caller can retry sooner
-        than if it had to wait for the end of a long outage.
+        serves neither, a request waits briefly for the end of the outage, because
+        callers have only a few tries. Then it is refused: its caller learns early that
+        the store is away, and can turn to another entry.
         """
-        outcome: Outcome = NotAccepted(RETRY_AFTER_S)
-        if self.store_reachable:
-            outcome = await self.call_store(call, deadline_ms)
-        if isinstance(outcome, NotAccepted):
-            self.store_reachable = False
-            outcome = await self._relay(call)
-        return outcome
+        wait_until_ms = min(deadline_ms, self.clock.now_ms() + STORE_WAIT_MS)
+        while True:
+            outcome: Outcome = NotAccepted(RETRY_AFTER_S)
+            if self.store_reachable:
+                outcome = await self.call_store(call, deadline_ms)
+            if isinstance(outcome, NotAccepted):
+                self.set_store_reachable(False)
+                outcome = await self._relay(call)
+            now_ms = self.clock.now_ms()
+            if not isinstance(outcome, NotAccepted) or now_ms >= wait_until_ms:
+                return outcome
+            await self._wait_for_store(min(wait_until_ms, self.relay_retry_ms))
+
+    def set_store_reachable(self, is_reachable: bool) -> None:
+        """Note whether the store answers; requests that wait for it go on if so."""
+        self.store_reachable = is_reachable
+        if is_reachable:
+            self.store_found.set()
+        else:
+            self.store_found.clear()
+
+    async def _wait_for_store(self, until_ms: int) -> None:
+        """Wait until the store can be reached, but no longer than a deadline."""
+        wait_s = max(0, until_ms - self.clock.now_ms()) / 1000
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.store_found.wait(), wait_s)
 
     async def call_store(self, call: StoreCall, deadline_ms: int) -> Outcome:
         """Make the call to the store that decides a request."""
@@ -346,7 +371,7 @@
                     undecided = undecided or failure.ambiguous
                     if not undecided:
                         return NotAccepted(RETRY_AFTER_S)
-                    self.store_reachable = False
+                    self.set_store_reachable(False)
                     if self.clock.now_ms() >= deadline_ms:
                         break
             await asyncio.sleep(self._pause_s())
