Keep only the state of an ended job in its record

Cause: all entries read all records when the store drops its history. The records of ended jobs held a row for each of up to 230 tasks for 300 s.

Change: once a job has ended and the planner knows no run of it any more, its record is written without tasks.

Measured: the new test fails before (the tasks stay in the record).

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -128,6 +128,25 @@
         fleet.run(1_000)
         self.assertEqual((worker.ended, fleet.state(job)), ([], 'completed'))
 
+    def test_the_record_of_an_ended_job_has_no_tasks(self):
+        # Each of 35 entries reads all records again when the store drops its history.
+        fleet = make_fleet(3, run_ms=500)
+        completed = fleet.submit(make_job(make_step(2, 8, gang=True), make_step(3)))
+        cancelled = fleet.submit(make_job(make_step(2, 2, gang=True)))
+        fleet.run(300)
+        fleet.cancel(cancelled)
+        # The runs of a cancelled job are needed until they are known to have ended.
+        plan = fleet.planner.planner_state.plans[cancelled.id]
+        self.assertEqual(len(plan.record().tasks), 2)
+        fleet.run(4_000)
+        for job, state in ((completed, 'completed'), (cancelled, 'cancelled')):
+            self.assertEqual(fleet.state(job), state)
+            self.assertEqual(fleet.records[job.id].tasks, {})
+        fleet.replace_planner()
+        fleet.run(2_000)
+        self.assertEqual(fleet.state(completed), 'completed')
+        self.assertEqual(len(fleet.starts(completed)), 5)
+
     def test_checkpoints_reach_the_record_while_a_task_runs(self):
         fleet = make_fleet(1, run_ms=20_000)
         job = fleet.submit(make_job(make_step(1, checkpointing=True)))
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -186,8 +186,15 @@
         )
 
     def record(self) -> JobRecord:
-        """Return the record to be saved."""
-        tasks = {'.'.join(map(str, key)): task for key, task in self.tasks.items()}
+        """
+        Return the record to be saved.
+
+        Once a job has ended and none of its runs is left, only its state is needed.
+        All entries read all records, so those of ended jobs should be small.
+        """
+        tasks = {}
+        if self.runs or not self.ended:
+            tasks = {'.'.join(map(str, key)): task for key, task in self.tasks.items()}
         return JobRecord(self.state, self.begun, self.ended_at_ms, tasks)
 
     def load(self, record: JobRecord) -> None:
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -330,6 +330,9 @@
             )
             plan.put(run.task, waiting)
             self.changed.add(plan.job.id)
+        if plan.ended and not plan.runs:
+            plan.version += 1
+            self.changed.add(plan.job.id)
         self.break_gang(plan, run.task, reason)
         self.note(
             'run_released',
