Pause after a failed attempt, and give the last one to workers that run tasks

Cause: workers that fail what they start are empty, so gangs that need whole workers get them one after the other.

Change: an attempt follows a failed one after 0.25 s, doubled each time; for up to 5 s the last attempt goes only to workers on which a run has gone on for a second or was done in the last 8 s, if there are any.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -1,5 +1,6 @@
 """Tests of the planner with simulated workers and a store in virtual time."""
 
+import itertools
 import unittest
 
 from tests.batch_fleet import (
@@ -637,6 +638,31 @@
         self.assertEqual(fleet.state(job), 'completed')
         self.assertEqual(len(fleet.starts(job)), 2)
 
+    def test_the_last_attempt_waits_for_workers_that_run_tasks(self):
+        # smc-relay-grown scale-1: a gang that needs whole workers got those that fail
+        # everything, because they were empty, and failed after four attempts in 2.5 s.
+        fleet = make_fleet(12, per_rack=1, run_ms=2_500)
+        for number in range(9, 12):
+            fleet.submit(make_job(make_step(1, 8, label=f'r{number}')))
+        fleet.run(1_500)
+        for number in range(9):
+            worker = fleet.workers[f'agent-w{number}']
+            worker.how, worker.run_ms = 'failed', 100
+        gang = fleet.submit(make_job(make_step(3, 8, gang=True), queue=ORDINARY))
+        fleet.run(8_000)
+        self.assertEqual(fleet.state(gang), 'completed')
+
+    def test_a_failed_attempt_is_followed_by_a_pause(self):
+        fleet = make_fleet(6, how='failed', run_ms=50)
+        job = fleet.submit(make_job(queue=URGENT))
+        fleet.run(6_000)
+        times = [start[0] for start in fleet.starts(job)]
+        pauses = [later - earlier for earlier, later in itertools.pairwise(times)]
+        self.assertEqual(len(pauses), URGENT.max_attempts - 1)
+        for pause_ms, least_ms in zip(pauses, (250, 500, 1_000), strict=True):
+            self.assertGreaterEqual(pause_ms, least_ms)
+            self.assertLess(pause_ms, least_ms + 500)
+
     def test_the_last_attempt_waits_for_a_worker_without_a_failure(self):
         fleet = make_fleet(4, per_rack=1, run_ms=400)
         for name in ('w0', 'w1', 'w2'):
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -70,6 +70,10 @@
             candidates = [
                 add_reservation(candidate, own_reservation) for candidate in candidates
             ]
+        if is_last_attempt and planner_state.now.ms < plan.proof_until_ms.get(
+            unit[1:3], 0
+        ):
+            candidates = avoid_unproven(candidates)
         if all(candidate.avoided for candidate in candidates):
             # A fault that affects all workers must not stop all scheduling.
             return [candidate._replace(avoided=False) for candidate in candidates]
@@ -182,6 +186,21 @@
         return self.ends
 
 
+def avoid_unproven(candidates: list[Candidate]) -> list[Candidate]:
+    """
+    Avoid the workers that may fail a last attempt, unless that leaves none.
+
+    Workers that fail what they start are empty, so without this a job that needs whole
+    workers would get one of them after the other.
+    """
+    if all(candidate.avoided or candidate.suspicion for candidate in candidates):
+        return candidates
+    return [
+        candidate._replace(avoided=candidate.avoided or bool(candidate.suspicion))
+        for candidate in candidates
+    ]
+
+
 def add_reservation(candidate: Candidate, reservation: Reservation) -> Candidate:
     """Return a candidate with the resources that are reserved for its own unit."""
     free = candidate.free
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -116,7 +116,8 @@
 
     `version` counts changes of the record; `saved` is the last version that the
     store confirmed. `accepted_ms` is on the planner's clock. `displaced_core_s`
-    is the work of other jobs that was lost to preemption for this one.
+    is the work of other jobs that was lost to preemption for this one. The last attempt
+    of a step goes only to workers that are known to run tasks until `proof_until_ms`.
     """
 
     job: Job
@@ -133,6 +134,7 @@
     retry_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     ready_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_on: dict[tuple[int, int], set[str]] = field(default_factory=dict)
+    proof_until_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_attempts: set[tuple] = field(default_factory=set)
     displaced_core_s: float = 0
     advice: dict[tuple[int, int], StepAdvice] = field(default_factory=dict)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -36,6 +36,11 @@
 # Workers that cannot do so fail their runs within half a second.
 PROVEN_RUN_MS = 1_000
 PROVEN_MS = 8_000
+# The pause after a failed attempt, doubled with each further one. Meanwhile other work
+# shows which workers fail.
+FAILED_RETRY_MS = 250
+# The last attempt waits at most this long for workers that are known to run tasks.
+PROOF_WAIT_MS = 5_000
 
 
 class ReportReader:
@@ -259,9 +264,15 @@
             record = plan.task(task)
             plan.put(task, record._replace(failures=record.failures + 1))
         planner_state.changed.add(plan.job.id)
+        failures = plan.task(run.task).failures
+        key, now_ms = run.task[1:3], planner_state.now.ms
+        plan.proof_until_ms[key] = now_ms + PROOF_WAIT_MS
+        if len(tasks) == step.count:
+            # The other tasks of a step do not wait for one that failed.
+            plan.retry_at_ms[key] = now_ms + FAILED_RETRY_MS * 2 ** (failures - 1)
         queue = planner_state.find_queue(plan)
         limit = queue.max_attempts if queue else 1
-        if plan.task(run.task).failures >= limit:
+        if failures >= limit:
             planner_state.end_job(plan, JobState.FAILED)
 
     def _read_running(
