--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -217,7 +217,7 @@
             overdue_ms = self.clock.now_ms() + WATCH_OVERDUE_MS
 
     def _may_gather(self, prefix: str) -> bool:
-        """Whether further changes of a prefix can wait; a planner needs them at once."""
+        """Whether changes of a prefix can wait; a planner needs them at once."""
         return prefix == batch_records.ROOT and self.planning_node != self.node
 
     def _confirm(self, prefix: str, overdue_ms: int) -> None:
