--- a/Makefile
+++ b/Makefile
@@ -56,9 +56,6 @@
 demo: install  ## Run the whole path in one process on embedded stand-ins
 	$(BIN)/yuccarelay local --demo
 
-capacity: install  ## Measure what the roles cost as the fleet grows
-	$(BIN)/python -m tools.capacity
-
 measure: install  ## Measure the decision code in virtual time
 	$(BIN)/python -m tools.measure
 
@@ -74,4 +71,4 @@
 clean:  ## Remove what the other targets create
 	rm -rf $(VENV) build dist *.egg-info .ruff_cache .hypothesis
 
-.PHONY: all help install test lint format fuzz soak mutations golden demo capacity measure dist check-dist clean
+.PHONY: all help install test lint format fuzz soak mutations golden demo measure dist check-dist clean
