Wait for the store for half of a caller's last second only

Change: with no more than a second left a request waits for half of that time, so that a refused caller can still ask elsewhere.

--- a/tests/test_batch_relay.py
+++ b/tests/test_batch_relay.py
@@ -38,6 +38,7 @@
 from yuccarelay.tasks.batch.request_handler import (
     RELAY_PAUSE_MS,
     STORE_WAIT_MS,
+    STORE_WAIT_SHARE,
     RequestHandlerTask,
     RequestReceived,
 )
@@ -114,7 +115,7 @@
         return Ok(self.stored_configuration)
 
     async def submit_last(self, handler: RequestHandlerTask):
-        """Submit a job whose caller has no time for another try."""
+        """Submit a job whose caller has little time left."""
         deadline_ms = self.clock.time_ms + STORE_WAIT_MS
         return await handler.call_or_relay(StoreJob(make_job()), deadline_ms)
 
@@ -168,7 +169,7 @@
         async with asyncio.timeout(WAIT_LIMIT_S):
             while handler.store_reachable:
                 await asyncio.sleep(0)
-            self.clock.time_ms += STORE_WAIT_MS
+            self.clock.time_ms += int(STORE_WAIT_MS * STORE_WAIT_SHARE)
             self.assertIsInstance(await submitting, NotAccepted)
 
     async def test_a_relay_that_was_not_sent_is_a_refusal(self):
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -64,9 +64,10 @@
 # without another relay; the watch detects the end of an outage.
 RELAY_PAUSE_MS = 300
 RETRY_PAUSE_MS = 25
-# A request waits for a store that is away if its caller waits no longer than this, so
-# that there is hardly time for another try.
+# With no more time left than this, a request waits for a store that is away. It waits
+# for a share of that time, so that a refusal leaves its caller time to ask elsewhere.
 STORE_WAIT_MS = 1_000
+STORE_WAIT_SHARE = 0.5
 # Callers wait some 3 s in all, so that a later retry would come too late.
 RETRY_AFTER_S = 1
 # Requests that arrive together share one read of the configuration.
@@ -261,12 +262,13 @@
         Make a call to the store, or relay it to another entry.
 
         The store may reject calls of this machine and serve the others. While it
-        serves neither, a request is refused at once if its caller has time to try
-        again. Otherwise it waits for the end of the outage until its deadline.
+        serves neither, a request is refused at once if its caller has time for several
+        tries. Otherwise it waits for the end of the outage for half of the time left.
         """
-        wait_until_ms = deadline_ms
-        if self.clock.now_ms() + STORE_WAIT_MS < deadline_ms:
-            wait_until_ms = 0
+        now_ms = self.clock.now_ms()
+        wait_until_ms = 0
+        if deadline_ms - now_ms <= STORE_WAIT_MS:
+            wait_until_ms = now_ms + int(STORE_WAIT_SHARE * (deadline_ms - now_ms))
         while True:
             outcome: Outcome = NotAccepted(RETRY_AFTER_S)
             if self.store_reachable:
