Bound the pause after a failed attempt

Cause: the pause doubled with each failure, found by reading: a queue that allows twelve attempts would have waited for more than four minutes before the last.

Change: at most 2 s. The watch of a prefix, which a test calls, is public.

Measured: the new test fails before (running after 30 s) and passes now.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -663,6 +663,16 @@
             self.assertGreaterEqual(pause_ms, least_ms)
             self.assertLess(pause_ms, least_ms + 500)
 
+    def test_the_pause_after_a_failed_attempt_is_bounded(self):
+        # Without a bound the twelfth attempt would come after more than four minutes.
+        fleet = make_fleet(24, how='failed', run_ms=50)
+        stubborn = URGENT._replace(max_attempts=12)
+        fleet.feed(Configured(CONFIGURATION._replace(version=2, queues=(stubborn,))))
+        job = fleet.submit(make_job(queue=stubborn))
+        fleet.run(30_000)
+        self.assertEqual(fleet.state(job), 'failed')
+        self.assertEqual(len(fleet.starts(job)), 12)
+
     def test_the_last_attempt_waits_for_a_worker_without_a_failure(self):
         fleet = make_fleet(4, per_rack=1, run_ms=400)
         for name in ('w0', 'w1', 'w2'):
--- a/tests/test_batch_replica.py
+++ b/tests/test_batch_replica.py
@@ -209,7 +209,7 @@
             FakeClock(),
             FakeJournal(),
         )
-        task = asyncio.create_task(replica._watch_prefix(batch_records.ROOT))
+        task = asyncio.create_task(replica.watch_prefix(batch_records.ROOT))
         with (
             mock.patch.object(replica_module, 'RETRY_S', 0),
             mock.patch.object(replica_module, 'GATHER_S', 0),
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -39,6 +39,7 @@
 # The pause after a failed attempt, doubled with each further one. Meanwhile other work
 # shows which workers fail.
 FAILED_RETRY_MS = 250
+FAILED_RETRY_LIMIT_MS = 2_000
 # The last attempt waits at most this long for workers that are known to run tasks.
 PROOF_WAIT_MS = 5_000
 
@@ -269,7 +270,8 @@
         plan.proof_until_ms[key] = now_ms + PROOF_WAIT_MS
         if len(tasks) == step.count:
             # The other tasks of a step do not wait for one that failed.
-            plan.retry_at_ms[key] = now_ms + FAILED_RETRY_MS * 2 ** (failures - 1)
+            pause_ms = FAILED_RETRY_MS * 2 ** (failures - 1)
+            plan.retry_at_ms[key] = now_ms + min(pause_ms, FAILED_RETRY_LIMIT_MS)
         queue = planner_state.find_queue(plan)
         limit = queue.max_attempts if queue else 1
         if failures >= limit:
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -173,10 +173,10 @@
     async def run(self) -> None:
         """Watch both prefixes until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._watch_prefix(self.configuration_prefix))
-            group.create_task(self._watch_prefix(batch_records.ROOT))
+            group.create_task(self.watch_prefix(self.configuration_prefix))
+            group.create_task(self.watch_prefix(batch_records.ROOT))
 
-    async def _watch_prefix(self, prefix: str) -> None:
+    async def watch_prefix(self, prefix: str) -> None:
         """Read a prefix, watch it from there, and read it again after a gap."""
         while True:
             match await self._read(prefix):
