Retry at once after the first failure

Change: the pauses begin after the second failure. The test of the pauses expects none after the first and the same ones from then on.

--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -36,8 +36,8 @@
 # Workers that cannot do so fail their runs within half a second.
 PROVEN_RUN_MS = 1_000
 PROVEN_MS = 8_000
-# The pause after a failed attempt, doubled with each further one. Meanwhile other work
-# shows which workers fail.
+# The pause after the second failed attempt, doubled with each further one. Meanwhile
+# other work shows which workers fail.
 FAILED_RETRY_MS = 250
 FAILED_RETRY_LIMIT_MS = 2_000
 # The last attempt waits at most this long for workers that are known to run tasks.
@@ -268,9 +268,9 @@
         failures = plan.task(run.task).failures
         key, now_ms = run.task[1:3], planner_state.now.ms
         plan.proof_until_ms[key] = now_ms + PROOF_WAIT_MS
-        if len(tasks) == step.count:
+        if failures > 1 and len(tasks) == step.count:
             # The other tasks of a step do not wait for one that failed.
-            pause_ms = FAILED_RETRY_MS * 2 ** (failures - 1)
+            pause_ms = FAILED_RETRY_MS * 2 ** (failures - 2)
             plan.retry_at_ms[key] = now_ms + min(pause_ms, FAILED_RETRY_LIMIT_MS)
         queue = planner_state.find_queue(plan)
         limit = queue.max_attempts if queue else 1
