Give up a reservation on a worker that takes no more work

Two runs were stopped for guaranteed work, whose resources were reserved on that worker. 9 ms later the worker was found slow. The unit may only be placed on its reservation, and a slow worker takes nothing, so it waited for 3.2 s; 2.9 s are allowed.

Change: a reservation with a worker that is avoided, drains or is silent is given up, and the unit is placed, or frees resources, elsewhere.

Measured: the new test fails before (no start in 2.9 s) and passes now.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -857,6 +857,23 @@
         self.assertEqual(len(starts), 2)
         self.assertLess(starts[-1][0], submitted_ms + 2_900)
 
+    def test_guaranteed_work_does_not_wait_for_a_reserved_worker_that_is_slow(self):
+        # smc-relay, hunt 5850ea6d, seed 761100386076: the worker was found slow 9 ms
+        # after its work was stopped for the job, which then waited for 3.2 s.
+        fleet = make_fleet(2, run_ms=30_000)
+        fleet.submit(make_job(make_step(16), queue=DEFERRABLE, organisation='kanem'))
+        fleet.run(1_000)
+        submitted_ms = fleet.now_ms
+        job = fleet.submit(make_job(make_step(1, 8), queue=URGENT))
+        state = fleet.planner.planner_state
+        (reservation,) = state.reserved.values()
+        view = state.workers[reservation.placement[0]]
+        view.avoid_until_ms = fleet.now_ms + 10_000
+        fleet.run(2_900)
+        starts = fleet.starts(job)
+        self.assertEqual(len(starts), 1)
+        self.assertLess(starts[0][0], submitted_ms + 2_900)
+
     def test_urgent_work_does_not_preempt_costly_borrowed_work(self):
         fleet = make_fleet(1, run_ms=90_000)
         fleet.submit(make_job(make_step(1, 8), queue=DEFERRABLE))
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -181,10 +181,13 @@
     step = entry.plan.job.steps[entry.unit.step]
     count = len(entry.unit.tasks)
     key = tuple(entry.unit)
+    candidates = list_usable(planner_state, snapshot, entry)
     reservation = planner_state.reserved.get(key)
-    candidates = snapshot.list_candidates(entry.unit, entry.queue)
-    if entry.queue.advice is not None:
-        candidates = filter_approved(planner_state, entry, candidates)
+    if reservation is not None and not is_reservation_usable(reservation, candidates):
+        del planner_state.reserved[key]
+        snapshot.refresh(reservation.placement)
+        candidates = list_usable(planner_state, snapshot, entry)
+        reservation = None
     if reservation is not None:
         candidates = [
             candidate
@@ -209,6 +212,29 @@
     return False
 
 
+def list_usable(
+    planner_state: PlannerState, snapshot: CapacitySnapshot, entry: WaitingUnit
+) -> list[Candidate]:
+    """Return the workers that may take a unit and are approved if need be."""
+    candidates = snapshot.list_candidates(entry.unit, entry.queue)
+    if entry.queue.advice is None:
+        return candidates
+    return filter_approved(planner_state, entry, candidates)
+
+
+def is_reservation_usable(
+    reservation: Reservation, candidates: list[Candidate]
+) -> bool:
+    """
+    Whether all workers of a reservation still take work.
+
+    One that has become slow or drains meanwhile would hold up the unit until the
+    reservation expires, which is longer than guaranteed work may wait.
+    """
+    open_agents = {candidate.agent for candidate in candidates if not candidate.avoided}
+    return open_agents.issuperset(reservation.placement)
+
+
 def waits_for_release(
     planner_state: PlannerState,
     entry: WaitingUnit,
