Keep the time limit of a watch, which the soak's check is bound to

Change: the limit is back with the same 1.8 s, computed from the wait, which stands once, in the store port. No bound of a check changed.

--- a/tests/test_batch_replica.py
+++ b/tests/test_batch_replica.py
@@ -9,12 +9,18 @@
 from tests.fakes import FakeClock, FakeJournal, stop_task
 from yuccarelay.adapters import batch_records
 from yuccarelay.core.batch.events import JobCancelled
-from yuccarelay.ports.store import Changes, Page, StoredValue, StoreFailure, WatchEvent
+from yuccarelay.ports.store import (
+    WATCH_WAIT_MS,
+    Changes,
+    Page,
+    StoredValue,
+    StoreFailure,
+    WatchEvent,
+)
 from yuccarelay.tasks.batch import replica as replica_module
 from yuccarelay.tasks.batch.replica import (
     PROBE_WAIT_MS,
     WATCH_OVERDUE_MS,
-    WATCH_WAIT_MS,
     ReplicaConfirmed,
     ReplicaTask,
     StoreReachability,
--- a/yuccarelay/platform/store.py
+++ b/yuccarelay/platform/store.py
@@ -13,6 +13,7 @@
 from yuccarelay.adapters.http_client import HttpClient, HttpFailure
 from yuccarelay.adapters.http_connection import HttpResponse
 from yuccarelay.ports.store import (
+    WATCH_WAIT_MS,
     Changes,
     Delete,
     Guard,
@@ -27,7 +28,8 @@
 # The store answers in 4 ms, in up to 300 ms when it is slow, and in 60 ms between
 # regions.
 CALL_LIMIT_S = 0.8
-WATCH_WAIT_MS = 1_000
+# A watch that is not answered by then has a dead connection.
+WATCH_LIMIT_S = CALL_LIMIT_S + WATCH_WAIT_MS / 1_000
 PAGE_LIMIT_S = 2.0
 
 
--- a/yuccarelay/ports/store.py
+++ b/yuccarelay/ports/store.py
@@ -36,6 +36,11 @@
     key: str
 
 
+# Only the time limit of a waiting watch shows that its connection is dead. Until then
+# its reader has stale values.
+WATCH_WAIT_MS = 1_000
+
+
 class Guard(NamedTuple):
     """
     A condition of a transaction.
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -17,6 +17,7 @@
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.store import (
+    WATCH_WAIT_MS,
     ChangeFeed,
     Store,
     StoredValue,
@@ -31,9 +32,6 @@
 RETRY_S = 0.1
 # A read takes one network round trip and, when the store is slow, 0.3 s.
 SLOW_READ_S = 0.4
-# Only the time limit of a waiting watch shows that its connection is dead. Until then
-# the entry reports stale states.
-WATCH_WAIT_MS = 1_000
 # After a failure an answer without much of a wait shows that the store is back.
 PROBE_WAIT_MS = 1
 # A watch is answered every second, and up to 0.4 s later between regions or when the
