--- a/tests/test_batch_replica.py
+++ b/tests/test_batch_replica.py
@@ -31,6 +31,21 @@
 UNREACHABLE = Err(StoreFailure('silent', ambiguous=True))
 
 
+def make_replica(store, handler: Mailbox, clock: FakeClock) -> ReplicaTask:
+    """Return the replica of the entry `own`; only the handler's messages are kept."""
+    return ReplicaTask(
+        'own',
+        store,
+        'op/',
+        None,
+        handler,
+        Mailbox(),
+        Mailbox(),
+        clock,
+        FakeJournal(),
+    )
+
+
 class SilentStore:
     """Answers the first reads and ends their watches; later reads never return."""
 
@@ -53,17 +68,7 @@
     async def collect_reachability(self, reads: int, count: int) -> list[bool]:
         """Return the first `count` reports, of a store that answers `reads` reads."""
         handler = Mailbox()
-        replica = ReplicaTask(
-            'own',
-            SilentStore(reads),
-            'op/',
-            None,
-            handler,
-            Mailbox(),
-            Mailbox(),
-            FakeClock(),
-            FakeJournal(),
-        )
+        replica = make_replica(SilentStore(reads), handler, FakeClock())
         task = asyncio.create_task(replica.run())
         reports = []
         while len(reports) < count:
@@ -105,17 +110,7 @@
         """Return the times until which the replica counts as fresh."""
         clock, handler = FakeClock(), Mailbox()
         store = DelayedStore(clock, *delays_ms)
-        replica = ReplicaTask(
-            'own',
-            store,
-            'op/',
-            None,
-            handler,
-            Mailbox(),
-            Mailbox(),
-            clock,
-            FakeJournal(),
-        )
+        replica = make_replica(store, handler, clock)
         await replica.follow(batch_records.ROOT, revision=1)
         messages = [handler.get_nowait() for _ in range(handler.qsize())]
         return [
@@ -169,17 +164,7 @@
         value = StoredValue(batch_records.PLANNER, holder.encode(), 8, 8)
         event = WatchEvent(value.key, value, 8)
         store = OutageStore(Ok(Changes((event,), 8)), Ok(Changes((event,), 9)))
-        replica = ReplicaTask(
-            'own',
-            store,
-            'op/',
-            None,
-            Mailbox(),
-            Mailbox(),
-            Mailbox(),
-            FakeClock(),
-            FakeJournal(),
-        )
+        replica = make_replica(store, Mailbox(), FakeClock())
         with mock.patch.object(replica_module, 'GATHER_S', 60):
             task = asyncio.create_task(replica.follow(batch_records.ROOT, 7))
             for _ in range(20):
@@ -204,17 +189,7 @@
     async def watch(self, *script):
         """Return the store after the script, and the messages to the handler."""
         store, handler = OutageStore(*script), Mailbox()
-        replica = ReplicaTask(
-            'own',
-            store,
-            'op/',
-            None,
-            handler,
-            Mailbox(),
-            Mailbox(),
-            FakeClock(),
-            FakeJournal(),
-        )
+        replica = make_replica(store, handler, FakeClock())
         task = asyncio.create_task(replica.watch_prefix(batch_records.ROOT))
         with (
             mock.patch.object(replica_module, 'RETRY_S', 0),
