--- a/yuccarelay/adapters/http_connection.py
+++ b/yuccarelay/adapters/http_connection.py
@@ -126,7 +126,7 @@
 
 
 async def open_connection(host: str, port: int) -> HttpConnection:
-    """Connect to a server; raise `OSError` if that fails."""
+    """Connect to a server at an IPv4 address; raise `OSError` if that fails."""
     connection = HttpConnection()
     try:
         await connection.stream.connect((host, port))
