Name the front end's messages in its tests by their new module

Cause: the messages moved from tasks/mailbox to tasks/messages; test_web used them as attributes of the old module.

Measured: test_web 24 passed.

--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -17,7 +17,7 @@
 from yuccarelay.core.manifest import MANIFEST_LIMIT_BYTES, FieldError
 from yuccarelay.core.messages import JobStatus
 from yuccarelay.core.models import AnswerPart, OutcomeRecord
-from yuccarelay.tasks import mailbox
+from yuccarelay.tasks import messages
 
 TEXT = b'{"version": 1,\n "organisations": {"kanem": {}}}'
 PART = AnswerPart('7-1.1', 0, '127.0.0.1:9', 3, 4, 'ab')
@@ -220,7 +220,7 @@
     async def test_answer_is_whole_with_length_and_digest(self):
         data = b'x' * 300_000
         self.respond(events.QueryRequested, JOB)
-        self.script[mailbox.FetchFullAnswer] = lambda event: mailbox.FullAnswer(
+        self.script[messages.FetchFullAnswer] = lambda event: messages.FullAnswer(
             event.request_id,
             data,
         )
@@ -236,18 +236,20 @@
         self.front.response_limit_ms = 200
         self.respond(events.QueryRequested, JOB)
         call = asyncio.create_task(self.call('GET', '/v1/jobs/7-1/answer'))
-        while not any(isinstance(item, mailbox.FetchFullAnswer) for item in self.seen):
+        while not any(isinstance(item, messages.FetchFullAnswer) for item in self.seen):
             await asyncio.sleep(0.001)
         await asyncio.sleep(0.3)
-        await self.inbox.put(mailbox.FullAnswer(self.seen[-1].request_id, b'data'))
+        await self.inbox.put(messages.FullAnswer(self.seen[-1].request_id, b'data'))
         self.assertEqual((await call).body, b'data')
 
     async def test_unavailable_answer_gives_the_reason(self):
         path = '/v1/jobs/7-1/answer'
         self.respond(events.QueryRequested, JOB)
-        self.script[mailbox.FetchFullAnswer] = lambda event: mailbox.AnswerUnavailable(
-            event.request_id,
-            'member 0: agent lost',
+        self.script[messages.FetchFullAnswer] = lambda event: (
+            messages.AnswerUnavailable(
+                event.request_id,
+                'member 0: agent lost',
+            )
         )
         document = await self.expect(503, 'answer_unavailable', 'GET', path)
         self.assertEqual(document['reason'], 'member 0: agent lost')
@@ -296,9 +298,9 @@
 
     async def test_bootstrap_token_is_valid_only_before_the_first_manifest(self):
         self.front.manifest = None
-        self.script[mailbox.CommitManifest] = lambda event: mailbox.CommitReplied(
+        self.script[messages.CommitManifest] = lambda event: messages.CommitReplied(
             event.request_id,
-            mailbox.Committed(1),
+            messages.Committed(1),
         )
         options = {'token': 'bootstrap', 'If_Match': '"0"'}
         reply = await self.call('PUT', '/v1/manifest', b'{}', **options)
@@ -322,15 +324,15 @@
     async def test_commit_outcomes(self):
         errors = (FieldError('organisations.a.weight', 'must be at least 1'),)
         cases = [
-            (mailbox.CommitRefused('conflict', generation=9), 409),
-            (mailbox.CommitRefused('generation_conflict', generation=9), 409),
-            (mailbox.CommitRefused('invalid', errors, generation=4), 400),
-            (mailbox.CommitUndecided('no answer of the store'), 503),
+            (messages.CommitRefused('conflict', generation=9), 409),
+            (messages.CommitRefused('generation_conflict', generation=9), 409),
+            (messages.CommitRefused('invalid', errors, generation=4), 400),
+            (messages.CommitUndecided('no answer of the store'), 503),
         ]
         options = {'token': 'operator-token', 'If_Match': '4'}
         for result, status in cases:
-            self.script[mailbox.CommitManifest] = lambda event, result=result: (
-                mailbox.CommitReplied(
+            self.script[messages.CommitManifest] = lambda event, result=result: (
+                messages.CommitReplied(
                     event.request_id,
                     result,
                 )
@@ -369,9 +371,9 @@
 
     async def test_reply_to_a_commit_waits_for_the_manifest(self):
         """Guards against a read after a commit that returns the previous manifest."""
-        self.script[mailbox.CommitManifest] = lambda event: mailbox.CommitReplied(
+        self.script[messages.CommitManifest] = lambda event: messages.CommitReplied(
             event.request_id,
-            mailbox.Committed(2),
+            messages.Committed(2),
         )
         options = {'token': 'operator-token', 'If_Match': '1'}
         call = asyncio.create_task(self.call('PUT', '/v1/manifest', b'{}', **options))
