--- a/yuccarelay/adapters/http_client.py
+++ b/yuccarelay/adapters/http_client.py
@@ -138,10 +138,12 @@
             is_reusable = True
             return Ok(response)
         except (IncompleteResponseError, OSError, ValueError) as error:
+            reason = describe(error)
             if isinstance(error, TimeoutError):
+                reason = f'time limit: {connection.reader.describe_progress()}'
                 # The other open connections may be dead as well.
                 self.renew()
-            return Err(HttpFailure(describe(error), sent=True))
+            return Err(HttpFailure(reason, sent=True))
         finally:
             pool.release(connection, is_reusable=is_reusable)
 
--- a/yuccarelay/adapters/http_connection.py
+++ b/yuccarelay/adapters/http_connection.py
@@ -48,6 +48,7 @@
     def __init__(self):
         self.status = 0
         self.chunks: list[bytes] = []
+        self.expected_bytes: int | None = None
         self.is_complete = False
         self.keeps_open = False
 
@@ -56,6 +57,8 @@
     ) -> None:
         """Note the status, and whether the server keeps the connection open."""
         self.status = start_line.code
+        length = headers.get('Content-Length', '')
+        self.expected_bytes = int(length) if length.isdecimal() else None
         is_closing = headers.get('Connection', '').lower() == 'close'
         self.keeps_open = start_line.version == 'HTTP/1.1' and not is_closing
 
@@ -67,6 +70,14 @@
         """Note that the response is complete."""
         self.is_complete = True
 
+    def describe_progress(self) -> str:
+        """Return how much of the body has arrived."""
+        if not self.status:
+            return 'no response'
+        received_bytes = sum(map(len, self.chunks))
+        expected = '' if self.expected_bytes is None else f' of {self.expected_bytes}'
+        return f'{received_bytes}{expected} bytes received'
+
 
 class HttpConnection:
     """
@@ -74,12 +85,13 @@
 
     `idle_deadline` is the loop's time after which an idle connection is not used
     again. A connection whose request was cancelled must be closed, because the
-    response may still arrive on it.
+    response may still arrive on it. `reader` has what arrived of the last response.
     """
 
     def __init__(self):
         self.stream = ClientStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self.idle_deadline = 0.0
+        self.reader = ResponseReader()
         # With a callback the stream notices while it is idle that the server closes it.
         self.stream.set_close_callback(lambda: None)
 
@@ -94,7 +106,7 @@
             headers['Content-Length'] = str(len(request.body))
         line = RequestStartLine(request.method, request.target, 'HTTP/1.1')
         connection = HTTP1Connection(self.stream, True, HTTP1ConnectionParameters())
-        reader = ResponseReader()
+        reader = self.reader = ResponseReader()
         try:
             # A failed write shows in the read as well.
             connection.write_headers(line, headers, request.body or None)
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -166,6 +166,7 @@
         self.election = election
         self.journal = journal
         self.store_reachable: dict[str, bool] = {}
+        self.failed_calls: dict[str, int] = {}
         self.planning_node = ''
 
     async def run(self) -> None:
@@ -249,10 +250,13 @@
         self, prefix: str, store_reachable: bool, reason: str = ''
     ) -> None:
         """Notify the request handler, and log changes of the reachability."""
+        failed_calls = self.failed_calls.get(prefix, 0)
         if self.store_reachable.get(prefix) is not store_reachable:
             self.store_reachable[prefix] = store_reachable
             event = 'store_found' if store_reachable else 'store_lost'
-            self.journal.write(event, {'prefix': prefix, 'reason': reason})
+            fields = {'prefix': prefix, 'reason': reason, 'failed_calls': failed_calls}
+            self.journal.write(event, fields)
+        self.failed_calls[prefix] = 0 if store_reachable else failed_calls + 1
         self.handler.put_nowait(StoreReachability(store_reachable))
 
     def _handle_listing(self, prefix: str, values: list[StoredValue]) -> None:
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -342,11 +342,16 @@
     def _log(
         self, request: RequestReceived, outcome: Outcome, received_ms: int
     ) -> None:
-        """Log the outcome of a request; reads of states and counts are left out."""
+        """
+        Log the outcome of a request.
+
+        Reads of states and counts are left out, except those that were answered by a
+        configuration that may be too old.
+        """
         call = request.call
-        if isinstance(outcome, State) or (
-            call.method == 'GET' and call.path.endswith('/')
-        ):
+        overdue_ms = max(0, received_ms - self.configuration_fresh_until_ms)
+        is_read = call.method == 'GET' and call.path.endswith('/')
+        if not overdue_ms and (is_read or isinstance(outcome, State)):
             return
         configuration = self.handler.configuration
         organisation = configuration and configuration.find_organisation(call.key)
@@ -360,6 +365,7 @@
                 'path': call.path,
                 'outcome': type(outcome).__name__,
                 'configuration': configuration.version if configuration else None,
+                'configuration_overdue_ms': overdue_ms,
             },
         )
 
