--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,8 @@
 import enum
 
 CHUNK_BYTES = 65_536
+# Small, so that the connections of a narrow link take turns.
+NARROW_CHUNK_BYTES = 4_096
 
 
 class LinkImpairment(enum.Enum):
@@ -26,12 +28,18 @@
 
 
 class Link:
-    """Forwards connections to one address."""
+    """
+    Forwards connections to one address.
+
+    All replies together pass at `replies_bytes_per_s`, or unlimited if it is 0.
+    """
 
-    def __init__(self, target: str):
+    def __init__(self, target: str, replies_bytes_per_s: int = 0):
         host, _, port = target.rpartition(':')
         self.target = (host, int(port))
         self.impairment = LinkImpairment.NONE
+        self.replies_bytes_per_s = replies_bytes_per_s
+        self.narrow_turn = asyncio.Lock()
         self.address = ''
         self.server: asyncio.Server | None = None
         self.connections: set[asyncio.Task] = set()
@@ -77,7 +85,11 @@
                 group.create_task(self._pump(reader, other, LinkImpairment.SILENT))
                 group.create_task(
                     self._pump(
-                        upstream, writer, LinkImpairment.SILENT, LinkImpairment.ONE_WAY
+                        upstream,
+                        writer,
+                        LinkImpairment.SILENT,
+                        LinkImpairment.ONE_WAY,
+                        is_reply=True,
                     )
                 )
         except* (OSError, ConnectionError, EOFError):
@@ -87,9 +99,16 @@
                 if end is not None:
                     end.transport.abort()
 
-    async def _pump(self, reader, writer, *blocking: LinkImpairment) -> None:
+    async def _pump(
+        self, reader, writer, *blocking: LinkImpairment, is_reply: bool = False
+    ) -> None:
         """Forward bytes; if the impairment blocks this direction, wait for ever."""
-        while data := await reader.read(CHUNK_BYTES):
+        is_narrow = is_reply and self.replies_bytes_per_s > 0
+        chunk_bytes = NARROW_CHUNK_BYTES if is_narrow else CHUNK_BYTES
+        while data := await reader.read(chunk_bytes):
+            if is_narrow:
+                async with self.narrow_turn:
+                    await asyncio.sleep(len(data) / self.replies_bytes_per_s)
             if self.impairment in blocking:
                 # The bytes read are lost; only a new connection works again.
                 await asyncio.Event().wait()
--- a/yuccarelay/standins/platform_store.py
+++ b/yuccarelay/standins/platform_store.py
@@ -3,11 +3,13 @@
 
 It serves the calls that `platform/store.py` makes, on the data of `MemoryStore`.
 Faults: refuse all calls with 503, apply writes without an answer, apply them
-late, and drop the history.
+late, and drop the history. `sent_values` counts how often the value of each key was
+sent.
 """
 
 import asyncio
 import base64
+import collections
 import json
 
 import tornado.web
@@ -30,6 +32,7 @@
         self.unanswered_writes = 0
         self.delayed_writes = 0
         self.calls = 0
+        self.sent_values: collections.Counter[str] = collections.Counter()
         self.server: HTTPServer | None = None
         self.address = ''
 
@@ -95,6 +98,9 @@
 
     def finish_with(self, status: int, body: dict) -> None:
         """Answer with a JSON body."""
+        for item in (body, *body.get('items', []), *body.get('events', [])):
+            if 'value' in item:
+                self.standin.sent_values[item['key']] += 1
         self.set_status(status)
         self.finish(body)
 
