Limit the silence of a call, not its whole transfer

Callers saw: 200 for a queue that had been removed, up to 9 s after the change was acknowledged. Cause: the time limit of a call covered the whole response. A text that takes longer than 0.8 s over a link was discarded and requested again by every entry, so the load grew with the failures and the link stayed full.

The limit now holds until the response begins and then between its parts; 10 s bound the whole. A transfer that goes on is finished instead of repeated. Three tests of the client cover a response that goes on, one that stops and one that never ends.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -154,6 +154,46 @@
         self.assertEqual(len(scripted.writers), 2)
 
 
+class SlowResponseTest(HttpClientCase):
+    """Guards against large responses that are requested again and again."""
+
+    async def serve_slowly(self, pauses_s: list[float]) -> HttpClient:
+        """Return a client of a server that pauses before each byte of a response."""
+        body = b'x' * len(pauses_s)
+
+        async def serve(reader, writer):
+            self.addCleanup(writer.close)
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body))
+            for pause_s in pauses_s:
+                await asyncio.sleep(pause_s)
+                writer.write(b'x')
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient(f'127.0.0.1:{port}')
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def test_a_response_that_goes_on_outlasts_the_limit(self):
+        client = await self.serve_slowly([SHORT_LIMIT_S / 4] * 12)
+        found = await client.call('GET', '/key', timeout_s=SHORT_LIMIT_S)
+        self.assertEqual(found, Ok(HttpResponse(200, b'x' * 12)))
+
+    async def test_a_response_that_stops_ends_the_call(self):
+        client = await self.serve_slowly([0, 0, LIMIT_S])
+        found = await client.call('GET', '/key', timeout_s=SHORT_LIMIT_S)
+        self.assertIn('2 of 3 bytes received', found.unwrap_err().reason)
+
+    async def test_a_response_must_end_some_time(self):
+        # Each part in time, but without an end: a caller would wait for ever.
+        client = await self.serve_slowly([SHORT_LIMIT_S / 4] * 40)
+        with mock.patch.object(http_client, 'TRANSFER_LIMIT_S', SHORT_LIMIT_S):
+            found = await client.call('GET', '/key', timeout_s=SHORT_LIMIT_S)
+        self.assertTrue(found.is_err())
+
+
 class FailureTest(HttpClientCase):
     """A failure is reported as not sent only where the server has seen nothing."""
 
--- a/yuccarelay/adapters/http_client.py
+++ b/yuccarelay/adapters/http_client.py
@@ -26,6 +26,8 @@
 # Idle connections are closed on this side, before the platform's limit of 15 s.
 KEEP_IDLE_S = 12
 CONNECTIONS_LIMIT = 24
+# A call that is answered bit by bit ends after this time at the latest.
+TRANSFER_LIMIT_S = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,7 +86,13 @@
 
 
 class HttpClient:
-    """Client for one address; each call has its own time limit."""
+    """
+    Client for one address; each call has its own time limit.
+
+    The limit holds until the response begins, and then between its parts. If it held
+    for the whole response, a large one on a slow link would be discarded and requested
+    again without end.
+    """
 
     def __init__(self, address: str):
         self.address = address
@@ -103,7 +111,7 @@
         query: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
     ) -> Result[HttpResponse, HttpFailure]:
-        """Send a request and return its response within a time limit."""
+        """Send a request and return its response; fail if it stays silent too long."""
         request = HttpRequest(
             method,
             path + encode_query(query),
@@ -122,19 +130,26 @@
                 connection = await pool.acquire()
         except (TimeoutError, OSError) as error:
             return Err(HttpFailure(describe(error), sent=False))
-        return await self._exchange(pool, connection, request, deadline)
+        return await self._exchange(pool, connection, request, deadline, timeout_s)
 
     async def _exchange(
         self,
         pool: ConnectionPool,
         connection: HttpConnection,
         request: HttpRequest,
-        deadline: float,
+        first_deadline: float,
+        silence_limit_s: float,
     ) -> Result[HttpResponse, HttpFailure]:
         is_reusable = False
+        loop = asyncio.get_running_loop()
+        last_deadline = loop.time() + max(TRANSFER_LIMIT_S, silence_limit_s)
         try:
-            async with asyncio.timeout_at(deadline):
-                response = await connection.exchange(request)
+            async with asyncio.timeout_at(first_deadline) as limit:
+
+                def extend_limit() -> None:
+                    limit.reschedule(min(last_deadline, loop.time() + silence_limit_s))
+
+                response = await connection.exchange(request, extend_limit)
             is_reusable = True
             return Ok(response)
         except (IncompleteResponseError, OSError, ValueError) as error:
--- a/yuccarelay/adapters/http_connection.py
+++ b/yuccarelay/adapters/http_connection.py
@@ -1,7 +1,7 @@
 """One HTTP/1.1 connection of a client, used for one request after another."""
 
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -43,9 +43,10 @@
 
 
 class ResponseReader(HTTPMessageDelegate):
-    """Collects the parts of a response."""
+    """Collects the parts of a response, and calls `on_progress` after each."""
 
-    def __init__(self):
+    def __init__(self, on_progress: Callable[[], None] = lambda: None):
+        self.on_progress = on_progress
         self.status = 0
         self.chunks: list[bytes] = []
         self.expected_bytes: int | None = None
@@ -61,10 +62,12 @@
         self.expected_bytes = int(length) if length.isdecimal() else None
         is_closing = headers.get('Connection', '').lower() == 'close'
         self.keeps_open = start_line.version == 'HTTP/1.1' and not is_closing
+        self.on_progress()
 
     def data_received(self, chunk: bytes) -> None:
         """Collect a part of the body."""
         self.chunks.append(chunk)
+        self.on_progress()
 
     def finish(self) -> None:
         """Note that the response is complete."""
@@ -95,10 +98,13 @@
         # With a callback the stream notices while it is idle that the server closes it.
         self.stream.set_close_callback(lambda: None)
 
-    async def exchange(self, request: HttpRequest) -> HttpResponse:
+    async def exchange(
+        self, request: HttpRequest, on_progress: Callable[[], None] = lambda: None
+    ) -> HttpResponse:
         """
         Send a request and return the complete response.
 
+        `on_progress` is called after each part of the response that has arrived.
         Raises `IncompleteResponseError` and closes the connection if there is none.
         """
         headers = HTTPHeaders(request.headers)
@@ -106,7 +112,7 @@
             headers['Content-Length'] = str(len(request.body))
         line = RequestStartLine(request.method, request.target, 'HTTP/1.1')
         connection = HTTP1Connection(self.stream, True, HTTP1ConnectionParameters())
-        reader = self.reader = ResponseReader()
+        reader = self.reader = ResponseReader(on_progress)
         try:
             # A failed write shows in the read as well.
             connection.write_headers(line, headers, request.body or None)
