Let entries hand the configuration on instead of each fetching it

Callers saw answers by versions many seconds old after a large change, and refused submissions while the links were full. Cause: the store sends the whole text for each change, and each entry fetched it, so a change cost the text times the entries over the links that all share; requests repeated the read once a watch was overdue.

One entry watches the store; the others follow one that ranks before them by distance to the store and bandwidth, of their own region if there is one. They receive what has changed, compressed. Confirmations carry how long they hold and through whom, so that entries cannot confirm each other in a circle. Without a confirming entry one after the other reads the store. ConfigurationTask owns this; the watch of jobs alone now says whether the store is reachable.

SharedLinkTest failed before; it now first waits until entries follow each other.

--- a/tests/test_host_configuration.py
+++ b/tests/test_host_configuration.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+import re
 import unittest
 
 from tests.host_system import CONFIGURATION, HostSystem
 from tests.soak.proxy import Link
+from yuccarelay.ports.store import WATCH_WAIT_MS
 
 # Changes of the configuration come in force within 4 s; transfers over the links of
 # these tests take some seconds more.
@@ -103,7 +105,23 @@
 
     entries = 4
 
+    def find_source(self, node: str) -> str:
+        """Return where an entry has its configuration from, by its log."""
+        found = re.findall(
+            r'event=configuration_source source=(\S+)', self.read_log(node)
+        )
+        return found[-1] if found else ''
+
+    async def follow_entries(self) -> bool:
+        """Whether all entries but one follow another."""
+        sources = [self.find_source(node) for node in self.front_addresses]
+        return sum(source.startswith('entry-') for source in sources) >= 3
+
     async def test_entries_hand_a_configuration_on(self):
+        # Each entry reads the store until it has found another to follow; a watch that
+        # is open then ends within a second.
+        await self.poll(self.follow_entries, 'entries follow each other')
+        await asyncio.sleep(WATCH_WAIT_MS / 1000 + 0.2)
         self.store.sent_values.clear()
         self.commit(make_configuration(3, QUEUES))
         await self.await_status(404)
--- a/yuccarelay/adapters/batch_records.py
+++ b/yuccarelay/adapters/batch_records.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from yuccarelay.adapters import decoding
+from yuccarelay.core.batch.configuration_feed import EntryLink
 from yuccarelay.core.batch.models import Job, JobRecord
 from yuccarelay.core.batch.protocol import AgentAddress
 
@@ -22,6 +23,9 @@
 # Occurrence, step and index of a task.
 TASK_KEY = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}')
 INCARNATION = re.compile(r'[0-9]{1,15}')
+ROUND_TRIP = re.compile(r'[0-9]{1,6}')
+BANDWIDTH = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+UNKNOWN_ROUND_TRIP_MS = 999_999
 
 
 def encode(value: Job | JobRecord) -> bytes:
@@ -52,6 +56,29 @@
     return Ok(AgentAddress(address, int(incarnation)))
 
 
+def encode_entry(link: EntryLink) -> bytes:
+    """Return the address, the region, the round trip and the bandwidth of an entry."""
+    fields = (link.address, link.region, link.round_trip_ms, link.link_mbps)
+    return ' '.join(map(str, fields)).encode()
+
+
+def decode_entry(node: str, data: bytes) -> EntryLink:
+    """
+    Decode how an entry is connected.
+
+    What cannot be read counts as unknown: such an entry ranks behind the others.
+    """
+    address, *fields = data.decode(errors='replace').split(' ')
+    match fields:
+        case [region, round_trip_ms, link_mbps] if ROUND_TRIP.fullmatch(
+            round_trip_ms
+        ) and BANDWIDTH.fullmatch(link_mbps):
+            return EntryLink(
+                node, address, region, int(round_trip_ms), float(link_mbps)
+            )
+    return EntryLink(node, address, '', UNKNOWN_ROUND_TRIP_MS, 0)
+
+
 def _check_steps(job: Job) -> Result[Job, str]:
     if not job.steps:
         return Err('a job has at least one step')
--- a/yuccarelay/adapters/http_connection.py
+++ b/yuccarelay/adapters/http_connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection of a client, used for one request after another."""
 
 import socket
+import time
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
@@ -24,10 +25,11 @@
 
 
 class HttpResponse(NamedTuple):
-    """A complete response."""
+    """A complete response; `transfer_s` is how long it took once it had begun."""
 
     status: int
     body: bytes
+    transfer_s: float = 0
 
 
 class IncompleteResponseError(Exception):
@@ -52,11 +54,13 @@
         self.expected_bytes: int | None = None
         self.is_complete = False
         self.keeps_open = False
+        self.began_s = self.ended_s = 0.0
 
     def headers_received(
         self, start_line: ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         """Note the status, and whether the server keeps the connection open."""
+        self.began_s = time.monotonic()
         self.status = start_line.code
         length = headers.get('Content-Length', '')
         self.expected_bytes = int(length) if length.isdecimal() else None
@@ -72,6 +76,7 @@
     def finish(self) -> None:
         """Note that the response is complete."""
         self.is_complete = True
+        self.ended_s = time.monotonic()
 
     def describe_progress(self) -> str:
         """Return how much of the body has arrived."""
@@ -128,7 +133,8 @@
             self.close()
         else:
             self.stream.set_close_callback(lambda: None)
-        return HttpResponse(reader.status, b''.join(reader.chunks))
+        body = b''.join(reader.chunks)
+        return HttpResponse(reader.status, body, reader.ended_s - reader.began_s)
 
     def is_usable(self, now: float) -> bool:
         """Whether an idle connection can carry another request."""
--- a/yuccarelay/core/batch/request_handler.py
+++ b/yuccarelay/core/batch/request_handler.py
@@ -172,26 +172,6 @@
     organisation: str = ''
 
 
-@dataclass(frozen=True, slots=True)
-class ReadConfiguration:
-    """Request a configuration newer than version `known` from another entry."""
-
-    known: int
-
-
-@dataclass(frozen=True, slots=True)
-class NewerConfiguration:
-    """The configuration that another entry has."""
-
-    configuration: Configuration
-
-
-@dataclass(frozen=True, slots=True)
-class NothingNewer:
-    """The other entry has no newer configuration."""
-
-
-PeerAnswer = NewerConfiguration | NothingNewer
 StoreCall = StoreJob | ReadJob | StoreCancel
 Decision = Outcome | StoreCall
 
@@ -239,13 +219,6 @@
         self.configuration = configuration
         return True
 
-    def find_newer_configuration(self, query: ReadConfiguration) -> PeerAnswer:
-        """Answer an entry that requests a newer configuration."""
-        known = self.configuration
-        if known is None or known.version <= query.known:
-            return NothingNewer()
-        return NewerConfiguration(known)
-
     def decide(self, call: Call) -> Decision:
         """Return the answer to a request, or the store call that it needs."""
         if self.configuration is None:
--- a/yuccarelay/host_entry.py
+++ b/yuccarelay/host_entry.py
@@ -4,8 +4,8 @@
 import os
 import random
 
-from yuccarelay.adapters import batch_records
 from yuccarelay.adapters.nng import NngTransport
+from yuccarelay.core.batch.configuration_feed import EntryLink
 from yuccarelay.core.batch.leases import make_leases
 from yuccarelay.core.batch.planner import Planner
 from yuccarelay.environment import Environment
@@ -16,13 +16,14 @@
 from yuccarelay.platform.store import PlatformStore
 from yuccarelay.runtime import Role, call_on_hangup, open_listener, running
 from yuccarelay.tasks.batch.advice import AdviceTask
+from yuccarelay.tasks.batch.configuration import ConfigurationTask
 from yuccarelay.tasks.batch.election import ElectionTask
 from yuccarelay.tasks.batch.peers import PeerSockets
 from yuccarelay.tasks.batch.planner import OrderLinksTask, PlannerTask
 from yuccarelay.tasks.batch.records import RecordsTask
-from yuccarelay.tasks.batch.register import RegisterTask
-from yuccarelay.tasks.batch.relay import PeerConfigurationTask, RelayTask
-from yuccarelay.tasks.batch.replica import ConfigurationReader, ReplicaTask
+from yuccarelay.tasks.batch.register import EntryRegisterTask
+from yuccarelay.tasks.batch.relay import RelayTask
+from yuccarelay.tasks.batch.replica import ReplicaTask
 from yuccarelay.tasks.batch.request_handler import RequestHandlerTask
 from yuccarelay.tasks.mailbox import Mailbox
 
@@ -60,17 +61,21 @@
     store = PlatformStore(settings.store)
     handler_box, planner_box, election_box = Mailbox(), Mailbox(), Mailbox()
     records_box, links_box, advice_box = Mailbox(), Mailbox(), Mailbox()
+    configuration_box = Mailbox()
     advisor = HttpAdvisor(settings.advisor)
     transport = NngTransport(clock)
     address = f'{settings.ip}:{settings.internal_port}'
     listener = open_listener(transport, address)
+    link = EntryLink(
+        settings.node, address, settings.region, link_mbps=settings.link_mbps
+    )
     handler = RequestHandlerTask(
         store,
         handler_box,
         planner_box,
         settings.node,
         PeerSockets(transport, clock),
-        ConfigurationReader(store, jobs.CONFIGURATION_KEY, jobs.decode_configuration),
+        configuration_box,
         clock,
         rng,
         journal,
@@ -92,11 +97,22 @@
         ReplicaTask(
             settings.node,
             store,
+            handler_box,
+            planner_box,
+            election_box,
+            configuration_box,
+            clock,
+            journal,
+        ),
+        ConfigurationTask(
+            link,
+            store,
             jobs.CONFIGURATION_PREFIX,
             jobs.decode_configuration,
+            PeerSockets(transport, clock),
+            configuration_box,
             handler_box,
             planner_box,
-            election_box,
             clock,
             journal,
         ),
@@ -113,14 +129,8 @@
         ),
         AdviceTask(advisor, advice_box, planner_box),
         OrderLinksTask(links_box, planner_box, PeerSockets(transport, clock)),
-        RelayTask(handler, listener, clock, journal),
-        PeerConfigurationTask(handler, journal),
-        RegisterTask(
-            batch_records.ENTRIES + settings.node,
-            address.encode(),
-            store,
-            journal,
-        ),
+        RelayTask(handler, configuration_box, listener, clock, journal),
+        EntryRegisterTask(link, store, clock, journal),
         *metrics_tasks,
     ]
     stop = asyncio.Event()
--- a/yuccarelay/platform/settings.py
+++ b/yuccarelay/platform/settings.py
@@ -32,6 +32,12 @@
     address: str
 
 
+class Limits(msgspec.Struct, rename='camel'):
+    """Limits of the machine that are used; `linkMbps` is in megabits per second."""
+
+    link_mbps: float = 0
+
+
 class SettingsFile(msgspec.Struct, rename='camel'):
     """The fields of the file that are used; others are ignored."""
 
@@ -43,6 +49,7 @@
     listen: Listen
     platform: StoreAddress
     bounds: Bounds = msgspec.field(default_factory=Bounds)
+    limits: Limits = msgspec.field(default_factory=Limits)
     app: str = ''
     service: str = ''
     recommendation: str = ''
@@ -64,6 +71,7 @@
     advisor: str
     longest_hold_ms: int
     grace_s: float
+    link_mbps: float = 0
     metrics_address: str = ''
     metrics_path: str = ''
 
@@ -93,5 +101,6 @@
             advisor=file.recommendation,
             longest_hold_ms=file.bounds.max_hold_ms,
             grace_s=file.bounds.grace_s,
+            link_mbps=file.limits.link_mbps,
         ),
     )
--- a/yuccarelay/platform/store.py
+++ b/yuccarelay/platform/store.py
@@ -240,6 +240,7 @@
             lambda page: Changes(
                 tuple(make_event(item) for item in page['events']),
                 page['at'],
+                int(response.transfer_s * 1000),
             ),
         )
         .map_err(lambda failure: replace(failure, refused=True))
--- a/yuccarelay/ports/store.py
+++ b/yuccarelay/ports/store.py
@@ -83,10 +83,15 @@
 
 
 class Changes(NamedTuple):
-    """Changes of a prefix in revision order, and the revision that they reach."""
+    """
+    Changes of a prefix in revision order, and the revision that they reach.
+
+    `transfer_ms` is how long the answer took to arrive once it had begun.
+    """
 
     events: tuple[WatchEvent, ...]
     revision: int
+    transfer_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/tasks/batch/relay.py
+++ b/yuccarelay/tasks/batch/relay.py
@@ -1,8 +1,8 @@
 """
-Tasks by which entries serve each other while the store rejects some of them.
+The task by which an entry serves the others.
 
-`RelayTask` makes calls to the store for other entries and sends them the
-configuration; `PeerConfigurationTask` requests it.
+It makes calls to the store for those that the store rejects, and passes on what they
+ask about the configuration.
 """
 
 import asyncio
@@ -10,75 +10,24 @@
 from result import Ok
 
 from yuccarelay.adapters import batch_codec
-from yuccarelay.core.batch.events import Configured
-from yuccarelay.core.batch.models import Configuration
+from yuccarelay.core.batch.configuration_feed import ConfigurationQuery
 from yuccarelay.core.batch.request_handler import (
-    NewerConfiguration,
     NotAccepted,
     Outcome,
-    ReadConfiguration,
     ReadJob,
     StoreCall,
 )
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.transport import Listener
+from yuccarelay.tasks.batch.configuration import ENTRY_WATCH_LIMIT_MS, PeerAsked
 from yuccarelay.tasks.batch.request_handler import (
     RELAY_LIMIT_MS,
-    RELAYS_LIMIT,
     RETRY_AFTER_S,
     RequestHandlerTask,
 )
 from yuccarelay.tasks.failures import write_failure
-
-# The users allow 3 s from a configuration's acknowledgement to its effect.
-PEER_CONFIGURATION_S = 0.5
-
-
-class PeerConfigurationTask:
-    """
-    Reads newer configurations from other entries while the store is unreachable.
-
-    An entry that the store rejects would otherwise refuse keys that the operators
-    have added since, and accept those that they have removed.
-    """
-
-    def __init__(self, handler: RequestHandlerTask, journal: Journal):
-        self.handler = handler
-        self.journal = journal
-
-    async def run(self) -> None:
-        """Query other entries while the store is unreachable, until cancelled."""
-        while True:
-            await asyncio.sleep(PEER_CONFIGURATION_S)
-            if not self.handler.store_reachable:
-                await self.query_entries()
-
-    async def query_entries(self) -> None:
-        """
-        Query other entries, and apply the newest configuration that they have.
-
-        An entry that is cut off from the store as well may have an older one. After
-        a restart that one would allow keys that have been withdrawn.
-        """
-        known = self.handler.handler.configuration
-        query = ReadConfiguration(known.version if known else 0)
-        newest: Configuration | None = None
-        for address in self.handler.list_others()[:RELAYS_LIMIT]:
-            found = await self.handler.sockets.request(
-                address,
-                batch_codec.encode(query),
-                RELAY_LIMIT_MS,
-            )
-            match found.and_then(batch_codec.decode):
-                case Ok(NewerConfiguration(configuration)):
-                    fields = {'version': configuration.version, 'address': address}
-                    self.journal.write('configuration_from_entry', fields)
-                    if newest is None or configuration.version > newest.version:
-                        newest = configuration
-        if newest is not None:
-            for inbox in (self.handler.inbox, self.handler.planner):
-                inbox.put_nowait(Configured(newest))
+from yuccarelay.tasks.mailbox import Mailbox
 
 
 class RelayTask:
@@ -87,11 +36,13 @@
     def __init__(
         self,
         handler: RequestHandlerTask,
+        configuration: Mailbox,
         listener: Listener,
         clock: Clock,
         journal: Journal,
     ):
         self.handler = handler
+        self.configuration = configuration
         self.listener = listener
         self.clock = clock
         self.journal = journal
@@ -121,9 +72,8 @@
     async def serve(self, request_id: int, data: bytes) -> None:
         """Make a call for another entry and reply."""
         match batch_codec.decode(data):
-            case Ok(ReadConfiguration() as query):
-                answer = self.handler.handler.find_newer_configuration(query)
-                self.listener.reply(request_id, batch_codec.encode(answer))
+            case Ok(query) if isinstance(query, ConfigurationQuery):
+                await self._ask_configuration(request_id, query)
             case Ok(call) if isinstance(call, StoreCall):
                 outcome: Outcome = NotAccepted(RETRY_AFTER_S)
                 end = None
@@ -143,3 +93,15 @@
                 self.listener.reply(request_id, batch_codec.encode(outcome))
             case _:
                 self.listener.abandon_request(request_id)
+
+    async def _ask_configuration(
+        self, request_id: int, query: ConfigurationQuery
+    ) -> None:
+        """Reply with what the configuration's task answers, if it does in time."""
+        reply_to = asyncio.get_running_loop().create_future()
+        self.configuration.put_nowait(PeerAsked(query, reply_to))
+        try:
+            async with asyncio.timeout(ENTRY_WATCH_LIMIT_MS / 1000):
+                self.listener.reply(request_id, await reply_to)
+        except TimeoutError:
+            self.listener.abandon_request(request_id)
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -1,19 +1,18 @@
 """The task that watches the store and notifies the other tasks of changes."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from yuccarelay.adapters import batch_records
+from yuccarelay.core.batch.configuration_feed import EntryLink
 from yuccarelay.core.batch.events import (
     AgentAddressChanged,
-    Configured,
     JobAccepted,
     JobCancelled,
 )
-from yuccarelay.core.batch.models import Configuration, Job, JobRecord
+from yuccarelay.core.batch.models import Job, JobRecord
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.store import (
@@ -85,6 +84,14 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class EntryLinkChanged:
+    """How an entry is connected, without a link once it is removed."""
+
+    node: str
+    link: EntryLink | None
+
+
 @dataclass(frozen=True, slots=True)
 class StoreReachability:
     """The store answered a watch or a read, or stopped answering."""
@@ -94,31 +101,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaConfirmed:
-    """The replica of a prefix has all changes until `fresh_until_ms`."""
+    """The replica of the jobs has all changes until `fresh_until_ms`."""
 
-    prefix: str
     fresh_until_ms: int
 
 
-class ConfigurationReader:
-    """Reads the operators' configuration from the store."""
-
-    def __init__(self, store: Store, key: str, decode: Callable):
-        self.store = store
-        self.key = key
-        self.decode = decode
-
-    async def read(self) -> Result[Configuration, str]:
-        """Return the configuration, or the reason why there is none."""
-        match await self.store.read(self.key):
-            case Ok(None):
-                return Err('the store has no configuration')
-            case Ok(value):
-                return self.decode(value.value)
-            case Err(failure):
-                return Err(failure.reason)
-
-
 async def read_all(store: Store, prefix: str):
     """Read all pages of a prefix; the revision is that of the first page."""
     values: list[StoredValue] = []
@@ -138,7 +125,7 @@
 
 class ReplicaTask:
     """
-    Watches the project's keys and the operators' configuration.
+    Watches the project's keys.
 
     The request handler receives each change before the planner does, so that it
     can resend to a new planner what that planner ignored before its term.
@@ -148,47 +135,39 @@
         self,
         node: str,
         store: ChangeFeed,
-        configuration_prefix: str,
-        decode_configuration: Callable,
         handler: Mailbox,
         planner: Mailbox,
         election: Mailbox,
+        configuration: Mailbox,
         clock: Clock,
         journal: Journal,
     ):
         self.node = node
         self.store = store
         self.clock = clock
-        self.configuration_prefix = configuration_prefix
-        self.decode_configuration = decode_configuration
         self.handler = handler
         self.planner = planner
         self.election = election
+        self.configuration = configuration
         self.journal = journal
-        self.store_reachable: dict[str, bool] = {}
-        self.failed_calls: dict[str, int] = {}
+        self.store_reachable: bool | None = None
+        self.failed_calls = 0
         self.planning_node = ''
 
     async def run(self) -> None:
-        """Watch both prefixes until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.watch_prefix(self.configuration_prefix))
-            group.create_task(self.watch_prefix(batch_records.ROOT))
-
-    async def watch_prefix(self, prefix: str) -> None:
-        """Read a prefix, watch it from there, and read it again after a gap."""
+        """Read the keys, watch them from there, and read them again after a gap."""
         while True:
-            match await self._read(prefix):
+            match await self._read():
                 case Ok((values, revision)):
-                    self._report_reachability(prefix, True)
-                    self._handle_listing(prefix, values)
-                    await self.follow(prefix, revision)
-                    self.journal.write('watch_ended', {'prefix': prefix})
+                    self._report_reachability(True)
+                    self._handle_listing(values)
+                    await self.follow(revision)
+                    self.journal.write('watch_ended', {'prefix': batch_records.ROOT})
                 case Err(failure):
-                    self._report_reachability(prefix, False, failure.reason)
+                    self._report_reachability(False, failure.reason)
                     await asyncio.sleep(RETRY_S)
 
-    async def follow(self, prefix: str, revision: int) -> None:
+    async def follow(self, revision: int) -> None:
         """
         Handle the changes after a revision until the store has dropped its history.
 
@@ -198,28 +177,29 @@
         wait_ms = WATCH_WAIT_MS
         overdue_ms = self.clock.now_ms() + WATCH_OVERDUE_MS
         while True:
-            match await self.store.read_changes(prefix, revision, wait_ms):
+            asking = self.store.read_changes(batch_records.ROOT, revision, wait_ms)
+            match await asking:
                 case Ok(changes):
-                    self._report_reachability(prefix, True)
+                    self._report_reachability(True)
                     for event in changes.events:
                         self.handle_change(event)
-                    self._confirm(prefix, overdue_ms)
-                    if changes.events and self._may_gather(prefix):
+                    self._confirm(overdue_ms)
+                    if changes.events and self._may_gather():
                         await asyncio.sleep(GATHER_S)
                     revision, wait_ms = changes.revision, WATCH_WAIT_MS
                 case Err(StoreFailure(refused=True)):
                     return
                 case Err(failure):
-                    self._report_reachability(prefix, False, failure.reason)
+                    self._report_reachability(False, failure.reason)
                     await asyncio.sleep(RETRY_S)
                     wait_ms = PROBE_WAIT_MS
             overdue_ms = self.clock.now_ms() + WATCH_OVERDUE_MS
 
-    def _may_gather(self, prefix: str) -> bool:
-        """Whether changes of a prefix can wait; a planner needs them at once."""
-        return prefix == batch_records.ROOT and self.planning_node != self.node
+    def _may_gather(self) -> bool:
+        """Whether changes can wait; a planner needs them at once."""
+        return self.planning_node != self.node
 
-    def _confirm(self, prefix: str, overdue_ms: int) -> None:
+    def _confirm(self, overdue_ms: int) -> None:
         """
         Confirm the replica after an answer of the watch that came in time.
 
@@ -228,16 +208,16 @@
         """
         now_ms = self.clock.now_ms()
         if now_ms <= overdue_ms:
-            self.handler.put_nowait(ReplicaConfirmed(prefix, now_ms + WATCH_OVERDUE_MS))
+            self.handler.put_nowait(ReplicaConfirmed(now_ms + WATCH_OVERDUE_MS))
 
-    async def _read(self, prefix: str):
+    async def _read(self):
         """
-        Read a prefix; report the store as unreachable while a read is slow.
+        Read all keys; report the store as unreachable while a read is slow.
 
         The replica is stale meanwhile. After the store dropped its history a read
         takes only milliseconds, and requests are still served.
         """
-        reading = asyncio.ensure_future(read_all(self.store, prefix))
+        reading = asyncio.ensure_future(read_all(self.store, batch_records.ROOT))
         try:
             done, _ = await asyncio.wait({reading}, timeout=SLOW_READ_S)
             if not done:
@@ -246,31 +226,33 @@
         finally:
             reading.cancel()
 
-    def _report_reachability(
-        self, prefix: str, store_reachable: bool, reason: str = ''
-    ) -> None:
+    def _report_reachability(self, store_reachable: bool, reason: str = '') -> None:
         """Notify the request handler, and log changes of the reachability."""
-        failed_calls = self.failed_calls.get(prefix, 0)
-        if self.store_reachable.get(prefix) is not store_reachable:
-            self.store_reachable[prefix] = store_reachable
+        if self.store_reachable is not store_reachable:
+            self.store_reachable = store_reachable
             event = 'store_found' if store_reachable else 'store_lost'
-            fields = {'prefix': prefix, 'reason': reason, 'failed_calls': failed_calls}
-            self.journal.write(event, fields)
-        self.failed_calls[prefix] = 0 if store_reachable else failed_calls + 1
+            self.journal.write(
+                event,
+                {
+                    'prefix': batch_records.ROOT,
+                    'reason': reason,
+                    'failed_calls': self.failed_calls,
+                },
+            )
+        self.failed_calls = 0 if store_reachable else self.failed_calls + 1
         self.handler.put_nowait(StoreReachability(store_reachable))
 
-    def _handle_listing(self, prefix: str, values: list[StoredValue]) -> None:
+    def _handle_listing(self, values: list[StoredValue]) -> None:
         """Handle a fresh read; a planner's key that is not in it counts as deleted."""
-        if prefix == batch_records.ROOT:
-            found = {value.key for value in values}
-            jobs = frozenset(
-                key.removeprefix(batch_records.JOBS)
-                for key in found
-                if key.startswith(batch_records.JOBS)
-            )
-            self.handler.put_nowait(JobsListed(jobs))
-            if batch_records.PLANNER not in found:
-                self.election.put_nowait(PlannerKeyChanged('', 0))
+        found = {value.key for value in values}
+        jobs = frozenset(
+            key.removeprefix(batch_records.JOBS)
+            for key in found
+            if key.startswith(batch_records.JOBS)
+        )
+        self.handler.put_nowait(JobsListed(jobs))
+        if batch_records.PLANNER not in found:
+            self.election.put_nowait(PlannerKeyChanged('', 0))
         for value in values:
             event = WatchEvent(value.key, value, value.mod_revision)
             self.handle_change(event)
@@ -299,16 +281,14 @@
                 if self._is_readable(key, agent):
                     self._notify(AgentAddressChanged(name, agent.ok_value))
             case batch_records.ENTRIES:
-                address = value.value.decode(errors='replace') if value else ''
+                link = batch_records.decode_entry(name, value.value) if value else None
+                address = link.address if link else ''
                 self.handler.put_nowait(EntryAddressChanged(name, address))
+                self.configuration.put_nowait(EntryLinkChanged(name, link))
             case batch_records.ROOT if key == batch_records.PLANNER:
                 holder = value.value.decode(errors='replace') if value else ''
                 self.planning_node = holder.split(' ')[0]
                 self.election.put_nowait(PlannerKeyChanged(holder, event.revision))
-            case self.configuration_prefix if value and name == 'config':
-                found = self.decode_configuration(value.value)
-                if self._is_readable(key, found):
-                    self._handle_configuration(found.ok_value)
 
     def _handle_job(self, name: str, value: StoredValue | None) -> None:
         if value is None:
@@ -319,9 +299,6 @@
             found: Job = job.ok_value
             self._notify(JobAccepted(found))
 
-    def _handle_configuration(self, configuration: Configuration) -> None:
-        self._notify(Configured(configuration))
-
     def _notify(self, event) -> None:
         self.handler.put_nowait(event)
         self.planner.put_nowait(event)
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -41,9 +41,12 @@
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.store import Guard, Put, Store, TransactionResult
 from yuccarelay.ports.transport import TransportFailure
+from yuccarelay.tasks.batch.configuration import (
+    ConfigurationConfirmed,
+    ConfirmationWanted,
+)
 from yuccarelay.tasks.batch.peers import PeerSockets
 from yuccarelay.tasks.batch.replica import (
-    ConfigurationReader,
     EntryAddressChanged,
     JobRemoved,
     JobsListed,
@@ -70,8 +73,8 @@
 STORE_WAIT_SHARE = 0.5
 # Callers wait some 3 s in all, so that a later retry would come too late.
 RETRY_AFTER_S = 1
-# Requests that arrive together share one read of the configuration.
-CONFIGURATION_READ_VALID_MS = 250
+# A request waits at most this long for the confirmation of an overdue configuration.
+CONFIRMATION_WAIT_MS = 600
 # Share of the caller's time limit that is spent waiting for the store.
 DEADLINE_SHARE = 0.8
 
@@ -100,15 +103,15 @@
         planner: Mailbox,
         node: str,
         sockets: PeerSockets,
-        configuration_reader: ConfigurationReader,
+        configuration: Mailbox,
         clock: Clock,
         rng: random.Random,
         journal: Journal,
     ):
         self.store = store
-        self.configuration_reader = configuration_reader
         self.inbox = inbox
         self.planner = planner
+        self.configuration = configuration
         self.node = node
         self.sockets = sockets
         self.clock = clock
@@ -121,7 +124,7 @@
         self.store_found = asyncio.Event()
         self.jobs_fresh_until_ms = 0
         self.configuration_fresh_until_ms = 0
-        self.configuration_lock = asyncio.Lock()
+        self.configuration_confirmed = asyncio.Event()
         self.relay_retry_ms = 0
         self.last_failure_ms: dict[str, int] = {}
         self.calls: set[asyncio.Task] = set()
@@ -173,10 +176,12 @@
                 self.entries[node] = address
             case StoreReachability(store_reachable):
                 self.set_store_reachable(store_reachable)
-            case ReplicaConfirmed(batch_records.ROOT, fresh_until_ms):
+            case ReplicaConfirmed(fresh_until_ms):
                 self.jobs_fresh_until_ms = fresh_until_ms
-            case ReplicaConfirmed(_, fresh_until_ms):
+            case ConfigurationConfirmed(fresh_until_ms):
                 self.configuration_fresh_until_ms = fresh_until_ms
+                if self.is_configuration_fresh():
+                    self.configuration_confirmed.set()
             case ResendAll():
                 self._resend_all()
 
@@ -199,7 +204,7 @@
         received_ms = self.clock.now_ms()
         outcome: Outcome = Failed()
         try:
-            await self.refresh_configuration()
+            await self.confirm_configuration()
             decision = self.handler.decide(request.call)
             outcome = await self.conclude(request.call, decision, request.deadline_ms)
             self._log(request, outcome, received_ms)
@@ -209,28 +214,24 @@
         if not request.reply_to.done():
             request.reply_to.set_result(outcome)
 
-    async def refresh_configuration(self) -> None:
+    def is_configuration_fresh(self) -> bool:
+        """Whether the configuration is known to be the newest."""
+        return self.clock.now_ms() <= self.configuration_fresh_until_ms
+
+    async def confirm_configuration(self) -> None:
         """
-        Read the configuration if its watch is overdue, so that no old one is applied.
+        Wait for a confirmation of the configuration if it is overdue.
 
         A process that was paused holds keys and queues that may have been removed
         meanwhile. While the store is unreachable the last known version applies.
         """
-        async with self.configuration_lock:
-            sent_ms = self.clock.now_ms()
-            if not self.store_reachable or sent_ms <= self.configuration_fresh_until_ms:
-                return
-            match await self.configuration_reader.read():
-                case Ok(configuration):
-                    for take in (self.take, self.planner.put_nowait):
-                        take(Configured(configuration))
-                    fresh_until_ms = sent_ms + CONFIGURATION_READ_VALID_MS
-                    self.configuration_fresh_until_ms = max(
-                        self.configuration_fresh_until_ms, fresh_until_ms
-                    )
-                case Err(reason):
-                    self.set_store_reachable(False)
-                    self.journal.write('configuration_not_read', {'reason': reason})
+        if self.is_configuration_fresh() or not self.store_reachable:
+            return
+        self.configuration_confirmed.clear()
+        self.configuration.put_nowait(ConfirmationWanted())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRMATION_WAIT_MS / 1000):
+                await self.configuration_confirmed.wait()
 
     def is_replica_fresh(self) -> bool:
         """Whether the replica has all changes of jobs that the store has made."""
