Do not answer by a configuration that may be too old

Callers saw 200 for a queue that had been removed and 404 for one that had been added. Cause: an entry whose reads of the configuration failed answered by the last version however old it was, also while the store served everything else.

A request waits up to 0.6 s for a confirmation, and without one is refused with 503 and Retry-After once the version is overdue by 1 s, 2.5 s after its last confirmation. That is below the 3 s that a change may take. While the store cannot be reached the last version holds, because nobody can change it then.

--- a/tests/test_batch_relay.py
+++ b/tests/test_batch_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from result import Err, Ok
 
@@ -15,6 +16,7 @@
     Accepted,
     Call,
     NotAccepted,
+    NotReady,
     Pending,
     ReadJob,
     State,
@@ -24,6 +26,7 @@
 )
 from yuccarelay.ports.store import StoredValue, StoreFailure, TransactionResult
 from yuccarelay.ports.transport import TransportFailure
+from yuccarelay.tasks.batch import request_handler as request_handler_module
 from yuccarelay.tasks.batch.configuration import (
     ConfigurationConfirmed,
     ConfirmationWanted,
@@ -36,6 +39,7 @@
     StoreReachability,
 )
 from yuccarelay.tasks.batch.request_handler import (
+    CONFIGURATION_GRACE_MS,
     RELAY_PAUSE_MS,
     STORE_WAIT_MS,
     STORE_WAIT_SHARE,
@@ -249,6 +253,23 @@
         handler.take(ConfigurationConfirmed(DEADLINE_MS + 1_000))
         self.assertEqual(await reply_to, UnknownKey())
 
+    async def test_an_overdue_configuration_answers_no_request(self):
+        # inc1: the entry could not fetch version 8 for 8 s and answered 200 for a queue
+        # that it had removed.
+        handler = self.make_handler(ScriptedStore(DONE), ScriptedSockets())
+        with mock.patch.object(request_handler_module, 'CONFIRMATION_WAIT_MS', 10):
+            self.clock.time_ms = DEADLINE_MS + CONFIGURATION_GRACE_MS
+            self.assertEqual(await self.send_read(handler), Pending(0))
+            self.clock.time_ms += 1
+            self.assertEqual(await self.send_read(handler), NotReady())
+
+    async def test_the_last_configuration_holds_while_the_store_is_away(self):
+        # Nobody can change it then, and callers still ask for the ends of their jobs.
+        handler = self.make_handler(ScriptedStore(DONE), ScriptedSockets())
+        handler.take(StoreReachability(False))
+        self.clock.time_ms = DEADLINE_MS + CONFIGURATION_GRACE_MS + 1
+        self.assertEqual(await self.send_read(handler), Pending(0))
+
     async def test_the_state_of_an_ended_job_needs_no_store(self):
         job = make_job()
         handler = self.make_handler(ScriptedStore(DONE), ScriptedSockets())
--- a/yuccarelay/core/batch/request_handler.py
+++ b/yuccarelay/core/batch/request_handler.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotReady:
-    """No configuration is known yet; nothing was done."""
+    """The newest configuration is not known; nothing was done."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/platform/front.py
+++ b/yuccarelay/platform/front.py
@@ -29,6 +29,7 @@
 KEY_SCHEME = 'Token '
 DEFAULT_DEADLINE_MS = 3_000
 LONGEST_DEADLINE_MS = 30_000
+NOT_READY_RETRY_AFTER_S = 1
 
 
 class CallerHandler(tornado.web.RequestHandler):
@@ -69,6 +70,8 @@
         match outcome:
             case NotAccepted(retry_after_s):
                 self.set_header('Retry-After', str(retry_after_s))
+            case NotReady():
+                self.set_header('Retry-After', str(NOT_READY_RETRY_AFTER_S))
         if self.draining():
             self.set_header('Connection', 'close')
         await self.finish(body)
@@ -111,7 +114,7 @@
         case NoSuchJob():
             return 410, {'error': 'no such job'}
         case NotReady():
-            return 503, {'error': 'no configuration is known yet'}
+            return 503, {'error': 'the newest configuration is not known'}
         case NotAccepted():
             return 503, {'error': 'the store cannot be reached, nothing was stored'}
         case Failed():
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -24,6 +24,7 @@
     Failed,
     NoSuchJob,
     NotAccepted,
+    NotReady,
     Outcome,
     ReadJob,
     RequestHandler,
@@ -75,6 +76,9 @@
 RETRY_AFTER_S = 1
 # A request waits at most this long for the confirmation of an overdue configuration.
 CONFIRMATION_WAIT_MS = 600
+# A configuration is overdue 1.5 s after its last confirmation. The users allow 3 s from
+# the acknowledgement of a change to its effect, so this much later it may be too old.
+CONFIGURATION_GRACE_MS = 1_000
 # Share of the caller's time limit that is spent waiting for the store.
 DEADLINE_SHARE = 0.8
 
@@ -204,8 +208,9 @@
         received_ms = self.clock.now_ms()
         outcome: Outcome = Failed()
         try:
-            await self.confirm_configuration()
-            decision = self.handler.decide(request.call)
+            decision: Decision = NotReady()
+            if await self.confirm_configuration():
+                decision = self.handler.decide(request.call)
             outcome = await self.conclude(request.call, decision, request.deadline_ms)
             self._log(request, outcome, received_ms)
         except Exception as error:
@@ -218,20 +223,24 @@
         """Whether the configuration is known to be the newest."""
         return self.clock.now_ms() <= self.configuration_fresh_until_ms
 
-    async def confirm_configuration(self) -> None:
+    async def confirm_configuration(self) -> bool:
         """
-        Wait for a confirmation of the configuration if it is overdue.
+        Return whether requests can be answered by the configuration.
 
-        A process that was paused holds keys and queues that may have been removed
-        meanwhile. While the store is unreachable the last known version applies.
+        A process that was paused, or whose watch is overdue, may hold keys and queues
+        that were removed meanwhile, and lack new ones. It waits for a confirmation, and
+        without one it gives no answer after a while. While the store is unreachable
+        the last known version applies.
         """
         if self.is_configuration_fresh() or not self.store_reachable:
-            return
+            return True
         self.configuration_confirmed.clear()
         self.configuration.put_nowait(ConfirmationWanted())
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CONFIRMATION_WAIT_MS / 1000):
                 await self.configuration_confirmed.wait()
+        grace_ends_ms = self.configuration_fresh_until_ms + CONFIGURATION_GRACE_MS
+        return self.clock.now_ms() <= grace_ends_ms or not self.store_reachable
 
     def is_replica_fresh(self) -> bool:
         """Whether the replica has all changes of jobs that the store has made."""
