Give large writes time to be sent

The same fault as with large answers, found by looking for it elsewhere: the limit of a call began when its body was handed to the connection. The planner writes the records of up to 15 jobs in one call, 400 kB for wide ones, which take 0.6 s of a link of 5 Mbit/s without other traffic; a write that ends at 0.8 s is made again, and no run starts meanwhile. The limit now grows with the body.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -182,6 +182,25 @@
         self.assertEqual(found.unwrap()[:2], (200, b'x' * 12))
         self.assertGreater(found.unwrap().transfer_s, SHORT_LIMIT_S)
 
+    async def test_a_large_body_has_time_to_be_sent(self):
+        # The records of 15 wide jobs are 400 kB in one write.
+        async def serve(reader, writer):
+            self.addCleanup(writer.close)
+            await reader.readuntil(b'\r\n\r\n')
+            await asyncio.sleep(2 * SHORT_LIMIT_S)
+            writer.write(ANSWER)
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient(f'127.0.0.1:{port}')
+        self.addAsyncCleanup(client.close)
+        for size, is_answered in ((10, False), (400_000, True)):
+            found = await client.call(
+                'POST', '/write', body=b'x' * size, timeout_s=SHORT_LIMIT_S
+            )
+            self.assertEqual(found.is_ok(), is_answered)
+
     async def test_a_response_that_stops_ends_the_call(self):
         client = await self.serve_slowly([0, 0, LIMIT_S])
         found = await client.call('GET', '/key', timeout_s=SHORT_LIMIT_S)
--- a/yuccarelay/adapters/http_client.py
+++ b/yuccarelay/adapters/http_client.py
@@ -28,6 +28,8 @@
 CONNECTIONS_LIMIT = 24
 # A call that is answered bit by bit ends after this time at the latest.
 TRANSFER_LIMIT_S = 10
+# Slower than the links of the smallest machines, which have 625,000 and more.
+UPLOAD_BYTES_PER_S = 250_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,9 +91,9 @@
     """
     Client for one address; each call has its own time limit.
 
-    The limit holds until the response begins, and then between its parts. If it held
-    for the whole response, a large one on a slow link would be discarded and requested
-    again without end.
+    The limit holds until the response begins, with additional time for a large body,
+    and then between the parts of the response. If it held for the whole call, a large
+    one on a slow link would be given up and made again without end.
     """
 
     def __init__(self, address: str):
@@ -124,7 +126,7 @@
         )
         pool = self._open_pool()
         now = asyncio.get_running_loop().time()
-        deadline = now + timeout_s
+        deadline = now + timeout_s + len(request.body) / UPLOAD_BYTES_PER_S
         try:
             async with asyncio.timeout_at(min(deadline, now + CONNECT_LIMIT_S)):
                 connection = await pool.acquire()
