--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -61,6 +61,8 @@
     as running, and `start_repeated` that a lost start may still be carried out.
     A stop that has not been answered is sent again at `stop_due_ms`; `stop_reason` is
     why the run was stopped, empty while it was not.
+    `seen_running_ms` is when a report last listed it as running, 0 if none has, and
+    `lost_with_worker` is set once its worker is known to have ended under it.
     `recent_metric` is the worker's metric over the last half second. `pace` is the
     ordered speed in percent of full speed, None while it is not known.
     """
@@ -80,6 +82,8 @@
     stop_due_ms: int = 0
     stop_reason: str = ''
     listed: bool = False
+    seen_running_ms: int = 0
+    lost_with_worker: bool = False
     start_repeated: bool = False
     recent_metric: float = 0
     pace: int | None = FULL_PERCENT
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -129,6 +129,9 @@
         for run in list(view.runs.values()):
             if run.worker.born_ms >= view.closed_below_ms:
                 continue
+            if not run.lost_with_worker and run.stage is not RunStage.RECORDING:
+                run.lost_with_worker = True
+                self._note_loss(view, run)
             if run.stage is RunStage.RECORDING or (
                 run.listed and not run.start_repeated
             ):
@@ -139,6 +142,21 @@
             else:
                 planner_state.stop_run(run, 'worker_ended')
 
+    def _note_loss(self, view: WorkerView, run: Run) -> None:
+        """Log a run whose worker has ended, and how long it was seen at work."""
+        seen_running_ms = 0
+        if run.seen_running_ms and run.started_ms:
+            seen_running_ms = run.seen_running_ms - run.started_ms
+        self.planner_state.note(
+            'run_lost_with_worker',
+            task=run.task,
+            run=run.number,
+            worker=run.worker.name,
+            seen_running_ms=seen_running_ms,
+            is_back=view.id is not None,
+            runs=len(view.runs),
+        )
+
     def _read_ends(self, view: WorkerView, ends: tuple[EndedRun, ...]) -> None:
         for end in sorted(ends):
             if end.number <= view.seen or end.number in view.ends:
@@ -296,6 +314,7 @@
             listed.add(task)
             run.worker = view.id
             run.listed = True
+            run.seen_running_ms = now_ms
             if entry.checkpoint > run.checkpoint:
                 run.checkpoint = entry.checkpoint
                 run.saved_ms = now_ms
