--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -3,8 +3,8 @@
 
 Workers end runs whose lease has expired, refuse orders of older terms and starts of
 stopped runs, and list ended runs until they are acknowledged. Faults are set on the
-objects: a worker may be silent, leave a start unanswered or restart, and the store or
-the advice service may be down.
+objects: a worker may be silent, leave a start unanswered or restart, a task may crash
+the workers that start it, and the store or the advice service may be down.
 """
 
 import heapq
@@ -60,6 +60,8 @@
 )
 
 TICK_MS = 100
+CRASH_AFTER_MS = 10
+DOWN_MS = 3_000
 NETWORK_DELAY_MS = 2
 WALL_START_MS = 1_700_000_000_000
 LONGEST_HOLD_MS = 10_000
@@ -125,10 +127,16 @@
     how: str = 'done'
     silent: bool = False
     lose_starts: int = 0
+    # Starts are carried out, but their answers do not arrive.
+    lose_answers: bool = False
     lose_stops: int = 0
     stops: int = 0
     # The machine has no worker any more; the agent knows it from a late heartbeat.
     is_gone: bool = False
+    # Names of the tasks that crash the worker when it starts them.
+    deadly: set[str] = field(default_factory=set)
+    crashes_at_ms: int | None = None
+    back_at_ms: int | None = None
     draining: bool = False
     leaves_in_ms: int = 0
     capacity: Resources = WORKER_CAPACITY
@@ -157,7 +165,9 @@
         self.sequence = 0
 
     def send_heartbeat(self, now_ms: int) -> None:
-        """Send a heartbeat to the agent."""
+        """Send a heartbeat to the agent, unless the worker is down."""
+        if self.back_at_ms is not None:
+            return
         self.sequence += 1
         info = WorkerInfo(
             self.name,
@@ -196,7 +206,15 @@
         )
 
     def advance(self, now_ms: int) -> None:
-        """End the runs whose duration or lease is over."""
+        """End the runs whose duration or lease is over; crash and come back."""
+        if self.crashes_at_ms is not None and now_ms >= self.crashes_at_ms:
+            self.crashes_at_ms, self.back_at_ms = None, now_ms + DOWN_MS
+            self.runs.clear()
+        if self.back_at_ms is not None:
+            if now_ms < self.back_at_ms:
+                return
+            self.back_at_ms = None
+            self.crash(now_ms)
         for task, run in list(self.runs.items()):
             if now_ms >= self.lease_end_ms:
                 self.end(task, 'lapsed')
@@ -210,6 +228,9 @@
         old = self.guard.check_term(order.term)
         if old is not None:
             return old
+        is_down = self.back_at_ms is not None
+        if is_down and not isinstance(order, Look):
+            return Unanswered('no answer')
         match order:
             case Look():
                 return self._poll(order, now_ms)
@@ -246,7 +267,8 @@
 
     def _poll(self, order: Look, now_ms: int) -> Report:
         worker = self.guard.worker_id()
-        if worker is not None and order.call_worker and not self.is_gone:
+        is_reached = not self.is_gone and self.back_at_ms is None
+        if worker is not None and order.call_worker and is_reached:
             if order.worker == worker:
                 self.ended = [e for e in self.ended if e.number > order.seen]
                 end_ms = self.guard.lease_end(order.basis, now_ms)
@@ -267,7 +289,7 @@
         return Report(
             LeaseReference(7, now_ms),
             self.guard.worker,
-            worker is not None and order.call_worker and not self.is_gone,
+            worker is not None and order.call_worker and is_reached,
             running,
             ended,
             self.guard.closed_below_ms,
@@ -307,6 +329,10 @@
         )
         self.runs[order.task] = run
         self.starts.append((now_ms, order.task, order.run))
+        if order.task in self.deadly and self.crashes_at_ms is None:
+            self.crashes_at_ms = now_ms + CRASH_AFTER_MS
+        if self.lose_answers:
+            return Unanswered('no answer')
         return Started()
 
 
