Give up a task under which two workers have crashed

Callers saw nothing, but one task crashed up to eight workers, with all that ran on them. Cause: only ends that a worker lists as failed count as attempts, and a worker that has crashed lists nothing, so the task was started again without end.

A crash now counts for each run that the worker had just started and that was not seen at work since. The count is in the job's record, so that it outlasts the planner. The job starts next where no other job has a new run, so that a second crash in a row is due to it; then it is shown as failed. A run that is listed 1 s after its start, or that has ended, clears its task. Workers that leave or are silent count nothing.

Tests for a capacity that shrinks and grows pass without a change.

--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -5,12 +5,14 @@
 
 from tests.batch_fleet import (
     DEFERRABLE,
+    TICK_MS,
     URGENT,
     Fleet,
     make_fleet,
     make_job,
     make_step,
 )
+from yuccarelay.core.batch.crashes import SURVIVED_MS
 from yuccarelay.core.batch.models import Job
 
 # After three workers have crashed under a task it may be started twice more.
@@ -89,6 +91,72 @@
         self.assert_given_up(fleet.run(LONG_MS), job)
 
 
+class ProbationTest(CrashCase):
+    """Guards against a crash that takes other work with it, or is put on it."""
+
+    def crash_once(self, fleet: Fleet, job: Job) -> None:
+        """Let the workers of a job crash right after its start, and start it again."""
+        self.run_until_starts(fleet, job, 1)
+        for worker in fleet.workers.values():
+            if any(task.startswith(job.id) for task in worker.runs):
+                worker.crashes_at_ms = fleet.now_ms
+        self.run_until_starts(fleet, job, 2)
+
+    def run_until_starts(self, fleet: Fleet, job: Job, count: int) -> None:
+        """Run until a job has been started so often."""
+        for _ in range(100):
+            if len(self.list_starts(fleet, job)) >= count:
+                return
+            fleet.run(TICK_MS)
+        self.fail(f'{job.id} was not started {count} times')
+
+    def list_starts(self, fleet: Fleet, job: Job) -> list[tuple[int, str]]:
+        """Return the times of a job's starts and their workers."""
+        return sorted(
+            (at, worker.name)
+            for worker in fleet.workers.values()
+            for at, task, _ in worker.starts
+            if task.startswith(job.id)
+        )
+
+    def test_it_starts_again_where_nothing_else_runs(self):
+        fleet = make_fleet(3, run_ms=20_000)
+        fleet.submit(make_job(make_step(2, 3, per_worker=1)))
+        fleet.run(2_000)
+        job = fleet.submit(make_job())
+        self.crash_once(fleet, job)
+        _, name = self.list_starts(fleet, job)[-1]
+        self.assertEqual(len(fleet.workers[f'agent-{name}'].runs), 1)
+
+    def test_other_work_waits_until_it_has_survived(self):
+        fleet = make_fleet(1, run_ms=4_000)
+        job = fleet.submit(make_job())
+        self.crash_once(fleet, job)
+        other = fleet.submit(make_job())
+        fleet.run(6_000)
+        again_ms = self.list_starts(fleet, job)[-1][0]
+        self.assertGreaterEqual(
+            self.list_starts(fleet, other)[0][0], again_ms + SURVIVED_MS
+        )
+        self.assertLess(self.list_starts(fleet, other)[0][0], again_ms + 3_000)
+
+    def test_guaranteed_work_does_not_wait(self):
+        fleet = make_fleet(1, run_ms=4_000)
+        job = fleet.submit(make_job())
+        self.crash_once(fleet, job)
+        urgent = fleet.submit(make_job(queue=URGENT))
+        fleet.run(300)
+        self.assertEqual(len(self.list_starts(fleet, urgent)), 1)
+
+    def test_a_job_that_was_done_is_no_longer_suspected(self):
+        fleet = make_fleet(2, run_ms=300)
+        job = fleet.submit(make_job(make_step(1), make_step(1, after=(0,))))
+        self.crash_once(fleet, job)
+        fleet.run(8_000)
+        self.assertEqual(fleet.state(job), 'completed')
+        self.assertEqual(fleet.planner.planner_state.suspects, set())
+
+
 class SoundTaskTest(CrashCase):
     """Guards against sound work that is given up for the crash of a worker."""
 
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -449,6 +449,49 @@
         self.assertEqual(len(draining_worker.starts), 1)
 
 
+class CapacityTest(unittest.TestCase):
+    """Guards against starts beyond a capacity that has changed while a worker runs."""
+
+    def test_a_smaller_capacity_takes_no_more_work(self):
+        fleet = make_fleet(1, run_ms=3_000)
+        worker = fleet.workers['agent-w0']
+        fleet.submit(make_job(make_step(2, 2)))
+        fleet.run(300)
+        worker.capacity = worker.capacity._replace(accelerators=5)
+        fleet.run(300)
+        job = fleet.submit(make_job(make_step(2, 1)))
+        fleet.run(1_000)
+        self.assertEqual(len(fleet.starts(job)), 1)
+
+    def test_what_is_being_stopped_still_counts(self):
+        fleet = make_fleet(1, run_ms=30_000)
+        worker = fleet.workers['agent-w0']
+        first = fleet.submit(make_job(make_step(1, 4)))
+        fleet.run(300)
+        worker.capacity = worker.capacity._replace(accelerators=4)
+        worker.lose_stops = 1
+        fleet.run(300)
+        fleet.cancel(first)
+        job = fleet.submit(make_job(make_step(1, 4)))
+        fleet.run(500)
+        self.assertEqual(fleet.starts(job), [])
+        fleet.run(3_000)
+        self.assertEqual(len(fleet.starts(job)), 1)
+
+    def test_a_capacity_that_has_grown_again_is_used(self):
+        fleet = make_fleet(1, run_ms=3_000)
+        worker = fleet.workers['agent-w0']
+        whole = worker.capacity
+        worker.capacity = whole._replace(accelerators=2)
+        fleet.run(300)
+        job = fleet.submit(make_job(make_step(1, 8)))
+        fleet.run(1_000)
+        self.assertEqual(fleet.starts(job), [])
+        worker.capacity = whole
+        fleet.run(3_000)
+        self.assertEqual(len(fleet.starts(job)), 1)
+
+
 class ReleaseTest(unittest.TestCase):
     """Guards against work placed on workers that a rolling release drains next."""
 
--- /dev/null
+++ b/yuccarelay/core/batch/crashes.py
@@ -0,0 +1,134 @@
+"""
+Finds the tasks that crash the workers that start them.
+
+A worker that has crashed lists no ends, so such a task would be started again without
+end. Each run that was started shortly before its worker crashed, and was not seen at
+work since, counts the crash. One of them may be to blame, or none: so the job starts
+next on workers where no other job's runs are as new. A second crash in a row is then
+due to the job, and it is given up. A run that is seen at work clears its task.
+"""
+
+from yuccarelay.core.batch.entities import JobPlan, Run, Unit, WorkerView
+from yuccarelay.core.batch.models import JobState, TaskId
+from yuccarelay.core.batch.planner_state import PlannerState
+from yuccarelay.core.batch.unit_placement import Candidate
+
+# Workers that crash under a task before its job is given up.
+CRASHES_LIMIT = 2
+# A run that is listed this long after its start has not crashed its worker.
+SURVIVED_MS = 1_000
+# A crash is noticed when the worker is back, some seconds after the start. Work that
+# was assigned earlier had survived its start, even if another planner saw it.
+START_WINDOW_MS = 10_000
+
+
+def count_crash(planner_state: PlannerState, view: WorkerView, run: Run) -> None:
+    """Count the crash of a worker for a run that it had just started."""
+    plan = planner_state.plans[run.task.job]
+    record = plan.task(run.task)
+    age_ms = planner_state.now.wall_ms - record.assigned_at_ms
+    has_left = view.id is None or view.has_drained
+    if has_left or run.has_survived or age_ms > START_WINDOW_MS or plan.ended:
+        return
+    crashes = record.crashes + 1
+    plan.put(run.task, record._replace(crashes=crashes))
+    planner_state.changed.add(plan.job.id)
+    planner_state.suspects.add(plan.job.id)
+    planner_state.note(
+        'crash_counted',
+        task=run.task,
+        run=run.number,
+        worker=run.worker.name,
+        crashes=crashes,
+        limit=CRASHES_LIMIT,
+    )
+    if crashes >= CRASHES_LIMIT:
+        planner_state.end_job(plan, JobState.FAILED)
+
+
+def note_survival(planner_state: PlannerState, plan: JobPlan, run: Run) -> None:
+    """Clear a task whose run is listed by its worker some time after its start."""
+    if run.has_survived or not run.started_ms:
+        return
+    if planner_state.now.ms < run.started_ms + SURVIVED_MS:
+        return
+    run.has_survived = True
+    planner_state.dirty = True
+    clear_crashes(planner_state, plan, run.task)
+
+
+def clear_crashes(planner_state: PlannerState, plan: JobPlan, task: TaskId) -> None:
+    """Clear a task that has run on a worker which did not crash."""
+    record = plan.task(task)
+    if record.crashes:
+        plan.put(task, record._replace(crashes=0))
+        planner_state.changed.add(plan.job.id)
+        if not any(task.crashes for task in plan.tasks.values()):
+            planner_state.suspects.discard(plan.job.id)
+
+
+def has_crashed_worker(plan: JobPlan, unit: Unit) -> bool:
+    """Whether a worker has crashed under a task of a unit, and none survived since."""
+    return any(plan.task(task).crashes for task in unit.tasks)
+
+
+def find_probations(planner_state: PlannerState) -> dict[str, set[str]]:
+    """
+    Return the workers with runs on probation, and the jobs of these.
+
+    They are those of tasks that may have crashed a worker, until they have survived.
+    """
+    found: dict[str, set[str]] = {}
+    for job in planner_state.suspects:
+        plan = planner_state.plans[job]
+        for run in plan.runs.values():
+            if plan.task(run.task).crashes and not run.has_survived:
+                found.setdefault(run.worker.agent, set()).add(job)
+    return found
+
+
+def keep_apart(
+    planner_state: PlannerState,
+    unit: Unit,
+    entitled: bool,
+    candidates: list[Candidate],
+) -> list[Candidate]:
+    """
+    Return the workers on which it would show to which job a crash is due.
+
+    A job on probation starts where no other job has a new run. Other work avoids such
+    a worker until then, except for guaranteed work, which may not wait.
+    """
+    if not planner_state.suspects:
+        return candidates
+    if has_crashed_worker(planner_state.plans[unit.job], unit):
+        return [
+            candidate
+            for candidate in candidates
+            if all(
+                run.task.job == unit.job or run.has_survived
+                for run in planner_state.workers[candidate.agent].runs.values()
+            )
+        ]
+    if entitled:
+        return candidates
+    probations = find_probations(planner_state)
+    return [
+        candidate
+        for candidate in candidates
+        if not probations.get(candidate.agent, set()) - {unit.job}
+    ]
+
+
+def list_unshared(
+    planner_state: PlannerState, unit: Unit, candidates: list[Candidate]
+) -> list[Candidate]:
+    """Return the workers on which no other job runs that a crash would harm."""
+    return [
+        candidate
+        for candidate in candidates
+        if all(
+            run.task.job == unit.job
+            for run in planner_state.workers[candidate.agent].runs.values()
+        )
+    ]
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -61,8 +61,9 @@
     as running, and `start_repeated` that a lost start may still be carried out.
     A stop that has not been answered is sent again at `stop_due_ms`; `stop_reason` is
     why the run was stopped, empty while it was not.
-    `seen_running_ms` is when a report last listed it as running, 0 if none has, and
-    `lost_with_worker` is set once its worker is known to have ended under it.
+    `seen_running_ms` is when a report last listed it as running, 0 if none has;
+    `has_survived` is set if that was some time after the start. `lost_with_worker` is
+    set once its worker is known to have ended under it.
     `recent_metric` is the worker's metric over the last half second. `pace` is the
     ordered speed in percent of full speed, None while it is not known.
     """
@@ -83,6 +84,7 @@
     stop_reason: str = ''
     listed: bool = False
     seen_running_ms: int = 0
+    has_survived: bool = False
     lost_with_worker: bool = False
     start_repeated: bool = False
     recent_metric: float = 0
@@ -225,6 +227,7 @@
     of the last ended run that is recorded, and `acknowledged_end` the last one
     acknowledged to the worker. `ends` maps the numbers of listed ended runs to the job
     and the version of its record that must be saved before they are acknowledged.
+    `has_drained` is whether the incarnation before this one was draining when it ended.
     `suspect_until_ms` follows a failed run, because the worker may be the cause, and
     `proven_until_ms` one that made progress or was done.
     `poll` is the poll that has not been answered yet, and `changes` the agent's count
@@ -242,6 +245,7 @@
     read_ms: int = 0
     read_started_ms: int = 0
     drain_deadline_ms: int = 0
+    has_drained: bool = False
     poll_sent_ms: int = 0
     poll: Look | None = None
     changes: int | None = None
--- a/yuccarelay/core/batch/models.py
+++ b/yuccarelay/core/batch/models.py
@@ -171,7 +171,8 @@
     Recorded state of one task; `run` is the number of its latest start.
 
     `assigned_at_ms` is the time of day of its latest assignment, from which a new
-    planner computes how much work a stop would lose.
+    planner computes how much work a stop would lose. `crashes` counts the workers that
+    crashed in a row right after they had started the task.
     """
 
     stage: TaskStage = TaskStage.WAITING
@@ -180,6 +181,7 @@
     worker: WorkerId | None = None
     checkpoint: str = ''
     assigned_at_ms: int = 0
+    crashes: int = 0
 
 
 class JobRecord(NamedTuple):
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -176,6 +176,8 @@
         self.planner_state.plans[job.id] = plan
         if record is not None:
             plan.load(record)
+            if not plan.ended and any(task.crashes for task in plan.tasks.values()):
+                self.planner_state.suspects.add(job.id)
             self._restore_runs(plan)
         self.planner_state.dirty = True
         self.planner_state.note(
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -45,6 +45,9 @@
 # The lists read after a stop show whether the run has ended; its resources are held
 # until then. A stop takes up to 0.9 s.
 SETTLE_WAIT_MS = 100
+# While a run may crash its worker, other work avoids that worker, so that it should be
+# known soon that the run has survived its start.
+PROBATION_WAIT_MS = 500
 # For an idle worker the agent answers from heartbeats, without calling the worker.
 IDLE_WAIT_MS = 1_500
 # A unit whose start failed is tried again after this time.
@@ -69,6 +72,8 @@
         """Discard the state that belongs to a term."""
         self.term = 0
         self.plans: dict[str, JobPlan] = {}
+        # Jobs under which a worker has crashed, until their tasks survive a start.
+        self.suspects: set[str] = set()
         self.workers: dict[str, WorkerView] = {}
         self.reserved: dict[tuple, Reservation] = {}
         self.releases = Releases()
@@ -131,6 +136,11 @@
             wait_ms = min(wait_ms, STOP_RETRY_MS)
         if RunStage.STOPPED in stages:
             wait_ms = min(wait_ms, SETTLE_WAIT_MS)
+        if self.suspects and any(
+            run.task.job in self.suspects and not run.has_survived
+            for run in view.runs.values()
+        ):
+            wait_ms = min(wait_ms, PROBATION_WAIT_MS)
         if self.list_interfering(view)[1]:
             wait_ms = min(wait_ms, INTERFERENCE_WAIT_MS)
         order = Look(
@@ -214,6 +224,7 @@
     def end_job(self, plan: JobPlan, state: JobState) -> None:
         """Record the end of a job and stop its runs."""
         plan.state = state
+        self.suspects.discard(plan.job.id)
         plan.ended_at_ms = self.now.wall_ms
         plan.version += 1
         self.changed.add(plan.job.id)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -7,6 +7,11 @@
 
 from dataclasses import replace
 
+from yuccarelay.core.batch.crashes import (
+    clear_crashes,
+    count_crash,
+    note_survival,
+)
 from yuccarelay.core.batch.entities import JobPlan, Run, RunStage, WorkerView
 from yuccarelay.core.batch.events import OrderAnswered
 from yuccarelay.core.batch.models import (
@@ -94,6 +99,8 @@
                 before=view.id.name if view.id else None,
             )
             view.id = worker
+            if view.info is not None:
+                view.has_drained = was_draining
             view.seen, view.acknowledged_end, view.ends, view.orphaned_runs = (
                 0,
                 0,
@@ -132,6 +139,7 @@
             if not run.lost_with_worker and run.stage is not RunStage.RECORDING:
                 run.lost_with_worker = True
                 self._note_loss(view, run)
+                count_crash(planner_state, view, run)
             if run.stage is RunStage.RECORDING or (
                 run.listed and not run.start_repeated
             ):
@@ -205,6 +213,8 @@
         if end.checkpoint > run.checkpoint:
             run.checkpoint, run.saved_ms = end.checkpoint, planner_state.now.ms
         run.move(RunStage.STOPPED, planner_state.now.ms)
+        if end.end in (End.DONE, End.FAILED):
+            clear_crashes(planner_state, plan, run.task)
         match end.end:
             case End.DONE:
                 self._learn_duration(plan, run)
@@ -332,6 +342,7 @@
                 )
                 if plan.task(task).stage is not TaskStage.ASSIGNED or plan.ended:
                     planner_state.stop_run(run, 'not_wanted')
+            note_survival(planner_state, plan, run)
         self._record_checkpoints(view)
         for run in list(view.runs.values()):
             if run.task not in listed and run.worker == view.id:
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -2,6 +2,11 @@
 
 from yuccarelay.core.batch.advice import StepAdvice
 from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
+from yuccarelay.core.batch.crashes import (
+    has_crashed_worker,
+    keep_apart,
+    list_unshared,
+)
 from yuccarelay.core.batch.entities import Reservation
 from yuccarelay.core.batch.events import QueryAdvice
 from yuccarelay.core.batch.eviction import evict_for
@@ -88,7 +93,12 @@
             for candidate in candidates
             if candidate.agent in reservation.placement
         ]
-    placement = place_tasks(step, count, candidates, entry.spread)
+    placement = None
+    if has_crashed_worker(entry.plan, entry.unit):
+        unshared = list_unshared(planner_state, entry.unit, candidates)
+        placement = place_tasks(step, count, unshared, entry.spread)
+    if placement is None:
+        placement = place_tasks(step, count, candidates, entry.spread)
     if waits_for_release(planner_state, entry, candidates, placement):
         return False
     if placement is not None:
@@ -110,7 +120,12 @@
     planner_state: PlannerState, snapshot: CapacitySnapshot, entry: WaitingUnit
 ) -> list[Candidate]:
     """Return the workers that may take a unit and are approved if need be."""
-    candidates = snapshot.list_candidates(entry.unit, entry.queue)
+    candidates = keep_apart(
+        planner_state,
+        entry.unit,
+        entry.entitled,
+        snapshot.list_candidates(entry.unit, entry.queue),
+    )
     if entry.queue.advice is None:
         return candidates
     return filter_approved(planner_state, entry, candidates)
