Pass over agents and entries without a usable address

Reported by other operators: an odd entry among those of the workers. An entry of the store for an agent was accepted with any text as its address, such as port 99999, an empty host or 100,000 characters; the planner polled it without end. The two tests of OddEntryTest failed before. Deep nesting, oversized numbers and bytes that are no text ended no process before either; a test of processes now shows it for entries of agents, entries, jobs and records, across an election.

--- a/tests/test_batch_configuration.py
+++ b/tests/test_batch_configuration.py
@@ -123,10 +123,10 @@
 
     def setUp(self):
         links = (
-            EntryLink('far-fast', '1', 'north', 65, 100),
-            EntryLink('far-slow', '2', 'north', 66, 5),
-            EntryLink('near-fast', '3', 'south', 5, 100),
-            EntryLink('near-slow', '4', 'south', 9, 5),
+            EntryLink('far-fast', '10.2.0.1:7000', 'north', 65, 100),
+            EntryLink('far-slow', '10.2.0.2:7000', 'north', 66, 5),
+            EntryLink('near-fast', '10.1.0.1:7000', 'south', 5, 100),
+            EntryLink('near-slow', '10.1.0.2:7000', 'south', 9, 5),
         )
         self.links = {link.node: link for link in links}
 
--- a/tests/test_host_processes.py
+++ b/tests/test_host_processes.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tests.host_system import HostCase, is_hangup_handled
+from yuccarelay.adapters import batch_records
 
 JOB = '5c0e7a21d94b36f8'
 OTHER = 'a' * 16
@@ -49,6 +50,30 @@
         for process in self.processes.values():
             self.assertIsNone(process.returncode)
 
+    async def test_odd_entries_in_the_store_end_no_process(self):
+        # Another writer's entries for a worker's agent, an entry and a job.
+        for number, address in enumerate(
+            (b'127.0.0.1:99999 7', b' 7', b'[ 7', b'x' * 100_000, b'\xff\x00 7')
+        ):
+            for folder in (batch_records.AGENTS, batch_records.ENTRIES):
+                self.store.write(f'{folder}odd-{number}', address)
+        nested = b'[' * 100_000 + b']' * 100_000
+        for folder in (batch_records.JOBS, batch_records.RECORDS):
+            self.store.write(f'{folder}{OTHER}', nested)
+        self.assertEqual(await self.submit(JOB, {'count': 2, 'gpu': 1}), 200)
+        await self.await_state(JOB, 'completed')
+        await self.kill(self.planner_node())
+        survivor = next(
+            node
+            for node in self.front_addresses
+            if self.processes[node].returncode is None
+        )
+        job = 'b' * 16
+        self.assertEqual(await self.submit(job, {'count': 1}, node=survivor), 200)
+        await self.await_state(job, 'completed', survivor)
+        running = [one for one in self.processes.values() if one.returncode is None]
+        self.assertEqual(len(running), 3)
+
     async def test_sighup_ends_no_process(self):
         for process in self.processes.values():
             process.send_signal(signal.SIGHUP)
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -15,6 +15,7 @@
 from yuccarelay.adapters import batch_codec, batch_records
 from yuccarelay.adapters.http_connection import HttpResponse
 from yuccarelay.core.batch.agent import WorkerGuard
+from yuccarelay.core.batch.configuration_feed import EntryLink, list_sources
 from yuccarelay.core.batch.events import Configured, OrderAnswered, StepDown
 from yuccarelay.core.batch.leases import make_leases
 from yuccarelay.core.batch.models import (
@@ -116,6 +117,44 @@
             self.assertIn('must not have more than 100000 tasks', found)
 
 
+class OddEntryTest(unittest.TestCase):
+    """Guards against an odd entry among those of the processes in the store."""
+
+    ODD_ADDRESSES = (
+        b'',
+        b':7000',
+        b'10.1.0.1',
+        b'10.1.0.1:',
+        b'10.1.0.1:0',
+        b'10.1.0.1:99999',
+        b'10.1.0.1:-1',
+        b'10.1.0.1:7000:7001',
+        '10.1.0.1:٣'.encode(),
+        b'[::1:7000',
+        b'10.1.0.1\x00:7000',
+        b'\xff\xfe:7000',
+        b'x' * 100_000 + b':7000',
+        DEEP,
+    )
+
+    def test_an_agent_without_a_usable_address_is_an_error(self):
+        for address in self.ODD_ADDRESSES:
+            found = batch_records.decode_agent(address + b' 7')
+            self.assertTrue(found.is_err(), address[:40])
+            self.assertLess(len(found.unwrap_err()), 200)
+        self.assertTrue(batch_records.decode_agent(b'10.1.0.1:7000 7').is_ok())
+        for number in (b'', b'-1', b'1.5', b'x', LONG_NUMBER.encode()):
+            found = batch_records.decode_agent(b'10.1.0.1:7000 ' + number)
+            self.assertTrue(found.is_err(), number[:40])
+
+    def test_an_entry_without_a_usable_address_is_not_followed(self):
+        own = EntryLink('own', '10.1.0.1:7000', round_trip_ms=10_000_000)
+        for address in self.ODD_ADDRESSES:
+            link = batch_records.decode_entry('odd', address + b' south 4 5')
+            sources = list_sources(own, {'odd': link})
+            self.assertEqual(sources.before + sources.after, (), address[:40])
+
+
 class WorkerListsTest(unittest.TestCase):
     """Guards against rows of a worker that no later message can carry."""
 
--- a/yuccarelay/adapters/batch_records.py
+++ b/yuccarelay/adapters/batch_records.py
@@ -22,6 +22,8 @@
 RECORD_DECODER = msgspec.json.Decoder(JobRecord)
 # Occurrence, step and index of a task.
 TASK_KEY = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}')
+ADDRESS = re.compile(r'[A-Za-z0-9._-]{1,253}:[0-9]{1,5}')
+LARGEST_PORT = 65_535
 INCARNATION = re.compile(r'[0-9]{1,15}')
 ROUND_TRIP = re.compile(r'[0-9]{1,6}')
 BANDWIDTH = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
@@ -51,11 +53,20 @@
 def decode_agent(data: bytes) -> Result[AgentAddress, str]:
     """Decode the address and the incarnation of an agent."""
     address, _, incarnation = data.decode(errors='replace').partition(' ')
+    if not is_address(address):
+        return Err(f'no host and port in {address[:60]!r}')
     if not INCARNATION.fullmatch(incarnation):
         return Err(f'no incarnation in {address[:60]!r}')
     return Ok(AgentAddress(address, int(incarnation)))
 
 
+def is_address(text: str) -> bool:
+    """Whether a text is a host and a port, for example `10.1.0.1:7000`."""
+    if not ADDRESS.fullmatch(text):
+        return False
+    return 1 <= int(text.rpartition(':')[2]) <= LARGEST_PORT
+
+
 def encode_entry(link: EntryLink) -> bytes:
     """Return the address, the region, the round trip and the bandwidth of an entry."""
     fields = (link.address, link.region, link.round_trip_ms, link.link_mbps)
@@ -66,9 +77,12 @@
     """
     Decode how an entry is connected.
 
-    What cannot be read counts as unknown: such an entry ranks behind the others.
+    What cannot be read counts as unknown: such an entry ranks behind the others, and
+    one without a usable address is not called.
     """
     address, *fields = data.decode(errors='replace').split(' ')
+    if not is_address(address):
+        address = ''
     match fields:
         case [region, round_trip_ms, link_mbps] if ROUND_TRIP.fullmatch(
             round_trip_ms
