--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -91,6 +91,7 @@
     pace: int | None = FULL_PERCENT
     pace_sent_ms: int = 0
     slow_multiple: int = 0
+    gang_multiple: int = 0
 
     def move(self, stage: RunStage, now_ms: int) -> None:
         """Change the stage and note when it began."""
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -264,6 +264,8 @@
         plan.state = JobState.RUNNING
         plan.ready_ms.pop((unit.occurrence, unit.step), None)
         self.changed.add(plan.job.id)
+        estimated_ms = plan.job.steps[unit.step].estimated_ms
+        racks = {self.workers[agent].rack() for agent in placement}
         self.note(
             'run_assigned',
             job=plan.job.id,
@@ -273,6 +275,8 @@
             tasks=len(unit.tasks),
             run=number,
             workers=','.join(placement),
+            racks=len(racks),
+            estimate_ms=int(self.durations.estimate_ms(plan.job.queue, estimated_ms)),
             waited_ms=self.now.ms - plan.accepted_ms,
         )
 
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -14,6 +14,8 @@
 DRAIN_MARGIN_MS = 1_300
 # A run that takes this multiple of its estimate is logged as slow.
 SLOW_MULTIPLE = 2
+# A gang's progress is logged once it has run for its estimate, and with each doubling.
+GANG_MULTIPLE = 1
 # Interval of the log line with the planner's state; a shorter one would fill the log.
 STATE_PERIOD_MS = 10_000
 # Records of ended jobs are retained for longer than callers may query them (120 s).
@@ -38,6 +40,7 @@
     avoid_slow_workers(planner_state)
     note_state(planner_state)
     for plan in list(planner_state.plans.values()):
+        log_gangs(planner_state, plan)
         for run in list(plan.runs.values()):
             is_due = planner_state.now.ms >= run.stop_due_ms
             if run.stage is RunStage.STOPPING and is_due:
@@ -91,6 +94,45 @@
     )
 
 
+def log_gangs(planner_state: PlannerState, plan: JobPlan) -> None:
+    """
+    Log how far the members of a gang are, once it has run for its estimate.
+
+    Members that are equally far show a long task, one that is behind shows a slow
+    worker, and one whose progress is old shows a stalled one.
+    """
+    gangs: dict[tuple[int, int], list[Run]] = {}
+    for run in plan.runs.values():
+        if run.stage is RunStage.RUNNING and plan.step(run.task).gang:
+            gangs.setdefault(run.task[1:3], []).append(run)
+    now_ms = planner_state.now.ms
+    for (occurrence, step), members in gangs.items():
+        last = min(members, key=lambda run: (run.percent, run.percent_since_ms))
+        ran_ms = now_ms - last.started_ms
+        estimate_ms = planner_state.estimate_ms(last)
+        multiple = int(ran_ms / max(1.0, estimate_ms))
+        if multiple < max(GANG_MULTIPLE, 2 * last.gang_multiple):
+            continue
+        for run in members:
+            run.gang_multiple = multiple
+        racks = {planner_state.workers[run.worker.agent].rack() for run in members}
+        planner_state.note(
+            'gang_progress',
+            job=plan.job.id,
+            occurrence=occurrence,
+            step=step,
+            run=last.number,
+            members=len(members),
+            racks=len(racks),
+            ran_ms=ran_ms,
+            estimate_ms=int(estimate_ms),
+            percent=last.percent,
+            percent_age_ms=now_ms - last.percent_since_ms,
+            most_percent=max(run.percent for run in members),
+            worker=last.worker.name,
+        )
+
+
 def avoid_slow_workers(planner_state: PlannerState) -> None:
     """Avoid workers that are much slower than others when placing work."""
     found = find_slow_workers(
