Move the watches of other entries out of the configuration's task

EntryWatches answers them now, and when a source is asked again is decided in core. A request that is refused with NotReady is always logged; configuration_overdue_ms is 0 until the first confirmation instead of the age of the machine.

--- a/tests/test_batch_configuration.py
+++ b/tests/test_batch_configuration.py
@@ -31,8 +31,8 @@
     ConfigurationConfirmed,
     ConfigurationTask,
     ConfirmationWanted,
-    PeerAsked,
 )
+from yuccarelay.tasks.batch.entry_watches import PeerAsked
 from yuccarelay.tasks.batch.replica import WATCH_OVERDUE_MS, EntryLinkChanged
 from yuccarelay.tasks.mailbox import Mailbox
 
@@ -402,7 +402,7 @@
         found = await self.read(self.ask(task, WatchConfiguration(3, waits=False)))
         self.assertEqual(found, ConfigurationVersion(3, 0))
         self.assertTrue(task.wanted.is_set())
-        self.assertEqual(task.waiting, [])
+        self.assertEqual(task.watches.waiting, [])
 
     async def test_a_wanted_confirmation_gives_a_silent_entry_up(self):
         class SilentEntries(ScriptedEntries):
--- a/yuccarelay/core/batch/configuration_feed.py
+++ b/yuccarelay/core/batch/configuration_feed.py
@@ -19,6 +19,11 @@
 # Versions from which a change can be sent; entries that are further behind receive the
 # whole configuration.
 HISTORY_VERSIONS = 8
+# An entry that does not know whether its version is the newest is asked again after
+# this time. One that did not answer is tried again after a pause that doubles.
+DOUBTFUL_PAUSE_MS = 300
+SILENT_PAUSE_MS = 1_000
+SILENT_PAUSE_LIMIT_MS = 16_000
 
 
 class EntryLink(NamedTuple):
@@ -140,6 +145,22 @@
     )
 
 
+class SourcePause:
+    """When an entry that did not confirm its version is asked again."""
+
+    def __init__(self):
+        self.pause_ms = SILENT_PAUSE_MS
+        self.retry_at_ms = 0
+
+    def extend(self, now_ms: int, is_silent: bool) -> None:
+        """Pause, after each missing answer for twice as long."""
+        if not is_silent:
+            self.retry_at_ms = now_ms + DOUBTFUL_PAUSE_MS
+            return
+        self.retry_at_ms = now_ms + self.pause_ms
+        self.pause_ms = min(2 * self.pause_ms, SILENT_PAUSE_LIMIT_MS)
+
+
 def find_change(base: Configuration, newest: Configuration) -> ConfigurationChange:
     """Return what differs between two versions with unique names of queues."""
     before, now = set(base.queues), set(newest.queues)
--- a/yuccarelay/tasks/batch/configuration.py
+++ b/yuccarelay/tasks/batch/configuration.py
@@ -18,6 +18,7 @@
     ConfigurationVersion,
     EntryLink,
     ReadConfiguration,
+    SourcePause,
     WatchConfiguration,
     list_sources,
 )
@@ -31,6 +32,7 @@
     StoredValue,
     StoreFailure,
 )
+from yuccarelay.tasks.batch.entry_watches import EntryWatches, PeerAsked
 from yuccarelay.tasks.batch.peers import PeerSockets
 from yuccarelay.tasks.batch.replica import (
     WATCH_OVERDUE_MS,
@@ -40,19 +42,12 @@
 from yuccarelay.tasks.failures import write_failure
 from yuccarelay.tasks.mailbox import Mailbox
 
-# The entry that is followed answers when its own watch does, at least every second.
+# The entry that is followed answers when its own watch does, at least every second, and
+# without a wait after 0.3 s.
 ENTRY_WATCH_LIMIT_MS = WATCH_WAIT_MS + 600
-# An entry that does not know whether its version is the newest says so before the
-# others give it up.
-ENTRY_HOLD_MS = 300
 ENTRY_ANSWER_LIMIT_MS = 600
 # The whole configuration of 4,200 queues is 110 kB in this form, 0.2 s of 5 Mbit/s.
 ENTRY_READ_LIMIT_MS = 5_000
-# An entry that does not know is asked again after this time. One that did not answer
-# is tried again after a pause that doubles.
-DOUBTFUL_PAUSE_MS = 300
-SILENT_PAUSE_MS = 1_000
-SILENT_PAUSE_LIMIT_MS = 16_000
 # Entries tried one after the other before a pause.
 SOURCES_LIMIT = 2
 # With each entry that ranks before it an entry waits longer before it reads the store,
@@ -74,14 +69,6 @@
     """Request handler to configuration: find out at once whether there is a newer."""
 
 
-@dataclass(frozen=True, slots=True)
-class PeerAsked:
-    """Relay to configuration: answer another entry; `reply_to` gets the message."""
-
-    query: ConfigurationQuery
-    reply_to: asyncio.Future
-
-
 @dataclass(frozen=True, slots=True)
 class ConfigurationConfirmed:
     """Configuration to request handler: its version is the newest until then."""
@@ -89,22 +76,6 @@
     fresh_until_ms: int
 
 
-class SourcePause:
-    """When an entry that did not confirm its version is asked again."""
-
-    def __init__(self):
-        self.pause_ms = SILENT_PAUSE_MS
-        self.retry_at_ms = 0
-
-    def extend(self, now_ms: int, is_silent: bool) -> None:
-        """Pause, after each missing answer for twice as long."""
-        if not is_silent:
-            self.retry_at_ms = now_ms + DOUBTFUL_PAUSE_MS
-            return
-        self.retry_at_ms = now_ms + self.pause_ms
-        self.pause_ms = min(2 * self.pause_ms, SILENT_PAUSE_LIMIT_MS)
-
-
 class ConfigurationTask:
     """Owns the known versions of the configuration, and sockets to other entries."""
 
@@ -140,8 +111,7 @@
         self.store_fresh_until_ms = 0
         self.via: tuple[str, ...] = ()
         self.wanted = asyncio.Event()
-        self.waiting: list[PeerAsked] = []
-        self.encoded: dict[tuple[int, int], bytes] = {}
+        self.watches = EntryWatches(self._describe_version)
         self.revision = 0
         self.revision_seen_ms = 0
 
@@ -182,25 +152,12 @@
                 self.pauses.pop(node, None)
             case ConfirmationWanted():
                 self.wanted.set()
-            case PeerAsked(ReadConfiguration(known), reply_to):
-                if not reply_to.done():
-                    reply_to.set_result(self._encode_newer(known))
-            case PeerAsked(WatchConfiguration(known, waits)):
-                self._hold(message, known, waits)
-
-    def _hold(self, asked: PeerAsked, known: int, waits: bool) -> None:
-        """Answer a watch of another entry now, or after a change or confirmation."""
-        self.waiting.append(asked)
-        if self.history.version > known or (self.is_fresh() and not waits):
-            self._answer_waiting()
-            return
-        hold_ms = ENTRY_HOLD_MS
-        if waits:
-            hold_ms += WATCH_WAIT_MS
-        else:
-            self.wanted.set()
-        loop = asyncio.get_running_loop()
-        loop.call_later(hold_ms / 1000, self._answer, asked)
+            case PeerAsked(ReadConfiguration()):
+                self.watches.send_newer(message, self.history)
+            case PeerAsked(WatchConfiguration(waits=waits)):
+                if not waits and not self.is_fresh():
+                    self.wanted.set()
+                self.watches.add(message)
 
     @property
     def fresh_until_ms(self) -> int:
@@ -211,33 +168,12 @@
         """Whether this version is known to be the newest."""
         return self.clock.now_ms() <= self.fresh_until_ms
 
-    def _encode_newer(self, known: int) -> bytes:
-        """Return the message for an entry that has version `known`."""
-        key = (known, self.history.version)
-        if key not in self.encoded:
-            self.encoded = {
-                pair: data for pair, data in self.encoded.items() if pair[1] == key[1]
-            }
-            self.encoded[key] = batch_codec.encode(self.history.find_newer(known))
-        return self.encoded[key]
-
-    def _answer_waiting(self) -> None:
-        """Answer the entries that wait for a newer version or for a confirmation."""
-        for asked in self.waiting.copy():
-            if self.is_fresh() or asked.query.known < self.history.version:
-                self._answer(asked)
-
-    def _answer(self, asked: PeerAsked) -> None:
-        """Answer an entry that waits, unless it was answered before."""
-        if asked in self.waiting:
-            self.waiting.remove(asked)
-        if asked.reply_to.done():
-            return
+    def _describe_version(self) -> ConfigurationVersion:
+        """Return what other entries are told about this version."""
         fresh_for_ms = max(0, self.fresh_until_ms - self.clock.now_ms())
         is_from_store = self.store_fresh_until_ms >= self.entry_fresh_until_ms
         via = () if is_from_store else self.via
-        answer = ConfigurationVersion(self.history.version, fresh_for_ms, via)
-        asked.reply_to.set_result(batch_codec.encode(answer))
+        return ConfigurationVersion(self.history.version, fresh_for_ms, via)
 
     def _list_entries(self) -> list[EntryLink]:
         """Return the entries to ask now."""
@@ -458,7 +394,7 @@
         self.handler.put_nowait(ConfigurationConfirmed(self.fresh_until_ms))
         if self.is_fresh():
             self.wanted.clear()
-        self._answer_waiting()
+        self.watches.answer()
 
     def _note_source(self, source: str, reason: str = '') -> None:
         """Log where the configuration comes from when that changes."""
--- a/yuccarelay/tasks/batch/relay.py
+++ b/yuccarelay/tasks/batch/relay.py
@@ -20,7 +20,8 @@
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.transport import Listener
-from yuccarelay.tasks.batch.configuration import ENTRY_WATCH_LIMIT_MS, PeerAsked
+from yuccarelay.tasks.batch.configuration import ENTRY_WATCH_LIMIT_MS
+from yuccarelay.tasks.batch.entry_watches import PeerAsked
 from yuccarelay.tasks.batch.request_handler import (
     RELAY_LIMIT_MS,
     RETRY_AFTER_S,
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -359,9 +359,14 @@
         configuration that may be too old.
         """
         call = request.call
-        overdue_ms = max(0, received_ms - self.configuration_fresh_until_ms)
-        is_read = call.method == 'GET' and call.path.endswith('/')
-        if not overdue_ms and (is_read or isinstance(outcome, State)):
+        overdue_ms = 0
+        if self.configuration_fresh_until_ms:
+            overdue_ms = max(0, received_ms - self.configuration_fresh_until_ms)
+        is_count = call.method == 'GET' and call.path.endswith('/')
+        is_read = isinstance(outcome, State) or (
+            is_count and not isinstance(outcome, NotReady)
+        )
+        if is_read and not overdue_ms:
             return
         configuration = self.handler.configuration
         organisation = configuration and configuration.find_organisation(call.key)
