--- a/yuccarelay/adapters/batch_codec.py
+++ b/yuccarelay/adapters/batch_codec.py
@@ -27,7 +27,7 @@
 COMPRESS_FROM_BYTES = 8_192
 # The platform's store holds no value above 1 MB, so that no message is near this size.
 UNPACKED_LIMIT_BYTES = 16_000_000
-# The fastest level; higher ones take several times as long for a tenth less.
+# The fastest level, because an entry may have a quarter of a core.
 COMPRESSION_LEVEL = 1
 
 
