Log why work that may start is not placed

After a failure the log of a job just ended: a full fleet, an exclusion of workers, a reservation and a queue that is not known looked the same. unit_waiting names the cause and counts the workers that each rule excludes, after 3 s and at each doubling; run_unsettled shows runs that stay between order and end; planner_state has the number and the age of waiting units.

No decision changes.

--- a/yuccarelay/adapters/metered_journal.py
+++ b/yuccarelay/adapters/metered_journal.py
@@ -14,6 +14,8 @@
     'run_released': 'reason',
     'run_stopping': 'reason',
     'start_declined': 'reason',
+    'unit_waiting': 'cause',
+    'run_unsettled': 'stage',
     'call_relayed': 'outcome',
 }
 # Events with a duration: the metric, and the fields with its class and duration.
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -1,8 +1,9 @@
 """Free resources of the workers during one scheduling pass."""
 
+import enum
 from collections.abc import Iterable
 
-from yuccarelay.core.batch.entities import JobPlan, Reservation, Unit, WorkerView
+from yuccarelay.core.batch.entities import Reservation, Unit, WorkerView
 from yuccarelay.core.batch.models import Queue, Resources, Step
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.unit_placement import (
@@ -14,6 +15,20 @@
 )
 
 
+class Avoidance(enum.Enum):
+    """
+    Why a worker takes no task of a unit.
+
+    FAILING: it was slow, or work of several jobs failed there. FAILED_BEFORE: the step
+    of the unit has failed there. LAST_ATTEMPT: its last run failed, and with one more
+    failure the job fails.
+    """
+
+    FAILING = 'failing'
+    FAILED_BEFORE = 'failed_before'
+    LAST_ATTEMPT = 'last_attempt'
+
+
 class CapacitySnapshot:
     """
     Free resources of the workers that take new work, updated as the pass decides.
@@ -54,15 +69,18 @@
         step = plan.job.steps[unit.step]
         own_reservation = planner_state.reserved.get(tuple(unit))
         failures = max(plan.task(task).failures for task in unit.tasks)
-        # One more failure would end the job.
-        is_last_attempt = 0 < queue.max_attempts - 1 <= failures
+        is_last_attempt = self._is_last_attempt(unit, queue)
         if self.listed_step != (*unit[:3], failures):
             self.listed_step, self.listed = (*unit[:3], failures), {}
         for view in self.open.get(queue.service, ()):
             if view.agent not in self.listed or view.agent in self.changed:
-                avoided = self._is_avoided(plan, unit, view, is_last_attempt)
+                avoidance = self.find_avoidance(unit, queue, view.agent)
                 self.listed[view.agent] = self._make_candidate(
-                    unit, step, view, avoided, self._find_suspicion(view, failures)
+                    unit,
+                    step,
+                    view,
+                    avoidance is not None,
+                    self._find_suspicion(view, failures),
                 )
         self.changed.clear()
         candidates = list(self.listed.values())
@@ -79,21 +97,26 @@
             return [candidate._replace(avoided=False) for candidate in candidates]
         return candidates
 
-    def _is_avoided(
-        self, plan: JobPlan, unit: Unit, view: WorkerView, is_last_attempt: bool
-    ) -> bool:
-        """
-        Whether a worker takes no task of a step.
+    def _is_last_attempt(self, unit: Unit, queue: Queue) -> bool:
+        """Whether one more failure of a unit would end its job."""
+        plan = self.planner_state.plans[unit.job]
+        failures = max(plan.task(task).failures for task in unit.tasks)
+        return 0 < queue.max_attempts - 1 <= failures
 
-        It was slow, failed work of several jobs or of this step. The last attempt of a
-        job does not go to a worker whose last run failed either: with it the job fails.
-        """
+    def find_avoidance(self, unit: Unit, queue: Queue, agent: str) -> Avoidance | None:
+        """Return why a worker takes no task of a unit, or None if it may."""
         now_ms = self.planner_state.now.ms
+        plan, view = (
+            self.planner_state.plans[unit.job],
+            self.planner_state.workers[agent],
+        )
         if now_ms < view.avoid_until_ms:
-            return True
-        if view.agent in plan.failed_on.get(unit[1:3], ()):
-            return True
-        return is_last_attempt and now_ms < view.suspect_until_ms
+            return Avoidance.FAILING
+        if agent in plan.failed_on.get(unit[1:3], ()):
+            return Avoidance.FAILED_BEFORE
+        if now_ms < view.suspect_until_ms and self._is_last_attempt(unit, queue):
+            return Avoidance.LAST_ATTEMPT
+        return None
 
     def _find_suspicion(self, view: WorkerView, failures: int) -> Suspicion:
         """
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -90,6 +90,7 @@
     recent_metric: float = 0
     pace: int | None = FULL_PERCENT
     pace_sent_ms: int = 0
+    unsettled_log_due_ms: int = 0
     slow_multiple: int = 0
     gang_multiple: int = 0
 
@@ -97,6 +98,7 @@
         """Change the stage and note when it began."""
         self.stage = stage
         self.since_ms = now_ms
+        self.unsettled_log_due_ms = 0
 
 
 class Unit(NamedTuple):
@@ -116,6 +118,15 @@
     until_ms: int
 
 
+@dataclass(slots=True)
+class Wait:
+    """The wait of a unit that may start, since `since_ms`, and its next log line."""
+
+    since_ms: int
+    passes: int = 0
+    log_due_ms: int = 0
+
+
 @dataclass(slots=True)
 class JobPlan:
     """
@@ -125,6 +136,7 @@
     store confirmed. `accepted_ms` is on the planner's clock. `displaced_core_s`
     is the work of other jobs that was lost to preemption for this one. The last attempt
     of a step goes only to workers that are known to run tasks until `proof_until_ms`.
+    `waits` has the units that may start, by the first of their tasks.
     """
 
     job: Job
@@ -140,6 +152,7 @@
     runs: dict[TaskId, Run] = field(default_factory=dict)
     retry_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     ready_ms: dict[tuple[int, int], int] = field(default_factory=dict)
+    waits: dict[tuple[int, int, int], Wait] = field(default_factory=dict)
     failed_on: dict[tuple[int, int], set[str]] = field(default_factory=dict)
     proof_until_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_attempts: set[tuple] = field(default_factory=set)
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -263,6 +263,7 @@
             self.track_run(plan, task, RunStage.RECORDING)
         plan.state = JobState.RUNNING
         plan.ready_ms.pop((unit.occurrence, unit.step), None)
+        plan.waits.pop(unit.tasks[0][1:], None)
         self.changed.add(plan.job.id)
         estimated_ms = plan.job.steps[unit.step].estimated_ms
         racks = {self.workers[agent].rack() for agent in placement}
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -21,6 +21,7 @@
     plan_eviction,
     resources_held,
 )
+from yuccarelay.core.batch.wait_report import report_unknown_queue, report_wait
 from yuccarelay.core.batch.waiting_units import WaitingUnit, list_units, list_waiting
 
 # A gang waits at most this long for a release, because a release may stop and go on.
@@ -49,7 +50,10 @@
     waiting: list[WaitingUnit] = []
     for plan in planner_state.plans.values():
         queue = planner_state.find_queue(plan)
-        if queue is None or plan.ended:
+        if plan.ended:
+            continue
+        if queue is None:
+            report_unknown_queue(planner_state, plan)
             continue
         waiting += list_waiting(planner_state, plan, queue, plan.job.id in entitled)
     if not waiting:
@@ -64,6 +68,7 @@
             continue
         if not place_unit(planner_state, snapshot, entry):
             blocked.add(step)
+            report_wait(planner_state, snapshot, entry)
     steps = len({entry.unit[:3] for entry in waiting})
     pause_ms = steps * len(planner_state.workers) / PLACEMENT_CHECKS_PER_MS
     planner_state.pass_due_ms = now_ms + min(LONGEST_PAUSE_MS, int(pause_ms))
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -7,6 +7,7 @@
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.protocol import Pace
 from yuccarelay.core.batch.slow_workers import Progress, find_slow_workers
+from yuccarelay.core.batch.wait_report import report_unsettled_run
 
 # A worker that was found slow gets no new work for this time.
 SLOW_PAUSE_MS = 1_000
@@ -43,6 +44,7 @@
         log_gangs(planner_state, plan)
         for run in list(plan.runs.values()):
             is_due = planner_state.now.ms >= run.stop_due_ms
+            report_unsettled_run(planner_state, run)
             if run.stage is RunStage.STOPPING and is_due:
                 planner_state.send_stop(run)
             elif run.stage is RunStage.RUNNING:
@@ -60,11 +62,17 @@
     planner_state.state_due_ms = planner_state.now.ms + STATE_PERIOD_MS
     open_plans = [plan for plan in planner_state.plans.values() if not plan.ended]
     workers = planner_state.workers.values()
+    waits_since_ms = [
+        wait.since_ms for plan in open_plans for wait in plan.waits.values()
+    ]
     planner_state.note(
         'planner_state',
         jobs=len(open_plans),
         not_begun=sum(not plan.begun for plan in open_plans),
         runs=sum(len(view.runs) for view in workers),
+        waiting=len(waits_since_ms),
+        longest_wait_ms=planner_state.now.ms
+        - min(waits_since_ms, default=planner_state.now.ms),
         workers=len(workers),
         silent_workers=sum(not view.read_ms for view in workers),
         unsaved_records=sum(
--- a/yuccarelay/core/batch/waiting_units.py
+++ b/yuccarelay/core/batch/waiting_units.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from yuccarelay.core.batch.entities import JobPlan, Unit
+from yuccarelay.core.batch.entities import JobPlan, Unit, Wait
 from yuccarelay.core.batch.models import Queue, Step, TaskStage
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.ranking import rank_unit
@@ -55,6 +55,7 @@
                 now.ms,
             )
             for unit in list_units(plan, occurrence, number, step):
+                plan.waits.setdefault(unit.tasks[0][1:], Wait(now.ms))
                 spread = rank.late or now.ms > ready_ms + SPREAD_AFTER_MS
                 found.append(WaitingUnit(rank, unit, plan, queue, entitled, spread))
     return found
