Count the workers of a waiting unit before its own advance reservation

A unit that waits for other work to end reserves resources in advance, and the line about it then named its own reservation as what it waits for. The new test failed.

--- a/tests/test_batch_wait_report.py
+++ b/tests/test_batch_wait_report.py
@@ -59,6 +59,15 @@
         self.assertEqual((line['cause'], line['attempts']), ('failed_before', 1))
         self.assertEqual((line['room'], line['failed_before']), (1, 1))
 
+    def test_a_unit_does_not_wait_for_its_own_advance_reservation(self):
+        fleet = make_fleet(3, run_ms=LONG_MS)
+        fleet.submit(make_job(make_step(1, 8, estimated_ms=LONG_MS)))
+        fleet.run(500)
+        job = fleet.submit(make_job(make_step(3, 8, gang=True, estimated_ms=LONG_MS)))
+        fleet.run(WAIT_LOG_MS + 500)
+        line = list_waits(fleet, job)[0]
+        self.assertEqual((line['cause'], line['room']), ('fragmented', 2))
+
     def test_a_long_wait_is_logged_again_at_each_doubling(self):
         fleet = make_fleet(1, run_ms=LONG_MS)
         fleet.submit(make_job(make_step(1, 8)))
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -68,7 +68,6 @@
             continue
         if not place_unit(planner_state, snapshot, entry):
             blocked.add(step)
-            report_wait(planner_state, snapshot, entry)
     steps = len({entry.unit[:3] for entry in waiting})
     pause_ms = steps * len(planner_state.workers) / PLACEMENT_CHECKS_PER_MS
     planner_state.pass_due_ms = now_ms + min(LONGEST_PAUSE_MS, int(pause_ms))
@@ -105,6 +104,7 @@
     if placement is None:
         placement = place_tasks(step, count, candidates, entry.spread)
     if waits_for_release(planner_state, entry, candidates, placement):
+        report_wait(planner_state, snapshot, entry)
         return False
     if placement is not None:
         planner_state.reserved.pop(key, None)
@@ -117,6 +117,7 @@
     may_displace = entry.entitled or (urgent and not entry.rank.late)
     if may_displace and evict_for(planner_state, snapshot, entry, candidates):
         return True
+    report_wait(planner_state, snapshot, entry)
     reserve_in_advance(snapshot, entry, candidates)
     return False
 
