Show with failing tests that accepted work waits without an end

Four causes, each on the untouched decisions: a step never returns to a worker on which it has failed (7 cases); a gang under which a worker has crashed waits for workers without new work; an advance reservation waits for tasks that last; a task that lasts ranks after all other work once its job is old.

--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -5,6 +5,7 @@
 
 from tests.batch_fleet import (
     DEFERRABLE,
+    DOWN_MS,
     TICK_MS,
     URGENT,
     Fleet,
@@ -18,6 +19,8 @@
 # After three workers have crashed under a task it may be started twice more.
 STARTS_LIMIT = 5
 LONG_MS = 90_000
+# The lost runs are settled, a worker's runs survive 1 s and are listed within 2 s.
+SETTLED_LIMIT_MS = 5_000
 
 
 def count_starts(fleet: Fleet, job: Job) -> int:
@@ -148,6 +151,21 @@
         fleet.run(300)
         self.assertEqual(len(self.list_starts(fleet, urgent)), 1)
 
+    def test_it_starts_soon_while_short_work_starts_everywhere(self):
+        for step in (make_step(), make_step(3, 4, gang=True)):
+            with self.subTest(tasks=step.count):
+                fleet = make_fleet(4, run_ms=800)
+                job = fleet.submit(make_job(step))
+                self.run_until_starts(fleet, job, 1)
+                for worker in fleet.workers.values():
+                    if worker.runs:
+                        worker.crashes_at_ms = fleet.now_ms
+                fleet.run(DOWN_MS)
+                for _ in range(SETTLED_LIMIT_MS // 400):
+                    fleet.submit(make_job(make_step(4, per_worker=1)))
+                    fleet.run(400)
+                self.assertEqual(len(self.list_starts(fleet, job)), 2 * step.count)
+
     def test_a_job_that_was_done_is_no_longer_suspected(self):
         fleet = make_fleet(2, run_ms=300)
         job = fleet.submit(make_job(make_step(1), make_step(1, after=(0,))))
--- /dev/null
+++ b/tests/test_batch_waits.py
@@ -0,0 +1,162 @@
+"""Tests of waits of the planner that some time or event has to end."""
+
+import unittest
+
+from tests.batch_fleet import (
+    DEFERRABLE,
+    ORDINARY,
+    FakeWorker,
+    Fleet,
+    make_fleet,
+    make_job,
+    make_step,
+)
+from yuccarelay.core.batch.models import Job
+
+LONG_MS = 600_000
+# Work that could run may have nothing running for 3 s, and a task that lasts may be
+# away for 6 s (the users' rules on accepted jobs).
+IDLE_LIMIT_MS = 3_000
+AWAY_LIMIT_MS = 6_000
+# A worker whose last run failed is suspect for 8 s; other tasks of its step run on.
+SICK_LIMIT_MS = 9_000
+
+
+def find_worker(fleet: Fleet, job: Job, index: int = 0) -> FakeWorker:
+    """Return the worker on which a task of a job runs."""
+    (worker,) = [
+        worker
+        for worker in fleet.workers.values()
+        if f'{job.id}.0.0.{index}' in worker.runs
+    ]
+    return worker
+
+
+def fail_task(fleet: Fleet, job: Job, index: int = 0) -> FakeWorker:
+    """Let the running task of a job fail; return its worker."""
+    worker = find_worker(fleet, job, index)
+    worker.end(f'{job.id}.0.0.{index}', 'failed')
+    return worker
+
+
+def count_runs(fleet: Fleet, job: Job) -> int:
+    """Return how many tasks of a job run now."""
+    return sum(
+        task.startswith(job.id)
+        for worker in fleet.workers.values()
+        for task in worker.runs
+    )
+
+
+class FailedWorkerTest(unittest.TestCase):
+    """Guards against workers that a step avoids for ever because it failed there."""
+
+    def test_a_long_running_task_returns_to_workers_it_failed_on(self):
+        fleet = make_fleet(6, run_ms=LONG_MS)
+        step = make_step(4, per_worker=1, is_long_running=True)
+        job = fleet.submit(make_job(step))
+        fleet.run(1_000)
+        for index in range(4):
+            fail_task(fleet, job, index)
+            fleet.run(9_000)
+        self.assertEqual(count_runs(fleet, job), 4)
+
+    def test_a_long_running_task_is_away_for_less_than_six_seconds(self):
+        fleet = make_fleet(4, run_ms=LONG_MS)
+        step = make_step(2, 8, is_long_running=True)
+        job = fleet.submit(make_job(step))
+        fleet.run(1_000)
+        for _ in range(6):
+            fail_task(fleet, job)
+            fleet.run(AWAY_LIMIT_MS)
+            self.assertEqual(count_runs(fleet, job), 2)
+
+    def test_a_step_that_failed_on_all_workers_with_its_label_runs_again(self):
+        for is_long_running in (False, True):
+            with self.subTest(is_long_running=is_long_running):
+                fleet = make_fleet(6, per_rack=2, run_ms=LONG_MS)
+                step = make_step(1, 8, label='r1', is_long_running=is_long_running)
+                job = fleet.submit(make_job(step))
+                fleet.run(1_000)
+                for _ in range(2):
+                    fail_task(fleet, job)
+                    fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(count_runs(fleet, job), 1)
+
+    def test_a_gang_runs_again_when_too_few_other_workers_exist(self):
+        fleet = make_fleet(6, run_ms=LONG_MS)
+        job = fleet.submit(make_job(make_step(5, 8, gang=True)))
+        for _ in range(2):
+            fleet.run(1_000)
+            fail_task(fleet, job)
+            fleet.run(IDLE_LIMIT_MS)
+            self.assertEqual(count_runs(fleet, job), 5)
+
+    def test_tasks_of_whole_workers_run_on_all_of_them_again(self):
+        fleet = make_fleet(8, run_ms=LONG_MS)
+        job = fleet.submit(make_job(make_step(8, 8)))
+        fleet.run(1_000)
+        for index in range(7):
+            fail_task(fleet, job, index)
+        fleet.run(SICK_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 8)
+
+    def test_a_restarted_worker_is_not_avoided(self):
+        fleet = make_fleet(2, run_ms=LONG_MS)
+        fleet.submit(make_job(make_step(1, 8)))
+        fleet.run(500)
+        job = fleet.submit(make_job(make_step(1, 8)))
+        fleet.run(500)
+        worker = fail_task(fleet, job)
+        fleet.run(500)
+        worker.crash(fleet.now_ms)
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+
+class AdvanceReservationTest(unittest.TestCase):
+    """Guards against resources that are withheld for an end that does not come."""
+
+    def test_nothing_is_withheld_for_the_end_of_long_running_work(self):
+        fleet = make_fleet(6, run_ms=LONG_MS)
+        lasting = make_step(3, per_worker=1, is_long_running=True)
+        fleet.submit(make_job(lasting))
+        fleet.run(500)
+        gang = fleet.submit(make_job(make_step(4, 8, gang=True)))
+        job = fleet.submit(make_job(make_step(3, 8), queue=DEFERRABLE))
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, gang), 0)
+        self.assertEqual(count_runs(fleet, job), 3)
+
+    def test_nothing_is_withheld_for_long_for_work_that_stands_still(self):
+        fleet = make_fleet(4, run_ms=LONG_MS)
+        fleet.submit(make_job(make_step(2, 8)))
+        fleet.run(500)
+        for worker in fleet.workers.values():
+            for run in worker.runs.values():
+                run.percent = 50
+        fleet.submit(make_job(make_step(3, 8, gang=True, estimated_ms=10_000)))
+        job = fleet.submit(make_job(make_step(2, 8), queue=DEFERRABLE))
+        fleet.run(AWAY_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 2)
+
+
+class LongRunningRankTest(unittest.TestCase):
+    """Guards against tasks that last and come after all other work for ever."""
+
+    def test_an_old_long_running_task_returns_to_a_full_fleet(self):
+        fleet = make_fleet(2, run_ms=LONG_MS)
+        job = fleet.submit(make_job(make_step(1, 8, is_long_running=True)))
+        fleet.run(60_000)
+        for worker in fleet.workers.values():
+            worker.run_ms = 1_000
+        for _ in range(40):
+            fleet.submit(make_job(make_step(1, 8), queue=ORDINARY))
+        fleet.run(500)
+        fail_task(fleet, job)
+        fleet.run(AWAY_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+
+if __name__ == '__main__':
+    unittest.main()
