Let a step return to the workers on which it has failed

Callers saw an accepted job with nothing running beside free workers, until the end.

Cause: JobPlan.failed_on only grew, and the exclusion was lifted only when every worker that takes work was avoided, whether or not it could take the task.

A step now avoids an incarnation of a worker until a deadline, 8 s after the failure, as long as the worker is suspect. If a unit could not be placed without avoided workers, even if the others were empty, those that only the unit itself holds something against are admitted at once and the others after 2 s; a task that lasts is tried on any worker after 2 s. Nothing is withheld in advance for runs on slow or failing workers, which an admitted worker would allow.

--- a/tests/test_batch_unit_placement.py
+++ b/tests/test_batch_unit_placement.py
@@ -4,6 +4,7 @@
 
 from yuccarelay.core.batch.models import Resources, Step
 from yuccarelay.core.batch.unit_placement import (
+    Avoidance,
     Candidate,
     Victim,
     group_victims,
@@ -86,7 +87,10 @@
         self.assertEqual(found.placement, ('a', 'b'))
 
     def test_no_eviction_is_planned_if_all_victims_free_too_little(self):
-        candidates = [make_candidate('a', avoided=True), make_candidate('b')]
+        candidates = [
+            make_candidate('a', avoidance=Avoidance.FAILING),
+            make_candidate('b'),
+        ]
         victims = [make_victim('v', 5, 'a'), make_victim('w', 5, 'b', accelerators=4)]
         self.assertIsNone(plan(make_step(8), 1, candidates, victims))
 
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -1,32 +1,24 @@
 """Free resources of the workers during one scheduling pass."""
 
-import enum
 from collections.abc import Iterable
 
-from yuccarelay.core.batch.entities import Reservation, Unit, WorkerView
+from yuccarelay.core.batch.entities import JobPlan, Reservation, Unit, WorkerView
 from yuccarelay.core.batch.models import Queue, Resources, Step
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.unit_placement import (
+    Avoidance,
     Candidate,
     Suspicion,
     Victim,
     VictimsByAgent,
+    could_hold,
     group_victims,
+    is_usable,
 )
 
-
-class Avoidance(enum.Enum):
-    """
-    Why a worker takes no task of a unit.
-
-    FAILING: it was slow, or work of several jobs failed there. FAILED_BEFORE: the step
-    of the unit has failed there. LAST_ATTEMPT: its last run failed, and with one more
-    failure the job fails.
-    """
-
-    FAILING = 'failing'
-    FAILED_BEFORE = 'failed_before'
-    LAST_ATTEMPT = 'last_attempt'
+# A unit that cannot be placed without avoided workers waits this long for them to
+# recover. Accepted work may be idle for 3 s while there is room for it.
+AVOIDANCE_WAIT_MS = 2_000
 
 
 class CapacitySnapshot:
@@ -69,17 +61,18 @@
         step = plan.job.steps[unit.step]
         own_reservation = planner_state.reserved.get(tuple(unit))
         failures = max(plan.task(task).failures for task in unit.tasks)
-        is_last_attempt = self._is_last_attempt(unit, queue)
+        # One more failure would end the job.
+        is_last_attempt = 0 < queue.max_attempts - 1 <= failures
         if self.listed_step != (*unit[:3], failures):
             self.listed_step, self.listed = (*unit[:3], failures), {}
         for view in self.open.get(queue.service, ()):
             if view.agent not in self.listed or view.agent in self.changed:
-                avoidance = self.find_avoidance(unit, queue, view.agent)
+                avoidance = self._find_avoidance(plan, unit, view, is_last_attempt)
                 self.listed[view.agent] = self._make_candidate(
                     unit,
                     step,
                     view,
-                    avoidance is not None,
+                    avoidance,
                     self._find_suspicion(view, failures),
                 )
         self.changed.clear()
@@ -92,29 +85,47 @@
             unit[1:3], 0
         ):
             candidates = avoid_unproven(candidates)
-        if all(candidate.avoided for candidate in candidates):
-            # A fault that affects all workers must not stop all scheduling.
-            return [candidate._replace(avoided=False) for candidate in candidates]
-        return candidates
-
-    def _is_last_attempt(self, unit: Unit, queue: Queue) -> bool:
-        """Whether one more failure of a unit would end its job."""
-        plan = self.planner_state.plans[unit.job]
-        failures = max(plan.task(task).failures for task in unit.tasks)
-        return 0 < queue.max_attempts - 1 <= failures
+        return self._admit_avoided(unit, step, candidates)
+
+    def _admit_avoided(
+        self, unit: Unit, step: Step, candidates: list[Candidate]
+    ) -> list[Candidate]:
+        """
+        Admit workers that a unit avoids, if it could not be placed without them.
 
-    def find_avoidance(self, unit: Unit, queue: Queue, agent: str) -> Avoidance | None:
+        A fault that affects all workers that could hold a unit must not stop it. What
+        only the unit itself holds against a worker ends first. A long-running task has
+        no limit of attempts, so after some time it is better tried than away.
+        """
+        if not any(candidate.avoided for candidate in candidates):
+            return candidates
+        wait = self.planner_state.plans[unit.job].waits[unit.tasks[0][1:]]
+        has_waited = self.planner_state.now.ms >= wait.since_ms + AVOIDANCE_WAIT_MS
+        if step.is_long_running and has_waited:
+            return admit(candidates, *Avoidance)
+        if could_hold(step, len(unit.tasks), candidates):
+            return candidates
+        candidates = admit(candidates, Avoidance.FAILED_BEFORE, Avoidance.UNPROVEN)
+        if could_hold(step, len(unit.tasks), candidates):
+            return candidates
+        is_any_left = any(
+            is_usable(step, candidate) and not candidate.avoided
+            for candidate in candidates
+        )
+        if is_any_left and not has_waited:
+            return candidates
+        return admit(candidates, *Avoidance)
+
+    def _find_avoidance(
+        self, plan: JobPlan, unit: Unit, view: WorkerView, is_last_attempt: bool
+    ) -> Avoidance | None:
         """Return why a worker takes no task of a unit, or None if it may."""
         now_ms = self.planner_state.now.ms
-        plan, view = (
-            self.planner_state.plans[unit.job],
-            self.planner_state.workers[agent],
-        )
         if now_ms < view.avoid_until_ms:
             return Avoidance.FAILING
-        if agent in plan.failed_on.get(unit[1:3], ()):
+        if now_ms < plan.failed_on.get(unit[1:3], {}).get(view.id, 0):
             return Avoidance.FAILED_BEFORE
-        if now_ms < view.suspect_until_ms and self._is_last_attempt(unit, queue):
+        if is_last_attempt and now_ms < view.suspect_until_ms:
             return Avoidance.LAST_ATTEMPT
         return None
 
@@ -137,7 +148,7 @@
         unit: Unit,
         step: Step,
         view: WorkerView,
-        avoided: bool,
+        avoidance: Avoidance | None,
         suspicion: Suspicion,
     ) -> Candidate:
         colocated = 0
@@ -151,7 +162,7 @@
             self.free[view.agent],
             info.capacity,
             colocated,
-            avoided,
+            avoidance,
             self._would_interfere(step, view),
             view.id.born_ms < self.cutoffs_ms[info.service],
             suspicion,
@@ -211,15 +222,25 @@
 
 def avoid_unproven(candidates: list[Candidate]) -> list[Candidate]:
     """
-    Avoid the workers that may fail a last attempt, unless that leaves none.
+    Avoid the workers that may fail a last attempt.
 
     Workers that fail what they start are empty, so without this a job that needs whole
     workers would get one of them after the other.
     """
-    if all(candidate.avoided or candidate.suspicion for candidate in candidates):
-        return candidates
     return [
-        candidate._replace(avoided=candidate.avoided or bool(candidate.suspicion))
+        candidate._replace(avoidance=Avoidance.UNPROVEN)
+        if candidate.suspicion and not candidate.avoided
+        else candidate
+        for candidate in candidates
+    ]
+
+
+def admit(candidates: list[Candidate], *reasons: Avoidance) -> list[Candidate]:
+    """Return the candidates, those that are avoided for one of the reasons admitted."""
+    return [
+        candidate._replace(avoidance=None)
+        if candidate.avoidance in reasons
+        else candidate
         for candidate in candidates
     ]
 
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -136,6 +136,8 @@
     store confirmed. `accepted_ms` is on the planner's clock. `displaced_core_s`
     is the work of other jobs that was lost to preemption for this one. The last attempt
     of a step goes only to workers that are known to run tasks until `proof_until_ms`.
+    `failed_on` has the workers that a step avoids because it failed there, and until
+    when.
     `waits` has the units that may start, by the first of their tasks.
     """
 
@@ -153,7 +155,7 @@
     retry_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     ready_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     waits: dict[tuple[int, int, int], Wait] = field(default_factory=dict)
-    failed_on: dict[tuple[int, int], set[str]] = field(default_factory=dict)
+    failed_on: dict[tuple[int, int], dict[WorkerId, int]] = field(default_factory=dict)
     proof_until_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_attempts: set[tuple] = field(default_factory=set)
     displaced_core_s: float = 0
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -37,6 +37,9 @@
 # After a single failure a worker is suspect for this time, unless a task is done there.
 # The job may as well be the cause, so the worker is only chosen after the others.
 SUSPECT_MS = 8_000
+# A step avoids a worker on which it has failed for this time. A worker's fault usually
+# passes within it, and a step that fails by itself would run out of workers.
+FAILED_STEP_MS = SUSPECT_MS
 # A worker on which a run has gone on for `PROVEN_RUN_MS`, or was done, can run tasks.
 # Workers that cannot do so fail their runs within half a second.
 PROVEN_RUN_MS = 1_000
@@ -278,7 +281,8 @@
             planner_state.note(
                 'worker_avoided', agent=view.agent, failures=view.failures
             )
-        plan.failed_on.setdefault(run.task[1:3], set()).add(view.agent)
+        failed_on = plan.failed_on.setdefault(run.task[1:3], {})
+        failed_on[view.id] = planner_state.now.ms + FAILED_STEP_MS
         step = plan.step(run.task)
         if step.is_long_running or plan.ended:
             return
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -216,7 +216,8 @@
 
     The reservation holds while units of lower rank are placed in the same pass.
     Without it small tasks would take every accelerator that becomes free, and a task
-    that needs a whole worker would never start.
+    that needs a whole worker would never start. Runs on a slow or failing worker may
+    not end when they are expected to, so nothing is withheld for these.
     """
     if (
         entry.rank.useless
@@ -228,11 +229,17 @@
     if not step.gang:
         count = len(list_units(entry.plan, *entry.unit[1:3], step))
         count = min(count, ADVANCE_RESERVATIONS_LIMIT)
+    now_ms = snapshot.planner_state.now.ms
+    workers = snapshot.planner_state.workers
+    sound = [
+        candidate
+        for candidate in candidates
+        if now_ms >= workers[candidate.agent].avoid_until_ms
+    ]
     soonest = plan_eviction(
-        step, count, candidates, snapshot.list_expected_ends(), latest_end
+        step, count, sound, snapshot.list_expected_ends(), latest_end
     )
     if soonest is not None:
-        until_ms = snapshot.planner_state.now.ms
         snapshot.add_advance_reservation(
-            Reservation(soonest.placement, resources_held(step), until_ms)
+            Reservation(soonest.placement, resources_held(step), now_ms)
         )
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -26,14 +26,30 @@
     FAILED = 2
 
 
+class Avoidance(enum.Enum):
+    """
+    Why a worker takes no task of a unit; each reason ends at a deadline.
+
+    FAILING: it was slow, or work of several jobs failed there. FAILED_BEFORE: the
+    step of the unit has failed there. LAST_ATTEMPT: with one more failure the job
+    fails, and the last run on the worker failed. UNPROVEN: likewise, and it has not
+    run a task lately.
+    """
+
+    FAILING = 'failing'
+    FAILED_BEFORE = 'failed_before'
+    LAST_ATTEMPT = 'last_attempt'
+    UNPROVEN = 'unproven'
+
+
 class Candidate(NamedTuple):
     """
     A worker that may take a unit, with its free resources.
 
     `colocated` is the number of tasks of the unit's step and occurrence that run on it.
-    `avoided` marks a worker that recently failed or was slow, and `interferes` one
-    where a best-effort and a latency-sensitive task would run together. `outdated`
-    marks one that a release will probably drain soon.
+    `avoidance` is why it takes no task of the unit, and `interferes` marks one where a
+    best-effort and a latency-sensitive task would run together. `outdated` marks one
+    that a release will probably drain soon.
     """
 
     agent: str
@@ -42,11 +58,16 @@
     free: Resources
     capacity: Resources
     colocated: int = 0
-    avoided: bool = False
+    avoidance: Avoidance | None = None
     interferes: bool = False
     outdated: bool = False
     suspicion: Suspicion = Suspicion.NONE
 
+    @property
+    def avoided(self) -> bool:
+        """Whether the worker takes no task of the unit."""
+        return self.avoidance is not None
+
 
 Placement = tuple[str, ...]
 
@@ -97,6 +118,16 @@
     return candidate.capacity.holds(resources_held(step))
 
 
+def could_hold(step: Step, count: int, candidates: list[Candidate]) -> bool:
+    """Whether the workers that are not avoided could hold the tasks if empty."""
+    empty = [
+        candidate._replace(free=candidate.capacity, colocated=0)
+        for candidate in candidates
+        if is_usable(step, candidate) and not candidate.avoided
+    ]
+    return fill_candidates(step, count, empty) is not None
+
+
 def resources_held(step: Step) -> Resources:
     """Return the resources a task holds; best-effort tasks hold no millicores."""
     return step.need._replace(millicores=0) if step.best_effort else step.need
--- a/yuccarelay/core/batch/wait_report.py
+++ b/yuccarelay/core/batch/wait_report.py
@@ -7,12 +7,16 @@
 
 from typing import NamedTuple
 
-from yuccarelay.core.batch.capacity_snapshot import Avoidance, CapacitySnapshot
+from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
 from yuccarelay.core.batch.crashes import keep_apart
 from yuccarelay.core.batch.entities import JobPlan, Run, RunStage, Wait, WorkerView
 from yuccarelay.core.batch.models import Step
 from yuccarelay.core.batch.planner_state import PlannerState
-from yuccarelay.core.batch.unit_placement import is_usable, resources_held
+from yuccarelay.core.batch.unit_placement import (
+    Avoidance,
+    is_usable,
+    resources_held,
+)
 from yuccarelay.core.batch.waiting_units import WaitingUnit
 
 # Users notice work that waits this long beside free resources.
@@ -37,6 +41,7 @@
     failed_before: int
     failing: int
     last_attempt: int
+    unproven: int
     probation: int
     reserved: int
     unapproved: int
@@ -82,6 +87,7 @@
         failed_before=counts.failed_before,
         failing=counts.failing,
         last_attempt=counts.last_attempt,
+        unproven=counts.unproven,
         probation=counts.probation,
         reserved=counts.reserved,
         unapproved=counts.unapproved,
@@ -130,10 +136,7 @@
         for candidate in usable
         if has_room(plan, step, planner_state.workers[candidate.agent], unit[1:3])
     ]
-    avoidances = [
-        snapshot.find_avoidance(unit, entry.queue, candidate.agent)
-        for candidate in room
-    ]
+    avoidances = [candidate.avoidance for candidate in room]
     return WaitCounts(
         open=len(candidates),
         usable=len(usable),
@@ -141,6 +144,7 @@
         failed_before=avoidances.count(Avoidance.FAILED_BEFORE),
         failing=avoidances.count(Avoidance.FAILING),
         last_attempt=avoidances.count(Avoidance.LAST_ATTEMPT),
+        unproven=avoidances.count(Avoidance.UNPROVEN),
         probation=sum(candidate.agent not in apart for candidate in room),
         reserved=sum(not candidate.free.holds(need) for candidate in room),
         unapproved=sum(
