Withhold nothing for the end of tasks that last

Callers saw jobs wait for 10 s and more beside empty workers that a gang withheld.

Cause: a task that lasts has an estimate like any other, so an advance reservation took it to end soon, for as long as the gang was of use. Such a run now counts as ending only while it is being stopped; without enough ends nothing is withheld.

Evidence: test_nothing_is_withheld_for_the_end_of_long_running_work failed before.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -206,16 +206,18 @@
                 self.changed.add(agent)
 
     def list_expected_ends(self) -> VictimsByAgent:
-        """Return all runs on each worker, with their expected ends as costs."""
+        """Return the runs on each worker that will end, with these ends as costs."""
+        planner_state = self.planner_state
         if self.ends is None:
             self.ends = group_victims(
                 Victim(
                     key=tuple(run.task),
                     freed=((run.worker.agent, run.need),),
-                    cost=self.planner_state.expected_end_ms(run),
+                    cost=planner_state.expected_end_ms(run),
                 )
-                for view in self.planner_state.workers.values()
+                for view in planner_state.workers.values()
                 for run in view.runs.values()
+                if planner_state.will_end(run)
             )
         return self.ends
 
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -211,6 +211,13 @@
         estimated_ms = plan.step(run.task).estimated_ms
         return self.durations.estimate_ms(plan.job.queue, estimated_ms)
 
+    def will_end(self, run: Run) -> bool:
+        """Whether a run ends by itself or is being stopped."""
+        return (
+            run.stage in STOP_STAGES
+            or not self.plans[run.task.job].step(run.task).is_long_running
+        )
+
     def expected_end_ms(self, run: Run) -> float:
         """Return the expected end of a run, from its progress or its estimate."""
         now_ms = self.now.ms
