Rank a task that lasts by how long it has been away

Callers saw a task that lasts stay away on a full fleet, once its job was old.

Cause: the rank followed from the age of the job and the estimate of the step, so after three times that objective the job counted as of no use, and its task came after all other work whenever it had to start again. It now ranks with its priority, by the time since when it could start, and counts neither as late nor as useless.

Evidence: test_an_old_long_running_task_returns_to_a_full_fleet failed before.

--- a/yuccarelay/core/batch/ranking.py
+++ b/yuccarelay/core/batch/ranking.py
@@ -3,7 +3,8 @@
 
 Work within its organisation's guarantee comes first. Then come jobs that are still
 of use, by priority, by whether they can meet their objective and by the time left.
-The remaining jobs follow, oldest first, so that none starves.
+The remaining jobs follow, oldest first, so that none starves. A long-running task is
+of use at any age of its job, so its rank follows from how long it has been away.
 """
 
 from typing import NamedTuple
@@ -72,11 +73,19 @@
     queue: Queue,
     step: int,
     due_ms: int,
+    ready_ms: int,
     entitled: bool,
     durations: Durations,
     now_ms: int,
 ) -> Rank:
-    """Return the rank of a unit whose job or occurrence was due at `due_ms`."""
+    """
+    Return the rank of a unit whose job or occurrence was due at `due_ms`.
+
+    At `ready_ms` the unit could start or start again.
+    """
+    if plan.job.steps[step].is_long_running:
+        start_by = ready_ms + queue.objective_ms
+        return Rank(not entitled, False, queue.priority, False, start_by)
     chain = chain_ms(plan.job, durations)
     remaining = chain_ms(plan.job, durations, first_step=step)
     objective = queue.slack_factor * chain + queue.objective_ms
--- a/yuccarelay/core/batch/waiting_units.py
+++ b/yuccarelay/core/batch/waiting_units.py
@@ -50,6 +50,7 @@
                 queue,
                 number,
                 due_ms,
+                ready_ms,
                 entitled,
                 planner_state.durations,
                 now.ms,
