Show with a failing test that most of a fleet may be withheld

A gang that waits for whole workers withholds each of them until the last small task on them ends, and smaller work waits as long beside a fleet that is mostly idle.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -128,6 +128,29 @@
         self.assertEqual(count_runs(fleet, gang), 0)
         self.assertEqual(count_runs(fleet, job), 3)
 
+    def test_idle_resources_are_not_withheld_while_most_of_the_fleet_is_idle(self):
+        fleet = make_fleet(6, run_ms=60_000)
+        fleet.submit(make_job(make_step(6, per_worker=1, estimated_ms=60_000)))
+        fleet.run(500)
+        gang = make_step(5, 8, gang=True, estimated_ms=60_000)
+        fleet.submit(make_job(gang, queue=ORDINARY))
+        job = fleet.submit(make_job(make_step(2, 4, gang=True), queue=DEFERRABLE))
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 2)
+
+    def test_they_are_withheld_while_most_of_the_fleet_is_in_use(self):
+        fleet = make_fleet(6, run_ms=6_000)
+        blocker = make_step(5, 8, estimated_ms=6_000)
+        fleet.submit(make_job(blocker))
+        fleet.run(500)
+        step = make_step(2, 8, gang=True, estimated_ms=6_000)
+        gang = fleet.submit(make_job(step, queue=ORDINARY))
+        job = fleet.submit(make_job(make_step(2, 4), queue=DEFERRABLE))
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 0)
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, gang), 2)
+
     def test_nothing_is_withheld_for_long_for_work_that_stands_still(self):
         fleet = make_fleet(4, run_ms=LONG_MS)
         fleet.submit(make_job(make_step(2, 8)))
