Let waiting work use withheld resources in a fleet that is mostly idle

Callers saw small jobs wait as long as the longest task beside workers that a gang withheld, and the oldest jobs longest, because they rank last.

Cause: an advance reservation ended only with the work that it waits for, however much of the fleet it kept idle meanwhile. It is meant for a full fleet, where small tasks would take each accelerator that becomes free. While less than half of the service's accelerators are in use, a unit that has waited for 2 s may now use what is withheld.

Evidence: test_idle_resources_are_not_withheld_while_most_of_the_fleet_is_idle failed before; the test beside it shows that a fleet in use is still withheld.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -16,6 +16,11 @@
     is_usable,
 )
 
+# A unit that waits this long may use what is reserved in advance for others, while less
+# than `BACKFILL_SHARE` of the service's accelerators are in use. Accepted work may be
+# idle for 3 s while there is room for it.
+BACKFILL_AFTER_MS = 2_000
+BACKFILL_SHARE = 0.5
 # A unit that cannot be placed without avoided workers waits this long for them to
 # recover. Accepted work may be idle for 3 s while there is room for it.
 AVOIDANCE_WAIT_MS = 2_000
@@ -205,6 +210,38 @@
                 self.free[agent] = self.free[agent].minus(reservation.need)
                 self.changed.add(agent)
 
+    def list_backfill(
+        self, unit: Unit, queue: Queue, candidates: list[Candidate]
+    ) -> list[Candidate] | None:
+        """
+        Return the candidates with what is reserved in advance, or None if it is kept.
+
+        An advance reservation keeps a full fleet from being filled with small tasks. In
+        one that is mostly idle it would keep work waiting beside free resources.
+        """
+        wait = self.planner_state.plans[unit.job].waits[unit.tasks[0][1:]]
+        if (
+            not self.advance_reservations
+            or self.planner_state.now.ms < wait.since_ms + BACKFILL_AFTER_MS
+            or self._share_in_use(queue.service) >= BACKFILL_SHARE
+        ):
+            return None
+        for reservation in self.advance_reservations:
+            candidates = [
+                add_reservation(candidate, reservation) for candidate in candidates
+            ]
+        return candidates
+
+    def _share_in_use(self, service: str) -> float:
+        """Return the share of a service's accelerators that runs hold, or of its cores."""
+        views = self.open.get(service, ())
+        total, used = Resources(), Resources()
+        for view in views:
+            total, used = total.plus(view.info.capacity), used.plus(view.used())
+        if total.accelerators:
+            return used.accelerators / total.accelerators
+        return used.millicores / total.millicores if total.millicores else 1.0
+
     def list_expected_ends(self) -> VictimsByAgent:
         """Return the runs on each worker that will end, with these ends as costs."""
         planner_state = self.planner_state
@@ -248,7 +285,7 @@
 
 
 def add_reservation(candidate: Candidate, reservation: Reservation) -> Candidate:
-    """Return a candidate with the resources that are reserved for its own unit."""
+    """Return a candidate with the resources that a reservation holds on it."""
     free = candidate.free
     for _ in range(reservation.placement.count(candidate.agent)):
         free = free.plus(reservation.need)
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -103,6 +103,10 @@
         placement = place_tasks(step, count, unshared, entry.spread)
     if placement is None:
         placement = place_tasks(step, count, candidates, entry.spread)
+    if placement is None and reservation is None:
+        backfill = snapshot.list_backfill(entry.unit, entry.queue, candidates)
+        if backfill is not None:
+            placement = place_tasks(step, count, backfill, entry.spread)
     if waits_for_release(planner_state, entry, candidates, placement):
         report_wait(planner_state, snapshot, entry)
         return False
