--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -233,7 +233,7 @@
         return candidates
 
     def _share_in_use(self, service: str) -> float:
-        """Return the share of a service's accelerators that runs hold, or of its cores."""
+        """Return the share of a service that is in use, by its accelerators if any."""
         views = self.open.get(service, ())
         total, used = Resources(), Resources()
         for view in views:
