Reserve workers for a unit on probation until their runs have survived

Callers saw a gang under which a worker had crashed wait for 17 s and more beside free resources, while short work started on each worker.

Cause: a unit on probation starts only where all other runs have survived their start, and nothing kept new work off these workers, so that state need not come. After 1 s the unit now gets workers reserved; other work keeps off them, their new runs survive within a second and are listed within two more, and it starts. Guaranteed work does not wait, as before. The blame for a crash stays as it was: the unit still starts beside settled runs only.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -212,9 +212,9 @@
 
     def list_backfill(
         self, unit: Unit, queue: Queue, candidates: list[Candidate]
-    ) -> list[Candidate] | None:
+    ) -> list[Candidate]:
         """
-        Return the candidates with what is reserved in advance, or None if it is kept.
+        Return the candidates with what is reserved in advance, or none if it is kept.
 
         An advance reservation keeps a full fleet from being filled with small tasks. In
         one that is mostly idle it would keep work waiting beside free resources.
@@ -225,7 +225,7 @@
             or self.planner_state.now.ms < wait.since_ms + BACKFILL_AFTER_MS
             or self._share_in_use(queue.service) >= BACKFILL_SHARE
         ):
-            return None
+            return []
         for reservation in self.advance_reservations:
             candidates = [
                 add_reservation(candidate, reservation) for candidate in candidates
--- a/yuccarelay/core/batch/crashes.py
+++ b/yuccarelay/core/batch/crashes.py
@@ -8,10 +8,14 @@
 due to the job, and it is given up. A run that is seen at work clears its task.
 """
 
-from yuccarelay.core.batch.entities import JobPlan, Run, Unit, WorkerView
+from yuccarelay.core.batch.entities import JobPlan, Reservation, Run, Unit, WorkerView
 from yuccarelay.core.batch.models import JobState, TaskId
 from yuccarelay.core.batch.planner_state import PlannerState
-from yuccarelay.core.batch.unit_placement import Candidate
+from yuccarelay.core.batch.unit_placement import (
+    Candidate,
+    Placement,
+    resources_held,
+)
 
 # Workers that crash under a task before its job is given up.
 CRASHES_LIMIT = 2
@@ -20,6 +24,12 @@
 # A crash is noticed when the worker is back, some seconds after the start. Work that
 # was assigned earlier had survived its start, even if another planner saw it.
 START_WINDOW_MS = 10_000
+# Most workers have no new runs at some moment within this time. For a unit on probation
+# that has waited longer, workers are reserved.
+SETTLING_WAIT_MS = SURVIVED_MS
+# A new run has survived after 1 s, and is listed as such by the poll after the present
+# one, which takes up to 2 s.
+SETTLING_RESERVATION_MS = 4_000
 
 
 def count_crash(planner_state: PlannerState, view: WorkerView, run: Run) -> None:
@@ -77,6 +87,7 @@
     Return the workers with runs on probation, and the jobs of these.
 
     They are those of tasks that may have crashed a worker, until they have survived.
+    Workers that are reserved for such a task count as well.
     """
     found: dict[str, set[str]] = {}
     for job in planner_state.suspects:
@@ -84,33 +95,23 @@
         for run in plan.runs.values():
             if plan.task(run.task).crashes and not run.has_survived:
                 found.setdefault(run.worker.agent, set()).add(job)
+    for agent, job in planner_state.list_suspects_reserved():
+        found.setdefault(agent, set()).add(job)
     return found
 
 
-def keep_apart(
+def keep_off(
     planner_state: PlannerState,
     unit: Unit,
     entitled: bool,
     candidates: list[Candidate],
 ) -> list[Candidate]:
     """
-    Return the workers on which it would show to which job a crash is due.
+    Return the workers without another job's runs on probation.
 
-    A job on probation starts where no other job has a new run. Other work avoids such
-    a worker until then, except for guaranteed work, which may not wait.
+    Guaranteed work takes any worker, because it may not wait.
     """
-    if not planner_state.suspects:
-        return candidates
-    if has_crashed_worker(planner_state.plans[unit.job], unit):
-        return [
-            candidate
-            for candidate in candidates
-            if all(
-                run.task.job == unit.job or run.has_survived
-                for run in planner_state.workers[candidate.agent].runs.values()
-            )
-        ]
-    if entitled:
+    if not planner_state.suspects or entitled:
         return candidates
     probations = find_probations(planner_state)
     return [
@@ -120,6 +121,48 @@
     ]
 
 
+def list_settled(
+    planner_state: PlannerState, unit: Unit, candidates: list[Candidate]
+) -> list[Candidate]:
+    """
+    Return the workers on which all runs of other jobs have survived their start.
+
+    There it would show that a crash is due to the unit.
+    """
+    return [
+        candidate
+        for candidate in candidates
+        if all(
+            run.task.job == unit.job or run.has_survived
+            for run in planner_state.workers[candidate.agent].runs.values()
+        )
+    ]
+
+
+def reserve_settling(
+    planner_state: PlannerState, unit: Unit, placement: Placement
+) -> None:
+    """
+    Reserve workers for a unit on probation until their other runs have survived.
+
+    Other work keeps off them meanwhile. Without this, short work that starts on each
+    worker again and again would hold up the unit without an end.
+    """
+    step = planner_state.plans[unit.job].job.steps[unit.step]
+    until_ms = planner_state.now.ms + SETTLING_RESERVATION_MS
+    reservation = Reservation(placement, resources_held(step), until_ms)
+    planner_state.reserved[tuple(unit)] = reservation
+    planner_state.note(
+        'probation_reserved',
+        job=unit.job,
+        step=unit.step,
+        occurrence=unit.occurrence,
+        index=unit.tasks[0].index,
+        tasks=len(unit.tasks),
+        workers=','.join(placement),
+    )
+
+
 def list_unshared(
     planner_state: PlannerState, unit: Unit, candidates: list[Candidate]
 ) -> list[Candidate]:
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -136,10 +136,7 @@
             wait_ms = min(wait_ms, STOP_RETRY_MS)
         if RunStage.STOPPED in stages:
             wait_ms = min(wait_ms, SETTLE_WAIT_MS)
-        if self.suspects and any(
-            run.task.job in self.suspects and not run.has_survived
-            for run in view.runs.values()
-        ):
+        if self.suspects and self._is_on_probation(view):
             wait_ms = min(wait_ms, PROBATION_WAIT_MS)
         if self.list_interfering(view)[1]:
             wait_ms = min(wait_ms, INTERFERENCE_WAIT_MS)
@@ -156,6 +153,22 @@
         view.poll_sent_ms = self.now.ms
         self.order(view, order)
 
+    def _is_on_probation(self, view: WorkerView) -> bool:
+        """Whether a task that may crash a worker was started there, or will be."""
+        return any(
+            run.task.job in self.suspects and not run.has_survived
+            for run in view.runs.values()
+        ) or any(agent == view.agent for agent, _ in self.list_suspects_reserved())
+
+    def list_suspects_reserved(self) -> list[tuple[str, str]]:
+        """Return the workers that are reserved for suspected jobs, and the jobs."""
+        return [
+            (agent, key[0])
+            for key, reservation in self.reserved.items()
+            if key[0] in self.suspects
+            for agent in reservation.placement
+        ]
+
     def find_ticket(self, plan: JobPlan, task: TaskId, worker: WorkerId) -> str | None:
         """Return the ticket for a start, empty if none is needed, None if missing."""
         queue = self.find_queue(plan)
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -3,9 +3,12 @@
 from yuccarelay.core.batch.advice import StepAdvice
 from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
 from yuccarelay.core.batch.crashes import (
+    SETTLING_WAIT_MS,
     has_crashed_worker,
-    keep_apart,
+    keep_off,
+    list_settled,
     list_unshared,
+    reserve_settling,
 )
 from yuccarelay.core.batch.entities import Reservation
 from yuccarelay.core.batch.events import QueryAdvice
@@ -81,8 +84,6 @@
 
     False means that the unit has to wait until other work ends by itself.
     """
-    step = entry.plan.job.steps[entry.unit.step]
-    count = len(entry.unit.tasks)
     key = tuple(entry.unit)
     candidates = list_usable(planner_state, snapshot, entry)
     reservation = planner_state.reserved.get(key)
@@ -97,16 +98,13 @@
             for candidate in candidates
             if candidate.agent in reservation.placement
         ]
-    placement = None
+    open_candidates = candidates
     if has_crashed_worker(entry.plan, entry.unit):
-        unshared = list_unshared(planner_state, entry.unit, candidates)
-        placement = place_tasks(step, count, unshared, entry.spread)
-    if placement is None:
-        placement = place_tasks(step, count, candidates, entry.spread)
+        candidates = list_settled(planner_state, entry.unit, candidates)
+    placement = choose_placement(planner_state, entry, candidates)
     if placement is None and reservation is None:
         backfill = snapshot.list_backfill(entry.unit, entry.queue, candidates)
-        if backfill is not None:
-            placement = place_tasks(step, count, backfill, entry.spread)
+        placement = choose_placement(planner_state, entry, backfill)
     if waits_for_release(planner_state, entry, candidates, placement):
         report_wait(planner_state, snapshot, entry)
         return False
@@ -121,16 +119,50 @@
     may_displace = entry.entitled or (urgent and not entry.rank.late)
     if may_displace and evict_for(planner_state, snapshot, entry, candidates):
         return True
+    if reserve_unsettled(planner_state, snapshot, entry, open_candidates):
+        return True
     report_wait(planner_state, snapshot, entry)
     reserve_in_advance(snapshot, entry, candidates)
     return False
 
 
+def choose_placement(
+    planner_state: PlannerState, entry: WaitingUnit, candidates: list[Candidate]
+) -> Placement | None:
+    """Return the workers for a unit, or None; on probation it runs alone if it can."""
+    step = entry.plan.job.steps[entry.unit.step]
+    count = len(entry.unit.tasks)
+    placement = None
+    if has_crashed_worker(entry.plan, entry.unit):
+        unshared = list_unshared(planner_state, entry.unit, candidates)
+        placement = place_tasks(step, count, unshared, entry.spread)
+    return placement or place_tasks(step, count, candidates, entry.spread)
+
+
+def reserve_unsettled(
+    planner_state: PlannerState,
+    snapshot: CapacitySnapshot,
+    entry: WaitingUnit,
+    candidates: list[Candidate],
+) -> bool:
+    """Reserve workers for a unit that waits only for new runs to survive."""
+    wait = entry.plan.waits[entry.unit.tasks[0][1:]]
+    has_waited = planner_state.now.ms >= wait.since_ms + SETTLING_WAIT_MS
+    if not has_waited or not has_crashed_worker(entry.plan, entry.unit):
+        return False
+    placement = choose_placement(planner_state, entry, candidates)
+    if placement is None:
+        return False
+    reserve_settling(planner_state, entry.unit, placement)
+    snapshot.refresh(placement)
+    return True
+
+
 def list_usable(
     planner_state: PlannerState, snapshot: CapacitySnapshot, entry: WaitingUnit
 ) -> list[Candidate]:
     """Return the workers that may take a unit and are approved if need be."""
-    candidates = keep_apart(
+    candidates = keep_off(
         planner_state,
         entry.unit,
         entry.entitled,
--- a/yuccarelay/core/batch/wait_report.py
+++ b/yuccarelay/core/batch/wait_report.py
@@ -8,7 +8,11 @@
 from typing import NamedTuple
 
 from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
-from yuccarelay.core.batch.crashes import keep_apart
+from yuccarelay.core.batch.crashes import (
+    has_crashed_worker,
+    keep_off,
+    list_settled,
+)
 from yuccarelay.core.batch.entities import JobPlan, Run, RunStage, Wait, WorkerView
 from yuccarelay.core.batch.models import Step
 from yuccarelay.core.batch.planner_state import PlannerState
@@ -126,10 +130,10 @@
     step = plan.job.steps[unit.step]
     candidates = snapshot.list_candidates(unit, entry.queue)
     usable = [candidate for candidate in candidates if is_usable(step, candidate)]
-    apart = {
-        candidate.agent
-        for candidate in keep_apart(planner_state, unit, entry.entitled, candidates)
-    }
+    apart = keep_off(planner_state, unit, entry.entitled, candidates)
+    if has_crashed_worker(plan, unit):
+        apart = list_settled(planner_state, unit, apart)
+    agents_apart = {candidate.agent for candidate in apart}
     need = resources_held(step)
     room = [
         candidate
@@ -145,7 +149,7 @@
         failing=avoidances.count(Avoidance.FAILING),
         last_attempt=avoidances.count(Avoidance.LAST_ATTEMPT),
         unproven=avoidances.count(Avoidance.UNPROVEN),
-        probation=sum(candidate.agent not in apart for candidate in room),
+        probation=sum(candidate.agent not in agents_apart for candidate in room),
         reserved=sum(not candidate.free.holds(need) for candidate in room),
         unapproved=sum(
             planner_state.find_ticket(
