Read the lists of a worker again after an unanswered call

A worker takes work only while the planner has a lease reference of it. An unanswered call of the agent to its worker removes the reference, and only the next read of the lists brings it back. Polls of a worker without runs do not call it, so a worker whose runs were released meanwhile got no work until it restarted or its agent was lost: after its leases had expired during a silence, or after one unanswered call between an assignment and its start.

Both tests of ClosedWorkerTest failed before.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -158,5 +158,33 @@
         self.assertEqual(count_runs(fleet, job), 1)
 
 
+class ClosedWorkerTest(unittest.TestCase):
+    """Guards against workers that get no work for ever after unanswered calls."""
+
+    def test_a_worker_that_answers_again_after_its_leases_gets_work(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        job = fleet.submit(make_job(make_step(1, 8)))
+        fleet.run(1_000)
+        (worker,) = fleet.workers.values()
+        worker.is_gone = True
+        fleet.run(20_000)
+        worker.is_gone = False
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+    def test_one_unanswered_call_before_a_start_does_not_close_a_worker(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        (worker,) = fleet.workers.values()
+        fleet.store_down = True
+        job = fleet.submit(make_job(make_step(1, 8)))
+        worker.is_gone = True
+        fleet.run(300)
+        fleet.store_down = False
+        fleet.run(50)
+        worker.is_gone = False
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -114,8 +114,13 @@
         return self.queues.get(plan.job.queue)
 
     def poll(self, view: WorkerView) -> None:
-        """Request a report from an agent and extend the leases of the worker's runs."""
-        lists_unread = view.read_ms == 0
+        """
+        Request a report from an agent and extend the leases of the worker's runs.
+
+        The lists of a worker that did not answer the last call are read again even if
+        it has no runs left, because it takes no work until it answers.
+        """
+        lists_unread = view.read_ms == 0 or view.basis is None
         stages = {run.stage for run in view.runs.values()}
         has_work = (
             view.runs
