Start a run once its own assignment is saved

Starts waited until the saved version of a job's record was its newest. In a job whose tasks end and are assigned faster than the store writes, there is always a newer version, so assigned runs held their resources and were not started: with writes of 300 ms and an end each 100 ms, 1 of 30 tasks that last was left at work. A run now has the version of the record with its assignment, and starts once that version or a later one is saved.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -4,7 +4,8 @@
 Workers end runs whose lease has expired, refuse orders of older terms and starts of
 stopped runs, and list ended runs until they are acknowledged. Faults are set on the
 objects: a worker may be silent, leave a start unanswered or restart, a task may crash
-the workers that start it, and the store or the advice service may be down.
+the workers that start it, the store or the advice service may be down, and the store
+may be slow.
 """
 
 import heapq
@@ -348,6 +349,9 @@
         self.records: dict[str, JobRecord] = {}
         self.cancelled: set[str] = set()
         self.store_down = False
+        # Duration of a write of records; the next one begins after it.
+        self.write_ms = 0
+        self.is_writing = False
         self.unsaved: list[SaveRecord] = []
         self.notes: list[tuple[str, dict]] = []
         self.queue: list = []
@@ -367,6 +371,7 @@
         """
         orders = [entry[2] for entry in sorted(self.queue) if entry[2][0] == 'order']
         self.queue = []
+        self.is_writing = False
         if orders_delayed_ms is not None:
             for order in orders:
                 self.schedule(orders_delayed_ms, order)
@@ -422,9 +427,17 @@
 
     def save(self) -> None:
         """Store the unsaved records, unless the store is down."""
-        if self.store_down:
+        if self.store_down or self.is_writing or not self.unsaved:
             return
         saves, self.unsaved = self.unsaved, []
+        if self.write_ms:
+            self.is_writing = True
+            self.schedule(self.write_ms, ('written', saves))
+        else:
+            self.confirm(saves)
+
+    def confirm(self, saves: list[SaveRecord]) -> None:
+        """Store records and report them to the planner as saved."""
         for save in saves:
             self.records[save.job] = save.record
         for save in saves:
@@ -451,7 +464,7 @@
         return self
 
     def deliver(self, item: tuple) -> None:
-        """Deliver one scheduled order, answer or advice query."""
+        """Deliver one scheduled order or answer, advice query or write."""
         match item:
             case ('order', agent, order, sent_ms):
                 if isinstance(order, Look):
@@ -467,6 +480,9 @@
                 self.feed(event)
             case ('advice', query):
                 self.feed(self.advise(query))
+            case ('written', saves):
+                self.is_writing = False
+                self.confirm(saves)
 
     def advise(self, query: QueryAdvice) -> AdviceGiven | AdviceFailed:
         """Answer a query as the advice service does."""
--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -186,5 +186,23 @@
         self.assertEqual(count_runs(fleet, job), 1)
 
 
+class RecordingTest(unittest.TestCase):
+    """Guards against assigned runs that are not started because others change."""
+
+    def test_runs_start_while_the_record_of_their_job_changes_all_the_time(self):
+        fleet = make_fleet(6, run_ms=LONG_MS)
+        job = fleet.submit(make_job(make_step(30, is_long_running=True)))
+        fleet.run(1_000)
+        fleet.write_ms = 300
+        counts = []
+        for _ in range(50):
+            worker = next(worker for worker in fleet.workers.values() if worker.runs)
+            worker.end(next(iter(worker.runs)), 'done')
+            fleet.run(100)
+            counts.append(count_runs(fleet, job))
+        # At most two writes pass until a start, in which six tasks end.
+        self.assertGreaterEqual(min(counts), 22)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -56,6 +56,7 @@
     """
     A run that may exist on a worker; it holds resources until it is released.
 
+    `version` is the first version of the job's record that has all runs of the unit.
     `since_ms` is when the stage began. `percent` was first reported at
     `percent_since_ms`. `listed` means that this incarnation of the worker listed it
     as running, and `start_repeated` that a lost start may still be carried out.
@@ -74,6 +75,7 @@
     need: Resources
     stage: RunStage
     since_ms: int
+    version: int = 0
     started_ms: int = 0
     checkpoint: str = ''
     percent: float = 0
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -217,16 +217,18 @@
         """
         Order the starts of runs whose assignment is saved.
 
+        Later changes of the record need not be saved: in a job of many tasks there may
+        always be one.
         All runs are checked before the first start is ordered: the release of one
         member also releases the rest of its gang.
         """
         for run in list(plan.runs.values()):
-            if run.stage is RunStage.RECORDING:
+            if is_assignment_saved(plan, run):
                 reason = self._find_start_obstacle(plan, run)
                 if reason is not None:
                     self.planner_state.release(run, reason)
         for run in plan.runs.values():
-            if run.stage is RunStage.RECORDING:
+            if is_assignment_saved(plan, run):
                 self._order_start(plan, run)
 
     def _find_start_obstacle(self, plan: JobPlan, run: Run) -> str | None:
@@ -402,8 +404,12 @@
         if plan is None:
             return
         plan.saved = max(plan.saved, version)
-        if plan.saved == plan.version:
-            self._start_saved(plan)
+        self._start_saved(plan)
         for view in self.planner_state.workers.values():
             if view.ends:
                 self.reports.acknowledge(view)
+
+
+def is_assignment_saved(plan: JobPlan, run: Run) -> bool:
+    """Whether a run that was not started yet is in the saved record of its job."""
+    return run.stage is RunStage.RECORDING and plan.saved >= run.version
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -266,6 +266,8 @@
                 ),
             )
             self.track_run(plan, task, RunStage.RECORDING)
+        for task in unit.tasks:
+            plan.runs[task].version = plan.version
         plan.state = JobState.RUNNING
         plan.ready_ms.pop((unit.occurrence, unit.step), None)
         plan.waits.pop(unit.tasks[0][1:], None)
