Ignore the answer to a write of an ended term

The versions of a record start again with each planner. When a write was answered after its term had ended and the same process was elected again, the new planner took the old version for one of its own: it was above all its versions, so runs that waited for the save were never started, and ends counted as saved before they were. The record writer now handles the messages that arrived during a write before it passes the answer on.

The test of EndedTermTest failed before.

--- a/yuccarelay/tasks/batch/records.py
+++ b/yuccarelay/tasks/batch/records.py
@@ -71,11 +71,15 @@
         while True:
             if not self.waiting:
                 await self._handle(await self.inbox.get())
-            while not self.inbox.empty():
-                await self._handle(self.inbox.get_nowait())
+            await self._handle_waiting()
             if self.waiting and self.term:
                 await self._write_batch()
 
+    async def _handle_waiting(self) -> None:
+        """Handle the messages that have arrived."""
+        while not self.inbox.empty():
+            await self._handle(self.inbox.get_nowait())
+
     async def _handle(self, message) -> None:
         match message:
             case TermBegan(term, revisions):
@@ -103,7 +107,13 @@
             self.journal.write('job_not_removed', {'job': job, 'reason': reason})
 
     async def _write_batch(self) -> None:
-        """Write some records and notify the planner, or wait before a retry."""
+        """
+        Write some records and notify the planner, or wait before a retry.
+
+        An answer that comes after the end of the term is ignored: the versions of the
+        next planner start again, so it would take its own records for saved.
+        """
+        term = self.term
         batch = list(self.waiting.values())[:RECORDS_PER_WRITE]
         keys = {save.job: batch_records.RECORDS + save.job for save in batch}
         guards = [Guard(batch_records.PLANNER, self.term)]
@@ -113,7 +123,11 @@
         puts = [
             Put(keys[save.job], batch_records.encode(save.record)) for save in batch
         ]
-        match await self.store.transact(tuple(guards), tuple(puts)):
+        written = await self.store.transact(tuple(guards), tuple(puts))
+        await self._handle_waiting()
+        if self.term != term:
+            return
+        match written:
             case Ok(TransactionResult(succeeded=True, revision=revision)):
                 self._set_failing(False)
                 for save in batch:
