Write the other records when the store refuses one

A call that the store refuses, for example for a value that is too large, was repeated as it was, so the record at fault held up the others of its call, and all other records once it shared the call with 14 that waited. Nothing was started and no end acknowledged meanwhile. The records of a refused call are now written one by one, and one that is refused by itself again after 5 s.

--- a/yuccarelay/tasks/batch/records.py
+++ b/yuccarelay/tasks/batch/records.py
@@ -16,13 +16,23 @@
 from yuccarelay.adapters import batch_records
 from yuccarelay.core.batch.events import RecordSaved, RemoveJob, SaveRecord
 from yuccarelay.ports.journal import Journal
-from yuccarelay.ports.store import Delete, Guard, Put, Store, TransactionResult
+from yuccarelay.ports.store import (
+    Delete,
+    Guard,
+    Put,
+    Store,
+    StoreFailure,
+    TransactionResult,
+)
 from yuccarelay.tasks.mailbox import Mailbox
 
 # A transaction takes 32 entries; the planner's key is one, and each record counts
 # twice, as a guard and as a write.
 RECORDS_PER_WRITE = 15
 RETRY_PAUSE_S = 0.1
+# A record that the store refuses by itself, for example because it is too large, is
+# written again after this time. Each attempt counts as a call to the store.
+REFUSED_RETRY_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +54,12 @@
 
 
 class RecordsTask:
-    """Writes the newest version of each record, many in one call."""
+    """
+    Writes the newest version of each record, many in one call.
+
+    `refused` has the records of calls that the store has refused, and when each is due.
+    They are written in calls of their own, so that the others are not held up.
+    """
 
     def __init__(
         self,
@@ -64,16 +79,41 @@
         self.term = 0
         self.revisions: dict[str, int] = {}
         self.waiting: dict[str, SaveRecord] = {}
+        self.refused: dict[str, float] = {}
         self.failing = False
 
     async def run(self) -> None:
         """Write until cancelled."""
         while True:
-            if not self.waiting:
-                await self._handle(await self.inbox.get())
+            if not self._choose_batch():
+                await self._await_message()
             await self._handle_waiting()
-            if self.waiting and self.term:
-                await self._write_batch()
+            batch = self._choose_batch()
+            if batch and self.term:
+                await self._write_batch(batch)
+
+    async def _await_message(self) -> None:
+        """Handle the next message, or return once a refused record is due."""
+        due = [self.refused[job] for job in self.waiting if job in self.refused]
+        try:
+            async with asyncio.timeout_at(min(due, default=None)):
+                message = await self.inbox.get()
+        except TimeoutError:
+            return
+        await self._handle(message)
+
+    def _choose_batch(self) -> list[SaveRecord]:
+        """Return the records to write in the next call."""
+        now = asyncio.get_running_loop().time()
+        due = [
+            save
+            for save in self.waiting.values()
+            if now >= self.refused.get(save.job, 0)
+        ]
+        if due and due[0].job in self.refused:
+            return due[:1]
+        batch = [save for save in due if save.job not in self.refused]
+        return batch[:RECORDS_PER_WRITE]
 
     async def _handle_waiting(self) -> None:
         """Handle the messages that have arrived."""
@@ -85,6 +125,7 @@
             case TermBegan(term, revisions):
                 self.term, self.revisions = term, dict(revisions)
                 self.waiting.clear()
+                self.refused.clear()
             case TermEnded():
                 self.term = 0
                 self.waiting.clear()
@@ -96,6 +137,7 @@
     async def _remove_job(self, job: str) -> None:
         """Remove a job; a failure is left to a later term's clean-up."""
         self.waiting.pop(job, None)
+        self.refused.pop(job, None)
         folders = (batch_records.JOBS, batch_records.RECORDS, batch_records.CANCELS)
         guards = (Guard(batch_records.PLANNER, self.term),)
         removed = await self.store.transact(
@@ -106,7 +148,7 @@
             reason = removed.err_value.reason
             self.journal.write('job_not_removed', {'job': job, 'reason': reason})
 
-    async def _write_batch(self) -> None:
+    async def _write_batch(self, batch: list[SaveRecord]) -> None:
         """
         Write some records and notify the planner, or wait before a retry.
 
@@ -114,7 +156,6 @@
         next planner start again, so it would take its own records for saved.
         """
         term = self.term
-        batch = list(self.waiting.values())[:RECORDS_PER_WRITE]
         keys = {save.job: batch_records.RECORDS + save.job for save in batch}
         guards = [Guard(batch_records.PLANNER, self.term)]
         guards += [
@@ -132,11 +173,14 @@
                 self._set_failing(False)
                 for save in batch:
                     self.revisions[save.job] = revision
+                    self.refused.pop(save.job, None)
                     if self.waiting.get(save.job) == save:
                         del self.waiting[save.job]
                     self.planner.put_nowait(RecordSaved(save.job, save.version))
             case Ok(TransactionResult(current=current)):
                 self._handle_conflict(batch, {value.key: value for value in current})
+            case Err(StoreFailure(refused=True, reason=reason)):
+                self._handle_refusal(batch, reason)
             case Err(failure):
                 self._set_failing(True, failure.reason)
                 await asyncio.sleep(RETRY_PAUSE_S * (1 + self.rng.random()))
@@ -154,6 +198,15 @@
             value = current.get(batch_records.RECORDS + save.job)
             self.revisions[save.job] = value.mod_revision if value else 0
 
+    def _handle_refusal(self, batch: list[SaveRecord], reason: str) -> None:
+        """Write the records of a refused call one by one, and a refused one later."""
+        due = asyncio.get_running_loop().time()
+        if len(batch) == 1:
+            due += REFUSED_RETRY_S
+            fields = {'term': self.term, 'job': batch[0].job, 'reason': reason}
+            self.journal.write('record_refused', fields)
+        self.refused.update((save.job, due) for save in batch)
+
     def _set_failing(self, failing: bool, reason: str = '') -> None:
         if failing is not self.failing:
             self.failing = failing
