--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -181,5 +181,51 @@
         self.assertEqual(count_runs(fleet, job), 1)
 
 
+class ClosedWorkerTest(unittest.TestCase):
+    """Guards against workers that get no work for ever after unanswered calls."""
+
+    def test_a_worker_that_answers_again_after_its_leases_gets_work(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        job = fleet.submit(make_job(make_step(1, 8)))
+        fleet.run(1_000)
+        (worker,) = fleet.workers.values()
+        worker.is_gone = True
+        fleet.run(20_000)
+        worker.is_gone = False
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+    def test_one_unanswered_call_before_a_start_does_not_close_a_worker(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        (worker,) = fleet.workers.values()
+        fleet.store_down = True
+        job = fleet.submit(make_job(make_step(1, 8)))
+        worker.is_gone = True
+        fleet.run(300)
+        fleet.store_down = False
+        fleet.run(50)
+        worker.is_gone = False
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+
+class RecordingTest(unittest.TestCase):
+    """Guards against assigned runs that are not started because others change."""
+
+    def test_runs_start_while_the_record_of_their_job_changes_all_the_time(self):
+        fleet = make_fleet(6, run_ms=LONG_MS)
+        job = fleet.submit(make_job(make_step(30, is_long_running=True)))
+        fleet.run(1_000)
+        fleet.write_ms = 300
+        counts = []
+        for _ in range(50):
+            worker = next(worker for worker in fleet.workers.values() if worker.runs)
+            worker.end(next(iter(worker.runs)), 'done')
+            fleet.run(100)
+            counts.append(count_runs(fleet, job))
+        # At most two writes pass until a start, in which six tasks end.
+        self.assertGreaterEqual(min(counts), 22)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -114,8 +114,13 @@
         return self.queues.get(plan.job.queue)
 
     def poll(self, view: WorkerView) -> None:
-        """Request a report from an agent and extend the leases of the worker's runs."""
-        lists_unread = view.read_ms == 0
+        """
+        Request a report from an agent and extend the leases of the worker's runs.
+
+        The lists of a worker that did not answer the last call are read again even if
+        it has no runs left, because it takes no work until it answers.
+        """
+        lists_unread = view.read_ms == 0 or view.basis is None
         stages = {run.stage for run in view.runs.values()}
         has_work = (
             view.runs
@@ -281,6 +286,8 @@
                 ),
             )
             self.track_run(plan, task, RunStage.RECORDING)
+        for task in unit.tasks:
+            plan.runs[task].version = plan.version
         plan.state = JobState.RUNNING
         plan.ready_ms.pop((unit.occurrence, unit.step), None)
         plan.waits.pop(unit.tasks[0][1:], None)
