--- a/tests/test_batch_wait_report.py
+++ b/tests/test_batch_wait_report.py
@@ -76,6 +76,14 @@
         fleet.run(8 * WAIT_LOG_MS + 1_000)
         self.assertEqual(len(list_waits(fleet, job)), 4)
 
+    def test_a_wide_step_is_logged_once_and_not_for_each_of_its_tasks(self):
+        fleet = make_fleet(1, run_ms=500)
+        fleet.submit(make_job(make_step(10, 8), queue=URGENT))
+        fleet.run(200)
+        job = fleet.submit(make_job(make_step(30, 8), queue=URGENT))
+        fleet.run(10_000)
+        self.assertLess(len(list_waits(fleet, job)), 4)
+
     def test_a_job_whose_queue_is_not_known_is_logged(self):
         fleet = make_fleet(2)
         job = fleet.submit(make_job(queue=URGENT._replace(name='unheard')))
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -122,11 +122,10 @@
 
 @dataclass(slots=True)
 class Wait:
-    """The wait of a unit that may start, since `since_ms`, and its next log line."""
+    """The wait of a unit that may start, and how often it was passed over."""
 
     since_ms: int
     passes: int = 0
-    log_due_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -140,7 +139,8 @@
     of a step goes only to workers that are known to run tasks until `proof_until_ms`.
     `failed_on` has the workers that a step avoids because it failed there, and until
     when.
-    `waits` has the units that may start, by the first of their tasks.
+    `waits` has the units that may start, by the first of their tasks. The next log line
+    about a step that waits is due at `wait_log_due_ms`.
     """
 
     job: Job
@@ -157,6 +157,7 @@
     retry_at_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     ready_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     waits: dict[tuple[int, int, int], Wait] = field(default_factory=dict)
+    wait_log_due_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_on: dict[tuple[int, int], dict[WorkerId, int]] = field(default_factory=dict)
     proof_until_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_attempts: set[tuple] = field(default_factory=set)
--- a/yuccarelay/core/batch/wait_report.py
+++ b/yuccarelay/core/batch/wait_report.py
@@ -69,7 +69,7 @@
     """Log a unit that could not be placed for a while; again at each doubling."""
     wait = entry.plan.waits[entry.unit.tasks[0][1:]]
     wait.passes += 1
-    if not is_log_due(planner_state, wait):
+    if not is_log_due(planner_state, entry.plan, entry.unit[1:3], wait):
         return
     counts = count_workers(planner_state, snapshot, entry)
     planner_state.note(
@@ -102,7 +102,7 @@
     """Log a job that cannot be planned, because no configuration has its queue."""
     wait = plan.waits.setdefault((0, 0, 0), Wait(planner_state.now.ms))
     wait.passes += 1
-    if is_log_due(planner_state, wait):
+    if is_log_due(planner_state, plan, (0, 0), wait):
         planner_state.note(
             'unit_waiting',
             job=plan.job.id,
@@ -113,12 +113,15 @@
         )
 
 
-def is_log_due(planner_state: PlannerState, wait: Wait) -> bool:
-    """Whether a wait is to be logged now; the next line is due at twice its length."""
+def is_log_due(
+    planner_state: PlannerState, plan: JobPlan, key: tuple[int, int], wait: Wait
+) -> bool:
+    """Whether the wait of a step is to be logged now, and again at twice its length."""
     now_ms = planner_state.now.ms
-    if now_ms < max(wait.log_due_ms, wait.since_ms + WAIT_LOG_MS):
+    due_ms = max(plan.wait_log_due_ms.get(key, 0), wait.since_ms + WAIT_LOG_MS)
+    if now_ms < due_ms:
         return False
-    wait.log_due_ms = now_ms + (now_ms - wait.since_ms)
+    plan.wait_log_due_ms[key] = now_ms + (now_ms - wait.since_ms)
     return True
 
 
