Answer an order whose request failed unexpectedly

The planner polls a worker only once the last poll is answered, and a run stays ordered until its start is. An unexpected error in a request, for example a socket that cannot be opened, ended the request's task without an answer, so the worker was not polled again in the term. Such an order is now answered as unanswered, and the error is logged.

The test of UnsentOrderTest failed before.

--- a/yuccarelay/host_entry.py
+++ b/yuccarelay/host_entry.py
@@ -128,7 +128,7 @@
             journal,
         ),
         AdviceTask(advisor, advice_box, planner_box),
-        OrderLinksTask(links_box, planner_box, PeerSockets(transport, clock)),
+        OrderLinksTask(links_box, planner_box, PeerSockets(transport, clock), journal),
         RelayTask(handler, configuration_box, listener, clock, journal),
         EntryRegisterTask(link, store, clock, journal),
         *metrics_tasks,
--- a/yuccarelay/tasks/batch/planner.py
+++ b/yuccarelay/tasks/batch/planner.py
@@ -22,7 +22,7 @@
     StepDown,
 )
 from yuccarelay.core.batch.planner import Planner
-from yuccarelay.core.batch.protocol import Look, Unanswered
+from yuccarelay.core.batch.protocol import Answer, Look, Unanswered
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.tasks.batch.peers import PeerSockets
@@ -105,12 +105,24 @@
 
 
 class OrderLinksTask:
-    """Sends orders to agents and passes the answers to the planner."""
+    """
+    Sends orders to agents and passes the answers to the planner.
 
-    def __init__(self, inbox: Mailbox, planner: Mailbox, sockets: PeerSockets):
+    Each order is answered, if need be as `Unanswered`. The planner polls a worker only
+    after the answer to the last poll, and settles a run only after that to its start.
+    """
+
+    def __init__(
+        self,
+        inbox: Mailbox,
+        planner: Mailbox,
+        sockets: PeerSockets,
+        journal: Journal,
+    ):
         self.inbox = inbox
         self.planner = planner
         self.sockets = sockets
+        self.journal = journal
         self.requests: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -130,6 +142,18 @@
     async def _send(self, effect: SendOrder) -> None:
         """Send one order and pass its answer, or its failure, to the planner."""
         sent_ms = self.sockets.clock.now_ms()
+        answer: Answer
+        try:
+            answer = await self._request(effect)
+        except Exception as error:
+            fields = {'agent': effect.agent, 'order': type(effect.order).__name__}
+            write_failure(self.journal, 'order_not_sent', error, fields)
+            answer = Unanswered('internal error')
+        event = OrderAnswered(effect.agent, effect.order, answer, sent_ms)
+        self.planner.put_nowait(event)
+
+    async def _request(self, effect: SendOrder) -> Answer:
+        """Return the answer to one order."""
         order = effect.order
         limit_ms = ORDER_LIMIT_MS
         if isinstance(order, Look):
@@ -141,12 +165,11 @@
         )
         match found:
             case Ok(data):
-                answer = self._decode(data)
+                return self._decode(data)
             case Err(failure):
-                answer = Unanswered(failure.reason)
-        self.planner.put_nowait(OrderAnswered(effect.agent, order, answer, sent_ms))
+                return Unanswered(failure.reason)
 
-    def _decode(self, data: bytes):
+    def _decode(self, data: bytes) -> Answer:
         match batch_codec.decode(data):
             case Ok(answer):
                 return answer
