Stop a run again that is listed after its stop

A worker may end after it has accepted a stop, and its next incarnation may carry out a start that was delayed. Its lists showed the run, which counted as stopped, so no further stop was sent: it held its lease and its resources until it ended by itself, also after its job was cancelled, and a task that lasts was not started again.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -5,6 +5,7 @@
 from tests.batch_fleet import (
     DEFERRABLE,
     ORDINARY,
+    FakeRun,
     FakeWorker,
     Fleet,
     make_fleet,
@@ -204,5 +205,25 @@
         self.assertGreaterEqual(min(counts), 22)
 
 
+class StoppedRunTest(unittest.TestCase):
+    """Guards against a run that counts as stopped for ever and still runs."""
+
+    def test_a_start_that_a_later_incarnation_accepts_after_the_stop_is_stopped(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        (worker,) = fleet.workers.values()
+        worker.lose_starts = 1
+        job = fleet.submit(make_job(make_step(1, 8, is_long_running=True)))
+        while not worker.stops:
+            fleet.run(1)
+        # It crashes once it has accepted the stop; the lost start arrives after that.
+        worker.crash(fleet.now_ms)
+        worker.send_heartbeat(fleet.now_ms)
+        worker.lease_end_ms = fleet.now_ms + IDLE_LIMIT_MS
+        task = f'{job.id}.0.0.0'
+        worker.runs[task] = FakeRun(task, 1, LONG_MS, '', fleet.now_ms)
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual([run.run for run in worker.runs.values()], [2])
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -28,6 +28,9 @@
 from yuccarelay.core.batch.protocol import Report, Stop
 
 ORPHAN_RETRY_MS = 1_000
+# A stop takes up to 0.9 s. A run that is still listed this long after its stop was
+# accepted has been started since, by a later incarnation of the worker.
+STOP_LIMIT_MS = 1_500
 # Interval at which new checkpoints of a job are written to its record. A crash loses
 # about as much progress as the platform's own checkpoint interval.
 CHECKPOINTS_PAUSE_MS = 1_500
@@ -346,6 +349,11 @@
                 )
                 if plan.task(task).stage is not TaskStage.ASSIGNED or plan.ended:
                     planner_state.stop_run(run, 'not_wanted')
+            elif (
+                run.stage is RunStage.STOPPED and run.since_ms + STOP_LIMIT_MS < sent_ms
+            ):
+                run.move(RunStage.STOPPING, now_ms)
+                planner_state.send_stop(run)
             note_survival(planner_state, plan, run)
         self._record_checkpoints(view)
         for run in list(view.runs.values()):
