Show with failing tests that jobs of a removed queue do not run

A planner in a new process, whose configuration no longer has the queue of an accepted job, never starts it, and fails it after a single attempt if it runs. Six tests, also of guarantees, tickets and limits of attempts of such jobs.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -3,15 +3,18 @@
 import unittest
 
 from tests.batch_fleet import (
+    ADVISED,
+    CONFIGURATION,
     DEFERRABLE,
     ORDINARY,
+    URGENT,
     FakeWorker,
     Fleet,
     make_fleet,
     make_job,
     make_step,
 )
-from yuccarelay.core.batch.models import Job
+from yuccarelay.core.batch.models import Job, Queue
 
 LONG_MS = 600_000
 # Work that could run may have nothing running for 3 s, and a task that lasts may be
@@ -20,6 +23,12 @@
 AWAY_LIMIT_MS = 6_000
 # A worker whose last run failed is suspect for 8 s; other tasks of its step run on.
 SICK_LIMIT_MS = 9_000
+# Newer configurations that lack the queues of the jobs. All workers are of the service
+# `desk`, and only with a single service the place of an unknown queue is clear.
+OTHER = Queue('other', 'h', '/x/', 'desk', 1, 3, 3.0, 1_500)
+ELSEWHERE = Queue('elsewhere', 'h', '/e/', 'bureau', 1, 3, 3.0, 1_500)
+ONE_SERVICE = CONFIGURATION._replace(version=2, queues=(OTHER,))
+TWO_SERVICES = CONFIGURATION._replace(version=2, queues=(OTHER, ELSEWHERE))
 
 
 def find_worker(fleet: Fleet, job: Job, index: int = 0) -> FakeWorker:
@@ -158,5 +167,95 @@
         self.assertEqual(count_runs(fleet, job), 1)
 
 
+class RemovedQueueTest(unittest.TestCase):
+    """Guards against accepted jobs that do not run because their queue is removed."""
+
+    def replace_planner(self, fleet: Fleet, configuration=TWO_SERVICES) -> None:
+        fleet.configuration = configuration
+        fleet.replace_planner()
+
+    def find_causes(self, fleet: Fleet, job: Job) -> set[str]:
+        return {
+            fields['cause']
+            for event, fields in fleet.notes
+            if event == 'unit_waiting' and fields['job'] == job.id
+        }
+
+    def test_a_job_that_has_not_begun_starts(self):
+        fleet = make_fleet(1)
+        fleet.submit(make_job(make_step(1, 8), queue=OTHER))
+        fleet.submit(make_job(make_step(1, 8)))
+        fleet.run(100)
+        job = fleet.submit(make_job(make_step(1, 8)))
+        self.replace_planner(fleet)
+        fleet.run(6_000)
+        self.assertEqual(fleet.state(job), 'completed')
+
+    def test_a_failed_task_has_all_the_attempts_of_its_queue(self):
+        fleet = make_fleet(3, run_ms=LONG_MS)
+        job = fleet.submit(make_job())
+        fleet.run(1_000)
+        self.replace_planner(fleet)
+        fleet.run(1_000)
+        for _ in range(ORDINARY.max_attempts - 1):
+            fail_task(fleet, job)
+            fleet.run(IDLE_LIMIT_MS)
+            self.assertEqual(count_runs(fleet, job), 1)
+        fail_task(fleet, job)
+        fleet.run(1_000)
+        self.assertEqual(fleet.state(job), 'failed')
+
+    def test_a_step_that_needs_advice_starts_only_with_a_ticket(self):
+        fleet = make_fleet(2, run_ms=LONG_MS, needs_ticket=True)
+        job = fleet.submit(make_job(queue=ADVISED))
+        fleet.run(1_000)
+        self.replace_planner(fleet)
+        fleet.run(2_000)
+        self.assertEqual(fleet.starts(job), [])
+        fleet.approved = {'w0', 'w1'}
+        fleet.run(4_000)
+        self.assertEqual(count_runs(fleet, job), 1)
+        rejected = sum(worker.rejected for worker in fleet.workers.values())
+        self.assertEqual(rejected, 0)
+
+    def test_guaranteed_work_still_displaces_other_work(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        job = fleet.submit(make_job(make_step(1, 8), queue=URGENT))
+        fleet.run(500)
+        fleet.submit(make_job(make_step(1, 8), queue=DEFERRABLE))
+        self.replace_planner(
+            fleet, TWO_SERVICES._replace(queues=(*TWO_SERVICES.queues, DEFERRABLE))
+        )
+        fleet.run(1_000)
+        for worker in fleet.workers.values():
+            worker.crash(fleet.now_ms)
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+    def test_a_job_without_stored_terms_uses_the_only_service(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        job = make_job()
+        fleet.jobs[job.id] = job
+        self.replace_planner(fleet, ONE_SERVICE)
+        fleet.run(1_000)
+        self.assertEqual(count_runs(fleet, job), 1)
+        fail_task(fleet, job)
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+    def test_a_job_whose_service_is_unknown_waits_and_does_not_fail(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        job = make_job()
+        fleet.jobs[job.id] = job
+        fleet.replace_planner()
+        fleet.run(1_000)
+        self.replace_planner(fleet)
+        fleet.run(500)
+        fail_task(fleet, job)
+        fleet.run(4_000)
+        self.assertEqual(fleet.state(job), 'running')
+        self.assertEqual(self.find_causes(fleet, job), {'unknown_queue'})
+
+
 if __name__ == '__main__':
     unittest.main()
