Run accepted jobs whose queue is removed, whichever process plans

Callers saw an accepted job that never started, or failed after one attempt, once the operators had removed its queue and another process had begun to plan.

Cause: only the process that had seen an older configuration remembered its queues. For others find_queue was None: the job was passed over, its limit of attempts was 1, its guarantee was gone, and its runs were preempted as deferrable ones.

The entry now stores what planning needs of the queue under accepted/<id>, in the same write as the job, and the planner gets it with the job. The newest configuration goes first if it has the queue. A job of an older version has no terms: it goes to the only service of the newest configuration, 5 s after it was accepted; without a single service it waits as cause=unknown_queue, and is neither failed nor preempted. Malformed terms are logged and passed over.

--- a/tests/test_host_processes.py
+++ b/tests/test_host_processes.py
@@ -1,15 +1,19 @@
 """Tests of the platform's roles as processes, with a stand-in store and workers."""
 
 import asyncio
+import json
 import signal
+import time
 import unittest
 
-from tests.host_system import HostCase, is_hangup_handled
+from tests.host_system import CONFIGURATION, HostCase, is_hangup_handled
 from yuccarelay.adapters import batch_records
 
 JOB = '5c0e7a21d94b36f8'
 OTHER = 'a' * 16
 HANGUP_GAP_S = 0.15
+# Long enough to kill two processes before the job is due.
+DUE_IN_MS = 5_000
 
 
 class EndToEndTest(HostCase):
@@ -149,6 +153,40 @@
         tasks = [task for task, _ in self.starts(JOB)]
         self.assertEqual(len(set(tasks)), 2)
 
+    async def test_a_job_runs_after_its_queue_and_all_entries_are_gone(self):
+        due_ms = int(time.time() * 1_000) + DUE_IN_MS
+        body = {
+            'specification': 's',
+            'steps': [{'count': 2, 'gpu': 1}],
+            'firstRunMs': due_ms,
+            'intervalMs': 1_000,
+            'repetitions': 1,
+        }
+        status, _ = await self.call('POST', f'/q/{JOB}', body=body)
+        self.assertEqual(status, 200)
+        for node in self.front_addresses:
+            await self.kill(node)
+        self.assertEqual(self.starts(JOB), [])
+        # Two services, so that nothing else tells where the job can run.
+        routes = [
+            {
+                **CONFIGURATION['routes'][0],
+                'name': name,
+                'service': name,
+                'prefix': f'/{name}/',
+            }
+            for name in ('desk', 'bureau')
+        ]
+        newer = {**CONFIGURATION, 'version': 2, 'routes': routes}
+        self.store.write('op/config', json.dumps(newer).encode())
+        for node in self.front_addresses:
+            await self.start_process(node)
+
+        async def has_run():
+            return len(self.starts(JOB)) == 2
+
+        await self.poll(has_run, 'the job of the removed queue runs')
+
     async def test_a_restarted_agent_keeps_its_runs(self):
         for worker in self.workers:
             worker.run_ms = 5_000
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -66,6 +66,7 @@
     worker.read_refusal(HttpResponse(409, data))
     batch_records.decode_job(data)
     batch_records.decode_record(data)
+    batch_records.decode_terms(data)
     batch_records.decode_agent(data)
     batch_codec.decode(data)
     for kind in (store.Item, store.ItemPage, store.ItemEvents, store.Lease):
--- a/yuccarelay/adapters/batch_records.py
+++ b/yuccarelay/adapters/batch_records.py
@@ -6,18 +6,41 @@
 from result import Err, Ok, Result
 
 from yuccarelay.adapters import decoding
+from yuccarelay.adapters.decoding import Integer
 from yuccarelay.core.batch.configuration_feed import EntryLink
-from yuccarelay.core.batch.models import Job, JobRecord
+from yuccarelay.core.batch.known_queues import QueueTerms
+from yuccarelay.core.batch.models import AdviceTerms, Job, JobRecord
 from yuccarelay.core.batch.protocol import AgentAddress
 
 ROOT = 'yuccarelay/'
 JOBS = ROOT + 'job/'
 RECORDS = ROOT + 'run/'
 CANCELS = ROOT + 'cancel/'
+# Sorts before the jobs, so that a planner has the terms once it learns of a job.
+TERMS = ROOT + 'accepted/'
 AGENTS = ROOT + 'agent/'
 ENTRIES = ROOT + 'entry/'
 PLANNER = ROOT + 'planner'
+# Folders with a key for each job.
+JOB_FOLDERS = (JOBS, RECORDS, CANCELS, TERMS)
 
+
+class StoredTerms(msgspec.Struct, array_like=True):
+    """
+    Terms of a job's queue, as an array to which later versions may add items.
+
+    They have a key of their own because older versions refuse a job with more items.
+    """
+
+    service: str
+    priority: Integer
+    max_attempts: Integer
+    slack_factor: float
+    objective_ms: Integer
+    advice: tuple[Integer, Integer, Integer] | None = None
+
+
+TERMS_DECODER = msgspec.json.Decoder(StoredTerms)
 JOB_DECODER = msgspec.json.Decoder(Job)
 RECORD_DECODER = msgspec.json.Decoder(JobRecord)
 # Occurrence, step and index of a task.
@@ -45,6 +68,16 @@
     return decoding.decode(RECORD_DECODER.decode, data).and_then(_check_tasks)
 
 
+def encode_terms(terms: QueueTerms) -> bytes:
+    """Return the terms as a JSON array, without an advice if there is none."""
+    return msgspec.json.encode(terms if terms.advice else terms[:-1])
+
+
+def decode_terms(data: bytes) -> Result[QueueTerms, str]:
+    """Decode the terms of a job's queue."""
+    return decoding.decode(TERMS_DECODER.decode, data).map(_make_terms)
+
+
 def encode_agent(agent_address: AgentAddress) -> bytes:
     """Return the address and the incarnation, separated by a space."""
     return f'{agent_address.address} {agent_address.incarnation}'.encode()
@@ -93,6 +126,17 @@
     return EntryLink(node, address, '', UNKNOWN_ROUND_TRIP_MS, 0)
 
 
+def _make_terms(stored: StoredTerms) -> QueueTerms:
+    return QueueTerms(
+        stored.service,
+        stored.priority,
+        stored.max_attempts,
+        stored.slack_factor,
+        stored.objective_ms,
+        AdviceTerms(*stored.advice) if stored.advice else None,
+    )
+
+
 def _check_steps(job: Job) -> Result[Job, str]:
     if not job.steps:
         return Err('a job has at least one step')
--- a/yuccarelay/core/batch/events.py
+++ b/yuccarelay/core/batch/events.py
@@ -1,8 +1,9 @@
 """Events into the planner and effects out of it."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from yuccarelay.core.batch.known_queues import QueueTerms
 from yuccarelay.core.batch.models import Configuration, Job, JobRecord
 from yuccarelay.core.batch.protocol import AgentAddress, Answer, Order
 
@@ -16,6 +17,7 @@
     records: Mapping[str, JobRecord]
     cancelled: frozenset[str]
     agents: Mapping[str, AgentAddress]
+    job_terms: Mapping[str, QueueTerms] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,14 @@
     job: Job
 
 
+@dataclass(frozen=True, slots=True)
+class QueueTermsStored:
+    """The terms of a job's queue were stored with the job."""
+
+    job: str
+    terms: QueueTerms
+
+
 @dataclass(frozen=True, slots=True)
 class JobCancelled:
     """The cancellation of a job was stored."""
@@ -107,6 +117,7 @@
     | Deposed
     | TermConfirmed
     | JobAccepted
+    | QueueTermsStored
     | JobCancelled
     | AgentAddressChanged
     | Configured
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -39,7 +39,6 @@
 # Weight of lost work by the priority of its queue: preemption costs the callers of
 # urgent and ordinary work more than those of deferrable work.
 VICTIM_WEIGHTS = {0: 3.0, 1: 1.5}
-DEFERRABLE_PRIORITY = 2
 # A long-running task is available once its worker lists it with this percentage.
 AVAILABLE_PERCENT = 100
 # Added weight of lost work for each earlier run of a task, so that other work is
@@ -152,7 +151,10 @@
     evictable: dict[tuple, int] = {}
     for plan in planner_state.plans.values():
         queue = planner_state.find_queue(plan)
-        urgent = queue is not None and queue.priority == URGENT_PRIORITY
+        if queue is None:
+            # Nothing tells where it could run again.
+            continue
+        urgent = queue.priority == URGENT_PRIORITY
         if plan.job.id in entitled or (urgent and not entry.entitled):
             continue
         groups: dict[tuple, list] = {}
@@ -169,9 +171,8 @@
                 evictable[key[:3]] = remaining - len(runs)
                 if remaining < len(runs):
                     continue
-            priority = queue.priority if queue is not None else DEFERRABLE_PRIORITY
             earlier_runs = max(run.number for run in runs) - 1
-            weight = VICTIM_WEIGHTS.get(priority, 1.0) * (
+            weight = VICTIM_WEIGHTS.get(queue.priority, 1.0) * (
                 1 + REPEAT_WEIGHT * earlier_runs
             )
             waste = weight * sum(lost_core_s(planner_state, run) for run in runs)
--- a/yuccarelay/core/batch/guarantees.py
+++ b/yuccarelay/core/batch/guarantees.py
@@ -1,9 +1,8 @@
 """Which jobs are within their organisation's guarantee."""
 
-from collections.abc import Iterable
-
 from yuccarelay.core.batch.entities import JobPlan
-from yuccarelay.core.batch.models import Configuration, Job
+from yuccarelay.core.batch.models import Job
+from yuccarelay.core.batch.planner_state import PlannerState
 
 URGENT_PRIORITY = 0
 
@@ -13,19 +12,25 @@
     return max((step.count * step.need.accelerators for step in job.steps), default=0)
 
 
-def find_entitled(plans: Iterable[JobPlan], configuration: Configuration) -> set[str]:
+def is_urgent(planner_state: PlannerState, plan: JobPlan) -> bool:
+    """Whether a job is of an urgent queue."""
+    queue = planner_state.find_queue(plan)
+    return queue is not None and queue.priority == URGENT_PRIORITY
+
+
+def find_entitled(planner_state: PlannerState) -> set[str]:
     """
     Return the ids of the urgent jobs that fit into their organisation's guarantee.
 
     Jobs of an organisation use up its guarantee in the order of acceptance.
     """
-    guaranteed = {o.name: o.guaranteed for o in configuration.organisations}
-    urgent = {
-        queue.name
-        for queue in configuration.queues
-        if queue.priority == URGENT_PRIORITY
-    }
-    open_plans = [p for p in plans if not p.ended and p.job.queue in urgent]
+    organisations = planner_state.configuration.organisations
+    guaranteed = {o.name: o.guaranteed for o in organisations}
+    open_plans = [
+        plan
+        for plan in planner_state.plans.values()
+        if not plan.ended and is_urgent(planner_state, plan)
+    ]
     entitled = set()
     for plan in sorted(open_plans, key=lambda p: (p.accepted_ms, p.job.id)):
         need = peak_accelerators(plan.job)
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -29,6 +29,7 @@
     JobCancelled,
     OrderAnswered,
     PlannerTick,
+    QueueTermsStored,
     Reconnect,
     RecordSaved,
     StepDown,
@@ -98,6 +99,8 @@
                 )
             case JobAccepted(job):
                 self._add_job(job)
+            case QueueTermsStored(job, terms):
+                self.planner_state.queues.job_terms[job] = terms
             case JobCancelled(job):
                 self._cancel(job)
             case AgentAddressChanged(node, agent_address):
@@ -129,6 +132,7 @@
         self.planner_state.confirmed_ms = self.planner_state.now.ms
         for node, agent_address in event.agents.items():
             self._add_agent(node, agent_address)
+        self.planner_state.queues.job_terms.update(event.job_terms)
         for job in event.jobs.values():
             age_ms = max(0, self.planner_state.now.wall_ms - job.accepted_at_ms)
             self._add_job(job, event.records.get(job.id), age_ms)
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -17,6 +17,7 @@
     WorkerView,
 )
 from yuccarelay.core.batch.events import Effect, Note, SaveRecord, SendOrder
+from yuccarelay.core.batch.known_queues import KnownQueues
 from yuccarelay.core.batch.leases import Leases
 from yuccarelay.core.batch.models import (
     Configuration,
@@ -63,7 +64,7 @@
         self.leases = leases
         self.now = Moment(0, 0)
         self.configuration: Configuration | None = None
-        self.queues: dict[str, Queue] = {}
+        self.queues = KnownQueues()
         self.confirmed_ms = 0
         self.durations = Durations()
         self.reset()
@@ -72,6 +73,7 @@
         """Discard the state that belongs to a term."""
         self.term = 0
         self.plans: dict[str, JobPlan] = {}
+        self.queues.job_terms.clear()
         # Jobs under which a worker has crashed, until their tasks survive a start.
         self.suspects: set[str] = set()
         self.workers: dict[str, WorkerView] = {}
@@ -100,18 +102,17 @@
         Apply a configuration if it is newer than the current one.
 
         Configurations come from the store and from other entries, in any order.
-        Queues that the new one lacks are kept, so that their accepted jobs continue.
         """
         known = self.configuration
         if known is not None and configuration.version <= known.version:
             return
         self.configuration = configuration
-        self.queues.update((queue.name, queue) for queue in configuration.queues)
+        self.queues.configure(configuration)
         self.dirty = True
 
     def find_queue(self, plan: JobPlan) -> Queue | None:
-        """Return the queue of a job, or None if no configuration has defined it."""
-        return self.queues.get(plan.job.queue)
+        """Return the queue of a job, or None if it is not known in any way."""
+        return self.queues.find(plan.job, self.now.ms - plan.accepted_ms)
 
     def poll(self, view: WorkerView) -> None:
         """Request a report from an agent and extend the leases of the worker's runs."""
@@ -159,7 +160,9 @@
     def find_ticket(self, plan: JobPlan, task: TaskId, worker: WorkerId) -> str | None:
         """Return the ticket for a start, empty if none is needed, None if missing."""
         queue = self.find_queue(plan)
-        if queue is None or queue.advice is None:
+        if queue is None:
+            return None
+        if queue.advice is None:
             return ''
         advice = plan.advice.setdefault(task[1:3], StepAdvice())
         return advice.find_ticket(worker, self.now.ms)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -305,8 +305,8 @@
             pause_ms = FAILED_RETRY_MS * 2 ** (failures - 2)
             plan.retry_at_ms[key] = now_ms + min(pause_ms, FAILED_RETRY_LIMIT_MS)
         queue = planner_state.find_queue(plan)
-        limit = queue.max_attempts if queue else 1
-        if failures >= limit:
+        # Without a known limit the job waits until its queue is known.
+        if queue is not None and failures >= queue.max_attempts:
             planner_state.end_job(plan, JobState.FAILED)
 
     def _read_running(
--- a/yuccarelay/core/batch/request_handler.py
+++ b/yuccarelay/core/batch/request_handler.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from yuccarelay.core.batch.known_queues import QueueTerms, make_terms
 from yuccarelay.core.batch.models import (
     ENDED,
     Configuration,
@@ -140,9 +141,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreJob:
-    """Store this job, then answer."""
+    """
+    Store this job with the terms of its queue, then answer.
+
+    An entry of an older version relays a job without terms.
+    """
 
     job: Job
+    terms: QueueTerms | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,6 +215,7 @@
         self.configuration: Configuration | None = None
         self.jobs: dict[str, Job] = {}
         self.records: dict[str, JobRecord] = {}
+        self.job_terms: dict[str, QueueTerms] = {}
         self.cancelled: set[str] = set()
 
     def configure(self, configuration: Configuration) -> bool:
@@ -311,5 +318,5 @@
         )
         stored = self.jobs.get(job_id)
         if stored is None:
-            return StoreJob(job)
+            return StoreJob(job, make_terms(queue))
         return Accepted() if is_same_job(stored, job) else Taken()
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -46,7 +46,7 @@
     for key, reservation in list(planner_state.reserved.items()):
         if now_ms > reservation.until_ms:
             del planner_state.reserved[key]
-    entitled = find_entitled(planner_state.plans.values(), planner_state.configuration)
+    entitled = find_entitled(planner_state)
     waiting: list[WaitingUnit] = []
     for plan in planner_state.plans.values():
         queue = planner_state.find_queue(plan)
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -52,6 +52,7 @@
         ended = plan.state in ENDED and not plan.runs
         if ended and planner_state.now.wall_ms > plan.ended_at_ms + ENDED_RETENTION_MS:
             del planner_state.plans[plan.job.id]
+            planner_state.queues.job_terms.pop(plan.job.id, None)
             planner_state.effects.append(RemoveJob(plan.job.id))
 
 
--- a/yuccarelay/tasks/batch/election.py
+++ b/yuccarelay/tasks/batch/election.py
@@ -213,7 +213,7 @@
     values: list[StoredValue],
 ) -> tuple[Elected, dict[str, int]]:
     """Return the planner's initial state, and the revision of each job's record."""
-    jobs, records, revisions, agents = {}, {}, {}, {}
+    jobs, records, revisions, agents, job_terms = {}, {}, {}, {}, {}
     cancelled = set()
     for value in values:
         folder, _, name = value.key.rpartition('/')
@@ -227,11 +227,15 @@
                 match batch_records.decode_record(value.value):
                     case Ok(record):
                         records[name] = record
+            case batch_records.TERMS:
+                match batch_records.decode_terms(value.value):
+                    case Ok(terms):
+                        job_terms[name] = terms
             case batch_records.CANCELS:
                 cancelled.add(name)
             case batch_records.AGENTS:
                 match batch_records.decode_agent(value.value):
                     case Ok(agent_address):
                         agents[name] = agent_address
-    elected = Elected(term, jobs, records, frozenset(cancelled), agents)
+    elected = Elected(term, jobs, records, frozenset(cancelled), agents, job_terms)
     return elected, revisions
--- a/yuccarelay/tasks/batch/records.py
+++ b/yuccarelay/tasks/batch/records.py
@@ -92,7 +92,7 @@
     async def _remove_job(self, job: str) -> None:
         """Remove a job; a failure is left to a later term's clean-up."""
         self.waiting.pop(job, None)
-        folders = (batch_records.JOBS, batch_records.RECORDS, batch_records.CANCELS)
+        folders = batch_records.JOB_FOLDERS
         guards = (Guard(batch_records.PLANNER, self.term),)
         removed = await self.store.transact(
             guards,
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -11,6 +11,7 @@
     AgentAddressChanged,
     JobAccepted,
     JobCancelled,
+    QueueTermsStored,
 )
 from yuccarelay.core.batch.models import Job, JobRecord
 from yuccarelay.ports.clock import Clock
@@ -276,6 +277,10 @@
                     self.handler.put_nowait(RecordChanged(name, record.ok_value))
             case batch_records.CANCELS if value is not None:
                 self._notify(JobCancelled(name))
+            case batch_records.TERMS if value is not None:
+                terms = batch_records.decode_terms(value.value)
+                if self._is_readable(key, terms):
+                    self._notify(QueueTermsStored(name, terms.ok_value))
             case batch_records.AGENTS if value is not None:
                 agent = batch_records.decode_agent(value.value)
                 if self._is_readable(key, agent):
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -13,6 +13,7 @@
     Configured,
     JobAccepted,
     JobCancelled,
+    QueueTermsStored,
 )
 from yuccarelay.core.batch.models import ENDED, Job
 from yuccarelay.core.batch.protocol import AgentAddress
@@ -163,6 +164,8 @@
                 handler.records[job] = record
             case JobCancelled(job):
                 handler.cancelled.add(job)
+            case QueueTermsStored(job, terms):
+                handler.job_terms[job] = terms
             case JobRemoved(job):
                 self._remove_job(job)
             case JobsListed(jobs):
@@ -192,12 +195,15 @@
     def _remove_job(self, job: str) -> None:
         self.handler.jobs.pop(job, None)
         self.handler.records.pop(job, None)
+        self.handler.job_terms.pop(job, None)
         self.handler.cancelled.discard(job)
 
     def _resend_all(self) -> None:
         """Send the planner the events that it ignored before its term began."""
         for node, agent_address in self.agents.items():
             self.planner.put_nowait(AgentAddressChanged(node, agent_address))
+        for job, terms in self.handler.job_terms.items():
+            self.planner.put_nowait(QueueTermsStored(job, terms))
         for job in self.handler.jobs.values():
             self.planner.put_nowait(JobAccepted(job))
         for job in self.handler.cancelled:
@@ -308,8 +314,8 @@
     async def call_store(self, call: StoreCall, deadline_ms: int) -> Outcome:
         """Make the call to the store that decides a request."""
         match call:
-            case StoreJob(job):
-                return await self._store_job(job, deadline_ms)
+            case StoreJob():
+                return await self._store_job(call, deadline_ms)
             case ReadJob():
                 return await self._read_state(call)
             case StoreCancel():
@@ -384,10 +390,14 @@
             },
         )
 
-    async def _store_job(self, job: Job, deadline_ms: int) -> Outcome:
+    async def _store_job(self, call: StoreJob, deadline_ms: int) -> Outcome:
         """Store a job; a write with an unknown outcome is never reported as refused."""
+        job = call.job
         key = batch_records.JOBS + job.id
         guards, puts = (Guard(key, 0),), (Put(key, batch_records.encode(job)),)
+        if call.terms is not None:
+            terms = batch_records.encode_terms(call.terms)
+            puts = (Put(batch_records.TERMS + job.id, terms), *puts)
         undecided = False
         for _ in range(STORE_TRIES):
             match await self.store.transact(guards, puts):
