--- a/yuccarelay/tasks/batch/records.py
+++ b/yuccarelay/tasks/batch/records.py
@@ -138,7 +138,7 @@
         """Remove a job; a failure is left to a later term's clean-up."""
         self.waiting.pop(job, None)
         self.refused.pop(job, None)
-        folders = (batch_records.JOBS, batch_records.RECORDS, batch_records.CANCELS)
+        folders = batch_records.JOB_FOLDERS
         guards = (Guard(batch_records.PLANNER, self.term),)
         removed = await self.store.transact(
             guards,
