Ignore the late deregistration of an earlier incarnation

A worker keeps its name when it restarts, and a deregistration was matched by the name alone. One of the previous incarnation that arrived late, for example at an agent that was suspended, closed the current one: its heartbeats were refused for the rest of its life, and its runs counted as ended. The start of the worker that the call carries is now compared too; a call without one is handled as before.

The test in WorkerGuardTest failed before.

--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -56,6 +56,13 @@
         self.assertEqual(self.guard.closed_below_ms, 11)
         self.assertFalse(self.guard.take_heartbeat(make_heartbeat(9), 1_200))
 
+    def test_a_late_deregistration_does_not_close_the_next_incarnation(self):
+        # The worker would get no work until it restarts once more.
+        self.guard.take_heartbeat(make_heartbeat(1, born_ms=20), 1_100)
+        self.assertFalse(self.guard.take_deregistration('i-1', 10))
+        self.assertTrue(self.guard.take_heartbeat(make_heartbeat(2, born_ms=20), 1_200))
+        self.assertTrue(self.guard.take_deregistration('i-1', 20))
+
     def test_a_draining_worker_starts_nothing(self):
         self.assertIsNone(self.guard.check_start(self.worker))
         self.guard.take_heartbeat(make_heartbeat(2, draining=True), 1_100)
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -16,7 +16,7 @@
 from yuccarelay.platform.front import read_deadline, read_key
 from yuccarelay.platform.jobs import decode_configuration, decode_draft
 from yuccarelay.platform.settings import read_settings
-from yuccarelay.platform.worker import decode_heartbeat, read_lists
+from yuccarelay.platform.worker import decode_heartbeat, read_born, read_lists
 from yuccarelay.ports.worker import NoAnswer, WorkerRuns
 
 SETTINGS = """
@@ -142,6 +142,11 @@
             self.assertTrue(decode_heartbeat('i', body).is_err())
         self.assertTrue(decode_heartbeat('i', b'\x00').is_err())
 
+    def test_the_start_of_a_worker_is_read_from_its_deregistration(self):
+        self.assertEqual(read_born(b'{"born":1700000000000}'), 1_700_000_000_000)
+        for body in (b'', b'{}', b'{"born":"x"}', b'[]', b'\x00'):
+            self.assertEqual(read_born(body), 0)
+
     def test_lists_are_read_or_count_as_no_answer(self):
         body = {
             'clockMs': 5,
--- a/yuccarelay/platform/control.py
+++ b/yuccarelay/platform/control.py
@@ -5,7 +5,7 @@
 from tornado.httpserver import HTTPServer
 
 from yuccarelay.platform.serving import listen, make_app
-from yuccarelay.platform.worker import decode_heartbeat
+from yuccarelay.platform.worker import decode_heartbeat, read_born
 
 
 class HeartbeatHandler(tornado.web.RequestHandler):
@@ -37,7 +37,7 @@
 
     async def post(self, name: str) -> None:
         """Deregister the worker."""
-        await self.deregister(name)
+        await self.deregister(name, read_born(self.request.body))
         await self.finish({})
 
 
--- a/yuccarelay/platform/worker.py
+++ b/yuccarelay/platform/worker.py
@@ -70,7 +70,14 @@
     finished: tuple[tuple, ...] = ()
 
 
+class WireDeregistration(msgspec.Struct):
+    """A worker's deregistration."""
+
+    born: Integer = 0
+
+
 HEARTBEAT_DECODER = msgspec.json.Decoder(WireHeartbeat)
+DEREGISTRATION_DECODER = msgspec.json.Decoder(WireDeregistration)
 ANSWER_DECODER = msgspec.json.Decoder(WireAnswer)
 LISTS_DECODER = msgspec.json.Decoder(WireLists)
 
@@ -86,6 +93,12 @@
             return failed
 
 
+def read_born(body: bytes) -> int:
+    """Return the start of the worker in a deregistration, 0 if it has none."""
+    found = decoding.decode(DEREGISTRATION_DECODER.decode, body)
+    return found.unwrap_or(WireDeregistration()).born
+
+
 def make_heartbeat(name: str, heartbeat: WireHeartbeat) -> Heartbeat:
     """Return the core's form of a heartbeat."""
     info = WorkerInfo(
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -59,6 +59,7 @@
     """The worker deregistered; `recorded` is set once the guard has handled it."""
 
     name: str
+    born_ms: int
     recorded: asyncio.Future
 
 
@@ -96,10 +97,10 @@
         self.inbox.put_nowait(HeartbeatReceived(heartbeat, recorded))
         await recorded
 
-    async def deregister(self, name: str) -> None:
+    async def deregister(self, name: str, born_ms: int) -> None:
         """Pass a deregistration on; return once the guard has handled it."""
         recorded = asyncio.get_running_loop().create_future()
-        self.inbox.put_nowait(WorkerDeregistered(name, recorded))
+        self.inbox.put_nowait(WorkerDeregistered(name, born_ms, recorded))
         await recorded
 
     async def run(self) -> None:
@@ -125,8 +126,8 @@
                 except Exception as error:
                     write_failure(self.journal, 'heartbeat_failed', error)
                     recorded.set_exception(error)
-            case WorkerDeregistered(name, recorded):
-                if self.guard.take_deregistration(name):
+            case WorkerDeregistered(name, born_ms, recorded):
+                if self.guard.take_deregistration(name, born_ms):
                     self.journal.write('worker_left', {'worker': name})
                     self._wake_polls()
                 recorded.set_result(None)
