Count the validity of tickets from when their query is sent

The service handles the queries of a machine one after another, and tickets counted as valid from when the planner asked. With many steps that wait, for example on a full fleet, a query waited for longer than its tickets are valid, so they had expired on arrival and were queried again, behind the others. In virtual time, with 60 steps, 100 ms a query and tickets of 3 s, 9 jobs completed and the others never. The answer now has the time at which the query was sent to the service, and all 60 complete within 25 s.

The test of AdviceQueueTest failed before. The stand-in of the service in batch_fleet handles one query at a time now, as the service does.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -358,6 +358,8 @@
         self.order_numbers = itertools.count()
         self.waits: list[int] = []
         self.queries: list[QueryAdvice] = []
+        # The service handles one query after another; when it is free again.
+        self.advice_free_ms = 0
         self.approved: set[str] = set()
         self.advice_down = False
         self.replace_planner()
@@ -405,7 +407,10 @@
                     self.unsaved.append(effect)
                 case QueryAdvice():
                     self.queries.append(effect)
-                    self.schedule(ADVICE_MS, ('advice', effect))
+                    sent_ms = max(self.now_ms, self.advice_free_ms)
+                    self.advice_free_ms = sent_ms + ADVICE_MS
+                    delay_ms = self.advice_free_ms - self.now_ms
+                    self.schedule(delay_ms, ('advice', effect, sent_ms))
                 case Note(name, fields):
                     self.notes.append((name, dict(fields)))
 
@@ -478,13 +483,13 @@
                 self.schedule(wait_ms, ('answer', event))
             case ('answer', event):
                 self.feed(event)
-            case ('advice', query):
-                self.feed(self.advise(query))
+            case ('advice', query, sent_ms):
+                self.feed(self.advise(query, sent_ms))
             case ('written', saves):
                 self.is_writing = False
                 self.confirm(saves)
 
-    def advise(self, query: QueryAdvice) -> AdviceGiven | AdviceFailed:
+    def advise(self, query: QueryAdvice, sent_ms: int) -> AdviceGiven | AdviceFailed:
         """Answer a query as the advice service does."""
         if self.advice_down:
             return AdviceFailed(query.term, query.key, 'status 503')
@@ -493,7 +498,7 @@
             if worker.name in query.workers and worker.name in self.approved:
                 tickets[worker.name] = f'{query.step} {self.now_ms}'
                 worker.tickets[query.step] = self.now_ms + ADVICE.valid_ms
-        return AdviceGiven(query.term, query.key, tickets)
+        return AdviceGiven(query.term, query.key, tickets, sent_ms)
 
     def state(self, job: Job) -> str:
         """Return the recorded state of a job."""
--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.batch_fleet import (
+    ADVISED,
     DEFERRABLE,
     ORDINARY,
     FakeRun,
@@ -225,5 +226,19 @@
         self.assertEqual([run.run for run in worker.runs.values()], [2])
 
 
+class AdviceQueueTest(unittest.TestCase):
+    """Guards against tickets that expire while their query waits for others."""
+
+    def test_many_steps_that_need_advice_all_run(self):
+        fleet = make_fleet(3, needs_ticket=True)
+        fleet.approved = {'w0', 'w1', 'w2'}
+        jobs = [
+            fleet.submit(make_job(make_step(1, 8), queue=ADVISED)) for _ in range(60)
+        ]
+        fleet.run(30_000)
+        self.assertEqual({fleet.state(job) for job in jobs}, {'completed'})
+        self.assertEqual(sum(w.rejected for w in fleet.workers.values()), 0)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/advice.py
+++ b/yuccarelay/core/batch/advice.py
@@ -34,14 +34,14 @@
     Advice for one step.
 
     `refused` has the workers that may not run the step; a refusal is final. `asked`
-    has the workers of the last query. `query_sent_ms` is when the pending query was
-    sent, 0 if there is none.
+    has the workers of the last query. `query_since_ms` is since when a query is
+    pending, 0 if none is.
     """
 
     tickets: dict[str, Ticket] = field(default_factory=dict)
     refused: set[str] = field(default_factory=set)
     asked: dict[str, WorkerId] = field(default_factory=dict)
-    query_sent_ms: int = 0
+    query_since_ms: int = 0
     retry_at_ms: int = 0
 
     def find_ticket(self, worker: WorkerId, now_ms: int) -> str | None:
@@ -61,7 +61,7 @@
 
         Empty while a query is pending, or within `RETRY_MS` after one failed.
         """
-        if self.query_sent_ms or now_ms < self.retry_at_ms:
+        if self.query_since_ms or now_ms < self.retry_at_ms:
             return ()
         unknown = [
             worker
@@ -72,25 +72,20 @@
         return tuple(unknown[:QUERY_WORKERS_LIMIT])
 
     def begin_query(self, workers: tuple[WorkerId, ...], now_ms: int) -> None:
-        """Note that a query was sent."""
+        """Note that a query is pending."""
         self.asked = {worker.name: worker for worker in workers}
-        self.query_sent_ms = max(1, now_ms)
+        self.query_since_ms = max(1, now_ms)
 
-    def take_answer(self, tickets: dict[str, str], valid_ms: int) -> None:
-        """
-        Store the tickets of a response.
-
-        They are valid from the time of the query, because the response may be delayed.
-        """
+    def take_answer(self, tickets: dict[str, str], until_ms: int) -> None:
+        """Store the tickets of a response, which are valid until a time."""
         for name, worker in self.asked.items():
             if name in tickets:
-                until_ms = self.query_sent_ms + valid_ms
                 self.tickets[name] = Ticket(tickets[name], worker, until_ms)
             else:
                 self.refused.add(name)
-        self.query_sent_ms = 0
+        self.query_since_ms = 0
 
     def take_failure(self, now_ms: int) -> None:
         """Allow the next query after `RETRY_MS`."""
-        self.query_sent_ms = 0
+        self.query_since_ms = 0
         self.retry_at_ms = now_ms + RETRY_MS
--- a/yuccarelay/core/batch/events.py
+++ b/yuccarelay/core/batch/events.py
@@ -81,11 +81,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceGiven:
-    """The advice service issued tickets for a step, by worker name."""
+    """
+    The advice service issued tickets for a step, by worker name.
+
+    `sent_ms` is when the query was sent to the service.
+    """
 
     term: int
     key: tuple[str, int, int]
     tickets: Mapping[str, str]
+    sent_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -322,16 +322,18 @@
         queue = self.planner_state.find_queue(plan)
         terms = queue.advice if queue is not None else None
         match event:
-            case AdviceGiven(tickets=tickets) if terms is not None:
+            case AdviceGiven(tickets=tickets, sent_ms=sent_ms) if terms is not None:
                 self.planner_state.note(
                     'advice_given',
                     job=job,
                     step=step[1],
                     asked=len(advice.asked),
                     approved=len(tickets),
-                    took_ms=self.planner_state.now.ms - advice.query_sent_ms,
+                    took_ms=self.planner_state.now.ms - advice.query_since_ms,
                 )
-                advice.take_answer(dict(tickets), terms.valid_ms)
+                # The response may be delayed. The wait for other queries does not
+                # count, or the tickets of many steps would expire before they arrive.
+                advice.take_answer(dict(tickets), sent_ms + terms.valid_ms)
             case AdviceFailed(reason=reason):
                 self.planner_state.note(
                     'advice_failed', job=job, step=step[1], reason=reason
--- a/yuccarelay/host_entry.py
+++ b/yuccarelay/host_entry.py
@@ -127,7 +127,7 @@
             advice_box,
             journal,
         ),
-        AdviceTask(advisor, advice_box, planner_box),
+        AdviceTask(advisor, advice_box, planner_box, clock),
         OrderLinksTask(links_box, planner_box, PeerSockets(transport, clock), journal),
         RelayTask(handler, configuration_box, listener, clock, journal),
         EntryRegisterTask(link, store, clock, journal),
--- a/yuccarelay/tasks/batch/advice.py
+++ b/yuccarelay/tasks/batch/advice.py
@@ -4,6 +4,7 @@
 
 from yuccarelay.core.batch.events import AdviceFailed, AdviceGiven, QueryAdvice
 from yuccarelay.ports.advice import Advisor
+from yuccarelay.ports.clock import Clock
 from yuccarelay.tasks.mailbox import Mailbox
 
 
@@ -15,18 +16,22 @@
     concurrent ones would only exceed their time limits.
     """
 
-    def __init__(self, advisor: Advisor, inbox: Mailbox, planner: Mailbox):
+    def __init__(
+        self, advisor: Advisor, inbox: Mailbox, planner: Mailbox, clock: Clock
+    ):
         self.advisor = advisor
         self.inbox = inbox
         self.planner = planner
+        self.clock = clock
 
     async def run(self) -> None:
         """Send queries until cancelled."""
         while True:
             query: QueryAdvice = await self.inbox.get()
+            sent_ms = self.clock.now_ms()
             match await self.advisor.query(query.step, query.workers, query.limit_ms):
                 case Ok(tickets):
-                    event = AdviceGiven(query.term, query.key, tickets)
+                    event = AdviceGiven(query.term, query.key, tickets, sent_ms)
                 case Err(reason):
                     event = AdviceFailed(query.term, query.key, reason)
             self.planner.put_nowait(event)
