Settle the runs of an incarnation that was born later

Runs counted as ended with their worker only if a later incarnation was known. If the time of day is set back between two incarnations, the one that answers was born earlier: the runs of the other were neither listed nor ended, while the polls extended their lease, so they stayed in place for ever. An incarnation whose lists were just read is the only one of its agent, so the runs of all others have ended.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -13,6 +13,7 @@
     make_job,
     make_step,
 )
+from yuccarelay.core.batch.agent import WorkerGuard
 from yuccarelay.core.batch.models import Job
 
 LONG_MS = 600_000
@@ -240,5 +241,30 @@
         self.assertEqual(sum(w.rejected for w in fleet.workers.values()), 0)
 
 
+class BirthTest(unittest.TestCase):
+    """Guards against a worker that is lost because its clock has been set back."""
+
+    def test_a_run_of_an_incarnation_that_was_born_later_is_settled(self):
+        for is_replaced in (False, True):
+            with self.subTest(is_replaced=is_replaced):
+                fleet = make_fleet(1, run_ms=LONG_MS)
+                (worker,) = fleet.workers.values()
+                worker.crash(fleet.now_ms + 5_000)
+                fleet.run(500)
+                job = fleet.submit(make_job(make_step(1, 8)))
+                fleet.run(500)
+                worker.crash(fleet.now_ms)
+                worker.guard = WorkerGuard(worker.guard.node, 7, worker.guard.leases)
+                if is_replaced:
+                    fleet.replace_planner()
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(count_runs(fleet, job), 1)
+                worker.end(f'{job.id}.0.0.0', 'done')
+                fleet.run(IDLE_LIMIT_MS)
+                fleet.notes.clear()
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertNotIn('worker_changed', dict(fleet.notes))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -65,6 +65,8 @@
         """Apply a report that answers a poll."""
         planner_state = self.planner_state
         now_ms = planner_state.now.ms
+        if report.lists_read:
+            view.closed_below_ms = report.closed_below_ms
         view.closed_below_ms = max(view.closed_below_ms, report.closed_below_ms)
         view.changes = report.changes
         if not report.lists_read and is_outdated(view, report):
@@ -89,7 +91,7 @@
             view.basis = None
         elif view.basis is not None:
             view.basis, view.basis_received_ms = report.basis, now_ms
-        self._release_ended_incarnations(view)
+        self._release_ended_incarnations(view, report.lists_read)
 
     def _note_incarnation(self, view: WorkerView, report: Report) -> None:
         """Note a new incarnation of the worker, or that there is no worker."""
@@ -129,10 +131,14 @@
                 runs=len(view.runs),
             )
 
-    def _release_ended_incarnations(self, view: WorkerView) -> None:
+    def _release_ended_incarnations(self, view: WorkerView, is_current: bool) -> None:
         """
         Release the runs of incarnations that have ended.
 
+        An incarnation that has just answered (`is_current`) is the only one. Otherwise
+        those that were born earlier have ended. The time of birth alone would leave
+        runs in place if the time of day has been set back between two incarnations.
+
         A worker keeps its name when it restarts, so the next incarnation may carry
         out a start that was meant for the previous one. Only a run that the previous
         incarnation listed is certain to have ended with it; any other is stopped on
@@ -140,7 +146,9 @@
         """
         planner_state = self.planner_state
         for run in list(view.runs.values()):
-            if run.worker.born_ms >= view.closed_below_ms:
+            if run.worker == view.id:
+                continue
+            if not is_current and run.worker.born_ms >= view.closed_below_ms:
                 continue
             if not run.lost_with_worker and run.stage is not RunStage.RECORDING:
                 run.lost_with_worker = True
