--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -120,10 +120,15 @@
 
 def could_hold(step: Step, count: int, candidates: list[Candidate]) -> bool:
     """Whether the workers that are not avoided could hold the tasks if empty."""
-    empty = [
-        candidate._replace(free=candidate.capacity, colocated=0)
+    usable = [
+        candidate
         for candidate in candidates
-        if is_usable(step, candidate) and not candidate.avoided
+        if not candidate.avoided and is_usable(step, candidate)
+    ]
+    if len(usable) >= count:
+        return True
+    empty = [
+        candidate._replace(free=candidate.capacity, colocated=0) for candidate in usable
     ]
     return fill_candidates(step, count, empty) is not None
 
