--- a/tests/test_batch_review.py
+++ b/tests/test_batch_review.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from result import Ok
 
@@ -17,8 +18,10 @@
     make_step,
 )
 from tests.fakes import FakeJournal, stop_task
+from yuccarelay.core.batch.entities import WorkerView
 from yuccarelay.core.batch.events import SaveRecord
 from yuccarelay.core.batch.models import Job, JobRecord
+from yuccarelay.core.batch.scheduling import assign_units
 from yuccarelay.ports.store import TransactionResult
 from yuccarelay.tasks.batch.records import RecordsTask, TermBegan
 from yuccarelay.tasks.mailbox import Mailbox
@@ -113,20 +116,27 @@
         fleet.run(IDLE_LIMIT_MS + 200)
         self.assertEqual(count_runs(fleet, job), 1)
 
-    def test_work_does_not_wait_for_workers_that_two_jobs_fail_on_again_and_again(self):
-        fleet = make_fleet(5, run_ms=LONG_MS)
-        fleet.submit(make_job(make_step(2, 8, is_long_running=True)))
+    def test_work_does_not_wait_while_hopeless_jobs_fail_on_the_free_workers(self):
+        fleet = make_fleet(10, run_ms=LONG_MS)
+        step = make_step(2, 8, is_long_running=True, estimated_ms=LONG_MS)
+        fleet.submit(make_job(step))
         fleet.run(500)
-        for worker in fleet.workers.values():
-            if not worker.runs:
-                worker.run_ms, worker.how = 300, 'failed'
-        for _ in range(2):
-            step = make_step(4, 1, is_long_running=True, estimated_ms=LONG_MS)
-            fleet.submit(make_job(step))
-        fleet.run(10_000)
+        step = make_step(8, 1, per_worker=1, is_long_running=True, estimated_ms=LONG_MS)
+        hopeless = [fleet.submit(make_job(step)) for _ in range(2)]
+        for _ in range(50):
+            self.fail_runs(fleet, hopeless)
         job = fleet.submit(make_job(make_step(1, 4, estimated_ms=LONG_MS)))
-        fleet.run(12_000)
-        self.assertGreaterEqual(len(fleet.starts(job)), 1)
+        for _ in range(16):
+            self.fail_runs(fleet, hopeless)
+        self.assertEqual(count_runs(fleet, job), 1)
+
+    def fail_runs(self, fleet: Fleet, jobs: list[Job]) -> None:
+        """Let all runs of some jobs fail, and others start for 0.2 s."""
+        for worker in fleet.workers.values():
+            for task in list(worker.runs):
+                if task.startswith(tuple(job.id for job in jobs)):
+                    worker.end(task, 'failed')
+        fleet.run(200)
 
 
 class RenewedSpreadTest(unittest.TestCase):
@@ -207,6 +217,26 @@
         self.assertEqual(len(fleet.starts(gang)), 5)
 
 
+class PassCostTest(unittest.TestCase):
+    """Guards against passes that sum up all runs for each unit that waits."""
+
+    def test_the_used_resources_are_not_computed_again_for_each_unit(self):
+        workers = 20
+        fleet = make_fleet(workers, run_ms=LONG_MS)
+        fleet.submit(make_job(make_step(workers, 3, per_worker=1)))
+        fleet.run(500)
+        for _ in range(50):
+            fleet.submit(make_job(make_step(2, 8, gang=True)))
+        fleet.run(IDLE_LIMIT_MS)
+        used = WorkerView.used
+        with mock.patch.object(
+            WorkerView, 'used', autospec=True, side_effect=used
+        ) as calls:
+            assign_units(fleet.planner.planner_state)
+        # Once for the free resources, once for the share, and some for changes.
+        self.assertLess(calls.call_count, 4 * workers)
+
+
 class BusyStore:
     """Answers each write after the newest versions of other records have arrived."""
 
