Do not take workers with tasks that last for slow

Cause: a worker counts as slow when the progress of all its runs stands still. A task that lasts reports the same percentage for ever while it is at work, so after 3.5 s its worker was avoided for another second at each tick; its projected duration also distorted the median that others are compared with. Such runs are left out of the comparison.

Evidence: the three tests of LongRunningProgressTest failed before; found in the review.

--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -143,7 +143,11 @@
 
 
 def avoid_slow_workers(planner_state: PlannerState) -> None:
-    """Avoid workers that are much slower than others when placing work."""
+    """
+    Avoid workers that are much slower than others when placing work.
+
+    Long-running tasks are left out, because those that are at work make no progress.
+    """
     found = find_slow_workers(
         Progress(
             worker=view.agent,
@@ -154,7 +158,7 @@
         )
         for view in planner_state.workers.values()
         for run in view.runs.values()
-        if run.stage is RunStage.RUNNING
+        if run.stage is RunStage.RUNNING and planner_state.will_end(run)
     )
     for agent in found:
         view = planner_state.workers[agent]
