Write each record in turn while others change

Cause: a newer version of a record kept the place of the one that was just written, so 15 records that change with each write were always the next call, and others were never written: their runs did not start and their ends were not acknowledged.

Evidence: the test of RecordOrderTest failed before; found in the review.

--- a/yuccarelay/tasks/batch/records.py
+++ b/yuccarelay/tasks/batch/records.py
@@ -174,8 +174,10 @@
                 for save in batch:
                     self.revisions[save.job] = revision
                     self.refused.pop(save.job, None)
-                    if self.waiting.get(save.job) == save:
-                        del self.waiting[save.job]
+                    # A newer version goes behind the records that wait already.
+                    newest = self.waiting.pop(save.job, save)
+                    if newest != save:
+                        self.waiting[save.job] = newest
                     self.planner.put_nowait(RecordSaved(save.job, save.version))
             case Ok(TransactionResult(current=current)):
                 self._handle_conflict(batch, {value.key: value for value in current})
