Let each task that lasts wait by itself for its rack and its rank

Cause: the wait for a rack, and the rank, counted from the last start of any task of the step. Siblings that start again and again moved both on, so a task waited for a full rack without an end.

The test of RenewedSpreadTest is replaced: a free slot of the rack now goes to the task that has waited longest, so it asks that no task of the step is away for 6 s, during 20 s, instead of asking that one moment has all three at work. It fails without the change, as the one before did.

--- a/yuccarelay/core/batch/ranking.py
+++ b/yuccarelay/core/batch/ranking.py
@@ -73,19 +73,11 @@
     queue: Queue,
     step: int,
     due_ms: int,
-    ready_ms: int,
     entitled: bool,
     durations: Durations,
     now_ms: int,
 ) -> Rank:
-    """
-    Return the rank of a unit whose job or occurrence was due at `due_ms`.
-
-    At `ready_ms` the unit could start or start again.
-    """
-    if plan.job.steps[step].is_long_running:
-        start_by = ready_ms + queue.objective_ms
-        return Rank(not entitled, False, queue.priority, False, start_by)
+    """Return the rank of a unit whose job or occurrence was due at `due_ms`."""
     chain = chain_ms(plan.job, durations)
     remaining = chain_ms(plan.job, durations, first_step=step)
     objective = queue.slack_factor * chain + queue.objective_ms
@@ -96,3 +88,9 @@
     if now_ms <= useful_start_by:
         return Rank(not entitled, False, queue.priority, True, useful_start_by)
     return Rank(not entitled, True, 0, True, due_ms)
+
+
+def rank_long_running(queue: Queue, entitled: bool, since_ms: int) -> Rank:
+    """Return the rank of a long-running task that could start since `since_ms`."""
+    start_by_ms = since_ms + queue.objective_ms
+    return Rank(not entitled, False, queue.priority, False, start_by_ms)
--- a/yuccarelay/core/batch/waiting_units.py
+++ b/yuccarelay/core/batch/waiting_units.py
@@ -5,7 +5,7 @@
 from yuccarelay.core.batch.entities import JobPlan, Unit, Wait
 from yuccarelay.core.batch.models import Queue, Step, TaskStage
 from yuccarelay.core.batch.planner_state import PlannerState
-from yuccarelay.core.batch.ranking import rank_unit
+from yuccarelay.core.batch.ranking import rank_long_running, rank_unit
 
 # A step that is slower when spread over racks waits this long for a single rack,
 # unless its job is already late. Resources should not stay idle for 3 s.
@@ -46,18 +46,16 @@
                 continue
             ready_ms = plan.ready_ms.setdefault((occurrence, number), now.ms)
             rank = rank_unit(
-                plan,
-                queue,
-                number,
-                due_ms,
-                ready_ms,
-                entitled,
-                planner_state.durations,
-                now.ms,
+                plan, queue, number, due_ms, entitled, planner_state.durations, now.ms
             )
             for unit in list_units(plan, occurrence, number, step):
-                plan.waits.setdefault(unit.tasks[0][1:], Wait(now.ms))
-                spread = rank.late or now.ms > ready_ms + SPREAD_AFTER_MS
+                wait = plan.waits.setdefault(unit.tasks[0][1:], Wait(now.ms))
+                spread_ms = ready_ms + SPREAD_AFTER_MS
+                if step.is_long_running:
+                    # Its siblings may start again and again, so it waits by itself.
+                    rank = rank_long_running(queue, entitled, wait.since_ms)
+                    spread_ms = wait.since_ms + SPREAD_AFTER_MS
+                spread = rank.late or now.ms > spread_ms
                 found.append(WaitingUnit(rank, unit, plan, queue, entitled, spread))
     return found
 
