Let a last attempt wait for workers that are sick

Cause: a worker on which the step had failed was admitted at once if the unit could not be placed without it, also for the last attempt of its job, and with no other worker left any was. So four attempts were used up within a second on workers that were sick for two.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -117,7 +117,10 @@
             is_usable(step, candidate) and not candidate.avoided
             for candidate in candidates
         )
-        if is_any_left and not has_waited:
+        is_last_attempt = any(
+            candidate.avoidance is Avoidance.LAST_ATTEMPT for candidate in candidates
+        )
+        if (is_any_left or is_last_attempt) and not has_waited:
             return candidates
         return admit(candidates, *Avoidance)
 
@@ -128,10 +131,10 @@
         now_ms = self.planner_state.now.ms
         if now_ms < view.avoid_until_ms:
             return Avoidance.FAILING
-        if now_ms < plan.failed_on.get(unit[1:3], {}).get(view.id, 0):
-            return Avoidance.FAILED_BEFORE
         if is_last_attempt and now_ms < view.suspect_until_ms:
             return Avoidance.LAST_ATTEMPT
+        if now_ms < plan.failed_on.get(unit[1:3], {}).get(view.id, 0):
+            return Avoidance.FAILED_BEFORE
         return None
 
     def _find_suspicion(self, view: WorkerView, failures: int) -> Suspicion:
