Admit avoided workers in a fleet that is mostly idle

Callers saw work wait for full workers beside free ones, as long as work of other jobs failed on these again and again, or for 8 s after its own failure there.

Cause: avoided workers were admitted only if the others could not hold the unit even when empty; whether these ever become free did not count, and each failure of another job moves the deadline on. While less than half of the service is in use, a unit that has waited for 2 s may now use them after the others, except for a last attempt, which waits for up to 8 s. The share in use is summed up once a pass.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -16,14 +16,16 @@
     is_usable,
 )
 
-# A unit that waits this long may use what is reserved in advance for others, while less
-# than `BACKFILL_SHARE` of the service's accelerators are in use. Accepted work may be
-# idle for 3 s while there is room for it.
-BACKFILL_AFTER_MS = 2_000
-BACKFILL_SHARE = 0.5
-# A unit that cannot be placed without avoided workers waits this long for them to
-# recover. Accepted work may be idle for 3 s while there is room for it.
-AVOIDANCE_WAIT_MS = 2_000
+# A unit that cannot be placed otherwise waits this long before it uses workers that it
+# avoids or resources that are reserved in advance for others. Accepted work may be idle
+# for 3 s while there is room for it.
+LONGEST_IDLE_MS = 2_000
+# Sick workers recover within this time. Until then a last attempt does not use one
+# while others could hold it.
+RECOVERY_MS = 8_000
+# While less than this share of a service is in use, most of it is idle, and work need
+# not wait for the ends of other work.
+IDLE_SHARE = 0.5
 
 
 class CapacitySnapshot:
@@ -52,6 +54,7 @@
         for reservation in planner_state.reserved.values():
             self._subtract(reservation)
         self.ends: VictimsByAgent | None = None
+        self.shares_in_use: dict[str, float] = {}
         self.cutoffs_ms = {
             service: planner_state.releases.find_cutoff_ms(
                 service, planner_state.now.wall_ms
@@ -90,24 +93,32 @@
             unit[1:3], 0
         ):
             candidates = avoid_unproven(candidates)
-        return self._admit_avoided(unit, step, candidates)
+        return self._admit_avoided(unit, queue, step, candidates)
 
     def _admit_avoided(
-        self, unit: Unit, step: Step, candidates: list[Candidate]
+        self, unit: Unit, queue: Queue, step: Step, candidates: list[Candidate]
     ) -> list[Candidate]:
         """
-        Admit workers that a unit avoids, if it could not be placed without them.
+        Admit workers that a unit avoids, if it would wait for long without them.
 
         A fault that affects all workers that could hold a unit must not stop it. What
         only the unit itself holds against a worker ends first. A long-running task has
-        no limit of attempts, so after some time it is better tried than away.
+        no limit of attempts, so after some time it is better tried than away. In a
+        fleet that is mostly idle, workers that are full may not become free, while
+        work of other jobs fails on the free ones again and again.
         """
         if not any(candidate.avoided for candidate in candidates):
             return candidates
         wait = self.planner_state.plans[unit.job].waits[unit.tasks[0][1:]]
-        has_waited = self.planner_state.now.ms >= wait.since_ms + AVOIDANCE_WAIT_MS
+        waited_ms = self.planner_state.now.ms - wait.since_ms
+        has_waited = waited_ms >= LONGEST_IDLE_MS
+        is_idle = has_waited and self._share_in_use(queue.service) < IDLE_SHARE
         if step.is_long_running and has_waited:
             return admit(candidates, *Avoidance)
+        if is_idle and waited_ms >= RECOVERY_MS:
+            return admit(candidates, *Avoidance)
+        if is_idle:
+            candidates = admit(candidates, Avoidance.FAILED_BEFORE, Avoidance.FAILING)
         if could_hold(step, len(unit.tasks), candidates):
             return candidates
         candidates = admit(candidates, Avoidance.FAILED_BEFORE, Avoidance.UNPROVEN)
@@ -225,8 +236,8 @@
         wait = self.planner_state.plans[unit.job].waits[unit.tasks[0][1:]]
         if (
             not self.advance_reservations
-            or self.planner_state.now.ms < wait.since_ms + BACKFILL_AFTER_MS
-            or self._share_in_use(queue.service) >= BACKFILL_SHARE
+            or self.planner_state.now.ms < wait.since_ms + LONGEST_IDLE_MS
+            or self._share_in_use(queue.service) >= IDLE_SHARE
         ):
             return []
         for reservation in self.advance_reservations:
@@ -236,10 +247,18 @@
         return candidates
 
     def _share_in_use(self, service: str) -> float:
-        """Return the share of a service that is in use, by its accelerators if any."""
-        views = self.open.get(service, ())
+        """
+        Return the share of a service that is in use, by its accelerators if any.
+
+        It is that at the first call in the pass.
+        """
+        if service not in self.shares_in_use:
+            self.shares_in_use[service] = self._sum_share_in_use(service)
+        return self.shares_in_use[service]
+
+    def _sum_share_in_use(self, service: str) -> float:
         total, used = Resources(), Resources()
-        for view in views:
+        for view in self.open.get(service, ()):
             total, used = total.plus(view.info.capacity), used.plus(view.used())
         if total.accelerators:
             return used.accelerators / total.accelerators
@@ -278,9 +297,13 @@
 
 
 def admit(candidates: list[Candidate], *reasons: Avoidance) -> list[Candidate]:
-    """Return the candidates, those that are avoided for one of the reasons admitted."""
+    """
+    Return the candidates, with those admitted that are avoided for one of the reasons.
+
+    Others come first.
+    """
     return [
-        candidate._replace(avoidance=None)
+        candidate._replace(avoidance=None, suspicion=Suspicion.FAILED)
         if candidate.avoidance in reasons
         else candidate
         for candidate in candidates
