Make room for work on probation on a full fleet

Cause: only workers whose runs have all survived their start were considered when other work is displaced or withheld from, and with runs shorter than a second there is none. So a guaranteed gang under which a worker had crashed got no resources while short work kept coming. If no such worker can be freed, any is, and it stays reserved until its other runs have survived.

--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -121,8 +121,15 @@
         return True
     if reserve_unsettled(planner_state, snapshot, entry, open_candidates):
         return True
+    has_unsettled = len(candidates) < len(open_candidates)
+    if (
+        may_displace
+        and has_unsettled
+        and evict_for(planner_state, snapshot, entry, open_candidates)
+    ):
+        return True
     report_wait(planner_state, snapshot, entry)
-    reserve_in_advance(snapshot, entry, candidates)
+    reserve_in_advance(snapshot, entry, open_candidates)
     return False
 
 
