Keep what a gang has reserved in advance once it has waited for 10 s

Cause: while most of a fleet is idle, work that has waited for 2 s may use what others have reserved. Small tasks that keep arriving then held up a gang of most workers without an end. After 10 s its reservation is kept, so it starts once the longest run there has ended.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -23,6 +23,9 @@
 # Sick workers recover within this time. Until then a last attempt does not use one
 # while others could hold it.
 RECOVERY_MS = 8_000
+# Others may use what is reserved in advance for a unit until it has waited this long.
+# After that it is kept, so that small tasks cannot hold up a large gang without an end.
+BACKFILL_LIMIT_MS = 10_000
 # While less than this share of a service is in use, most of it is idle, and work need
 # not wait for the ends of other work.
 IDLE_SHARE = 0.5
@@ -231,16 +234,23 @@
         Return the candidates with what is reserved in advance, or none if it is kept.
 
         An advance reservation keeps a full fleet from being filled with small tasks. In
-        one that is mostly idle it would keep work waiting beside free resources.
+        one that is mostly idle it would keep work waiting beside free resources. What a
+        unit that has waited for `BACKFILL_LIMIT_MS` has reserved is kept all the same.
         """
+        now_ms = self.planner_state.now.ms
         wait = self.planner_state.plans[unit.job].waits[unit.tasks[0][1:]]
+        usable = [
+            reservation
+            for reservation in self.advance_reservations
+            if now_ms < reservation.backfill_until_ms
+        ]
         if (
-            not self.advance_reservations
-            or self.planner_state.now.ms < wait.since_ms + LONGEST_IDLE_MS
+            not usable
+            or now_ms < wait.since_ms + LONGEST_IDLE_MS
             or self._share_in_use(queue.service) >= IDLE_SHARE
         ):
             return []
-        for reservation in self.advance_reservations:
+        for reservation in usable:
             candidates = [
                 add_reservation(candidate, reservation) for candidate in candidates
             ]
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -113,11 +113,16 @@
 
 
 class Reservation(NamedTuple):
-    """Resources on workers that are reserved for a unit until `until_ms`."""
+    """
+    Resources on workers that are reserved for a unit until `until_ms`.
+
+    Before `backfill_until_ms` others may use them in a fleet that is mostly idle.
+    """
 
     placement: tuple[str, ...]
     need: Resources
     until_ms: int
+    backfill_until_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -1,7 +1,10 @@
 """Chooses the units to start now, and their workers."""
 
 from yuccarelay.core.batch.advice import StepAdvice
-from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
+from yuccarelay.core.batch.capacity_snapshot import (
+    BACKFILL_LIMIT_MS,
+    CapacitySnapshot,
+)
 from yuccarelay.core.batch.crashes import (
     SETTLING_WAIT_MS,
     has_crashed_worker,
@@ -283,6 +286,12 @@
         step, count, sound, snapshot.list_expected_ends(), latest_end
     )
     if soonest is not None:
+        since_ms = entry.plan.waits[entry.unit.tasks[0][1:]].since_ms
         snapshot.add_advance_reservation(
-            Reservation(soonest.placement, resources_held(step), now_ms)
+            Reservation(
+                placement=soonest.placement,
+                need=resources_held(step),
+                until_ms=now_ms,
+                backfill_until_ms=since_ms + BACKFILL_LIMIT_MS,
+            )
         )
