Accept a worker whose clock has been set back

An agent refuses the heartbeats of incarnations that were born before the known one, because they may be late. If the time of day is set back between two incarnations, all heartbeats of the next one were refused, and it got no work for the rest of its life. The agent's calls show which incarnation answers: if it was born earlier than the known one, the agent now drops the known one and accepts the next heartbeat.

test_a_worker_whose_clock_was_set_back_is_used_again failed before.

--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -88,10 +88,11 @@
 
     def __init__(self):
         self.waits = []
+        self.born_ms = 10
 
     async def hold(self, name, term, seen, wait_ms, until_ms):
         self.waits.append(wait_ms)
-        return WorkerRuns(500, 10, (), ())
+        return WorkerRuns(500, self.born_ms, (), ())
 
 
 class PollTest(unittest.IsolatedAsyncioTestCase):
@@ -129,6 +130,23 @@
             await self.agent.serve(1, batch_codec.encode(order))
         return self.replies.pop()
 
+    async def test_a_worker_whose_clock_was_set_back_is_used_again(self):
+        self.worker.born_ms = 4
+        self.guard.take_heartbeat(make_heartbeat(1, born_ms=4), 1_100)
+        report = await self.poll(call_worker=True)
+        self.assertFalse(report.lists_read)
+        self.guard.take_heartbeat(make_heartbeat(2, born_ms=4), 1_200)
+        report = await self.poll(call_worker=True)
+        self.assertTrue(report.lists_read)
+        self.assertEqual((report.worker.born_ms, report.closed_below_ms), (4, 4))
+
+    async def test_a_call_without_a_birth_does_not_close_the_worker(self):
+        self.worker.born_ms = 0
+        await self.poll(call_worker=True)
+        self.assertTrue(self.guard.take_heartbeat(make_heartbeat(2), 1_200))
+        self.worker.born_ms = 10
+        self.assertTrue((await self.poll(call_worker=True)).lists_read)
+
     async def test_a_change_after_the_last_report_is_reported_at_once(self):
         for call_worker in (False, True):
             with self.subTest(call_worker=call_worker):
--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -86,6 +86,23 @@
         self.sample = None
         return True
 
+    def take_birth(self, born_ms: int) -> bool:
+        """
+        Note the birth of the incarnation that has just answered a call.
+
+        If it is before that of the known one, the time of day was set back between
+        them. The heartbeats of the one that answers would be refused for ever. Returns
+        whether the known one has ended, and the next heartbeat is to be accepted.
+        `born_ms` is 0 if it is not known.
+        """
+        if self.worker is None or not 0 < born_ms < self.worker.born_ms:
+            return False
+        self.closed_below_ms = born_ms
+        self.changes += 1
+        self.worker = None
+        self.sample = None
+        return True
+
     def take_clock(self, worker_ms: int, now_ms: int) -> None:
         """Note a reading of the worker's clock."""
         self.sample = ClockSample(worker_ms, now_ms)
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -8,6 +8,7 @@
 
 from yuccarelay.adapters import batch_codec
 from yuccarelay.core.batch.agent import Heartbeat, WorkerGuard
+from yuccarelay.core.batch.models import WorkerId
 from yuccarelay.core.batch.protocol import (
     Answer,
     Declined,
@@ -211,6 +212,8 @@
                 if worker == self.guard.worker_id():
                     self.guard.take_clock(clock_ms, self.clock.now_ms())
                     return self._make_report(True, running, ended)
+            case WorkerRuns(born_ms=born_ms):
+                self._handle_other_birth(worker, born_ms)
             case Fenced():
                 return OldTerm(order.term + 1)
             case Refused(reason) | NoAnswer(reason):
@@ -219,6 +222,14 @@
                 )
         return self._make_report(False)
 
+    def _handle_other_birth(self, called: WorkerId, born_ms: int) -> None:
+        """Handle the answer of another incarnation than the one that was called."""
+        if called == self.guard.worker_id() and self.guard.take_birth(born_ms):
+            self.journal.write(
+                'worker_born_earlier',
+                {'worker': called.name, 'born_ms': born_ms, 'known': called.born_ms},
+            )
+
     async def _hold(
         self,
         name: str,
