Save a record that has changed before its job is removed

When the leases of the last run of an ended job expired after the retention of the job was over, one tick changed its record and removed the job, and the planner failed on the record that it was to save. Nothing was saved, so each next planner failed in the same way once the inherited leases had expired. The job is now removed in a later tick.

The test of EndedJobTest failed before with a KeyError.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -15,6 +15,7 @@
 )
 from yuccarelay.core.batch.agent import WorkerGuard
 from yuccarelay.core.batch.models import Job
+from yuccarelay.core.batch.supervision import ENDED_RETENTION_MS
 
 LONG_MS = 600_000
 # Work that could run may have nothing running for 3 s, and a task that lasts may be
@@ -266,5 +267,24 @@
                 self.assertNotIn('worker_changed', dict(fleet.notes))
 
 
+class EndedJobTest(unittest.TestCase):
+    """Guards against an ended job on which each planner fails, so that none plans."""
+
+    def test_the_last_run_of_a_job_that_ended_long_ago_is_released(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        (worker,) = fleet.workers.values()
+        job = fleet.submit(make_job())
+        fleet.run(500)
+        worker.silent = True
+        fleet.cancel(job)
+        fleet.run(500)
+        record = fleet.records[job.id]
+        ended_at_ms = record.ended_at_ms - ENDED_RETENTION_MS
+        fleet.records[job.id] = record._replace(ended_at_ms=ended_at_ms)
+        fleet.replace_planner()
+        fleet.run(30_000)
+        self.assertNotIn(job.id, fleet.planner.planner_state.plans)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -49,7 +49,9 @@
                 planner_state.send_stop(run)
             elif run.stage is RunStage.RUNNING:
                 log_slow_run(planner_state, plan, run)
-        ended = plan.state in ENDED and not plan.runs
+        # A record that has changed in this tick is saved first.
+        is_settled = not plan.runs and plan.job.id not in planner_state.changed
+        ended = plan.state in ENDED and is_settled
         if ended and planner_state.now.wall_ms > plan.ended_at_ms + ENDED_RETENTION_MS:
             del planner_state.plans[plan.job.id]
             planner_state.effects.append(RemoveJob(plan.job.id))
