Renew the planner's lease while the keys are read

A new holder of the planner's key read all keys before it renewed its lease of 1.5 s for the first time. With a slow store, or with so many keys that the read takes that long, the lease ended during the read, and so on for each candidate: no process planned until the reads were faster.

The test of SlowReadTest failed before.

--- a/tests/test_batch_election.py
+++ b/tests/test_batch_election.py
@@ -9,6 +9,7 @@
 
 from tests.fakes import FakeClock, FakeJournal, stop_task
 from yuccarelay.core.batch.events import Deposed, StepDown
+from yuccarelay.core.batch.leases import TERM_TTL_S
 from yuccarelay.ports.store import Page, TransactionResult
 from yuccarelay.tasks.batch import election
 from yuccarelay.tasks.batch.election import ElectionTask
@@ -85,5 +86,43 @@
             await stop_task(running)
 
 
+class SlowStore(RecordingStore):
+    """Returns the keys only once the lease has been renewed during the read."""
+
+    def __init__(self):
+        super().__init__()
+        self.renewed = asyncio.Event()
+
+    async def read_prefix(self, prefix, *, start_after='', limit=0):
+        await self.renewed.wait()
+        return await super().read_prefix(prefix, start_after=start_after, limit=limit)
+
+    async def renew_lease(self, lease):
+        self.renewed.set()
+        return Ok(True)
+
+
+class SlowReadTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against terms that all end while their planner reads the keys."""
+
+    async def test_the_lease_is_renewed_while_the_keys_are_read(self):
+        task = ElectionTask(
+            'own',
+            SlowStore(),
+            Mailbox(),
+            Mailbox(),
+            Mailbox(),
+            Mailbox(),
+            FakeClock(),
+            random.Random(1),
+            FakeJournal(),
+        )
+        running = asyncio.create_task(task.run())
+        async with asyncio.timeout(TERM_TTL_S):
+            while not task.term:
+                await asyncio.sleep(0.01)
+        await stop_task(running)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/tasks/batch/election.py
+++ b/yuccarelay/tasks/batch/election.py
@@ -153,7 +153,7 @@
 
     async def _begin_term(self, term: int, sent_ms: int) -> None:
         """Read all keys, then notify the record writer, planner and request handler."""
-        match await read_all(self.store, batch_records.ROOT):
+        match await self._read_keys():
             case Ok((values, _)):
                 elected, revisions = make_elected(term, values)
             case Err(failure):
@@ -168,6 +168,24 @@
         self.handler.put_nowait(ResendAll())
         self.journal.write('term_began', {'term': term, 'node': self.node})
 
+    async def _read_keys(self):
+        """
+        Read all keys, and renew the lease meanwhile.
+
+        With many keys or a slow store a read takes longer than the lease lasts, and no
+        process would ever begin a term.
+        """
+        reading = asyncio.ensure_future(read_all(self.store, batch_records.ROOT))
+        try:
+            while True:
+                pause_s = TERM_RENEWAL_MS / 1000
+                done, _ = await asyncio.wait({reading}, timeout=pause_s)
+                if done:
+                    return reading.result()
+                await self.store.renew_lease(self.lease)
+        finally:
+            reading.cancel()
+
     def _end_term(self, reason: str) -> None:
         self.journal.write('term_ended', {'term': self.term, 'reason': reason})
         self.term = 0
