Use tickets whose validity is short

A start was ordered only with a ticket that was valid for another 500 ms. On a queue whose tickets are valid for less than that and the response of the service together, no ticket was ever used and the step was queried for ever. The slack is now at most a quarter of the validity.

test_tickets_of_short_validity_are_used failed before.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -360,6 +360,7 @@
         self.queries: list[QueryAdvice] = []
         # The service handles one query after another; when it is free again.
         self.advice_free_ms = 0
+        self.ticket_valid_ms = ADVICE.valid_ms
         self.approved: set[str] = set()
         self.advice_down = False
         self.replace_planner()
@@ -497,7 +498,7 @@
         for worker in self.workers.values():
             if worker.name in query.workers and worker.name in self.approved:
                 tickets[worker.name] = f'{query.step} {self.now_ms}'
-                worker.tickets[query.step] = self.now_ms + ADVICE.valid_ms
+                worker.tickets[query.step] = self.now_ms + self.ticket_valid_ms
         return AdviceGiven(query.term, query.key, tickets, sent_ms)
 
     def state(self, job: Job) -> str:
--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -3,7 +3,9 @@
 import unittest
 
 from tests.batch_fleet import (
+    ADVICE,
     ADVISED,
+    CONFIGURATION,
     DEFERRABLE,
     ORDINARY,
     FakeRun,
@@ -229,7 +231,7 @@
 
 
 class AdviceQueueTest(unittest.TestCase):
-    """Guards against tickets that expire while their query waits for others."""
+    """Guards against tickets that count as expired whenever they arrive."""
 
     def test_many_steps_that_need_advice_all_run(self):
         fleet = make_fleet(3, needs_ticket=True)
@@ -241,6 +243,20 @@
         self.assertEqual({fleet.state(job) for job in jobs}, {'completed'})
         self.assertEqual(sum(w.rejected for w in fleet.workers.values()), 0)
 
+    def test_tickets_of_short_validity_are_used(self):
+        for valid_ms in (400, 600):
+            with self.subTest(valid_ms=valid_ms):
+                queue = ADVISED._replace(advice=ADVICE._replace(valid_ms=valid_ms))
+                fleet = Fleet(
+                    FakeWorker('w0', 'r0', needs_ticket=True),
+                    configuration=CONFIGURATION._replace(queues=(queue,)),
+                )
+                fleet.approved, fleet.ticket_valid_ms = {'w0'}, valid_ms
+                job = fleet.submit(make_job(queue=queue))
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(fleet.state(job), 'completed')
+                self.assertEqual(fleet.workers['agent-w0'].rejected, 0)
+
 
 class BirthTest(unittest.TestCase):
     """Guards against a worker that is lost because its clock has been set back."""
--- a/yuccarelay/core/batch/advice.py
+++ b/yuccarelay/core/batch/advice.py
@@ -14,14 +14,20 @@
 # Each worker in a query takes time at the service; the users' objective allows for one
 # query about this many.
 QUERY_WORKERS_LIMIT = 30
-# A start has to reach the worker while its ticket is valid.
+# A start has to reach the worker while its ticket is valid. The slack is a share of a
+# short validity, because a ticket could otherwise never be used.
 TICKET_SLACK_MS = 500
+TICKET_SLACK_SHARE = 0.25
 # A failed query is sent again after this time.
 RETRY_MS = 500
 
 
 class Ticket(NamedTuple):
-    """Permission to run a step on one incarnation of a worker until `until_ms`."""
+    """
+    Permission to run a step on one incarnation of a worker.
+
+    A start may be ordered until `until_ms`.
+    """
 
     text: str
     worker: WorkerId
@@ -49,7 +55,7 @@
         ticket = self.tickets.get(worker.name)
         if ticket is None or ticket.worker != worker:
             return None
-        return ticket.text if now_ms + TICKET_SLACK_MS < ticket.until_ms else None
+        return ticket.text if now_ms < ticket.until_ms else None
 
     def choose_query(
         self,
@@ -76,8 +82,15 @@
         self.asked = {worker.name: worker for worker in workers}
         self.query_since_ms = max(1, now_ms)
 
-    def take_answer(self, tickets: dict[str, str], until_ms: int) -> None:
-        """Store the tickets of a response, which are valid until a time."""
+    def take_answer(self, tickets: dict[str, str], sent_ms: int, valid_ms: int) -> None:
+        """
+        Store the tickets of a response, which are valid from the time of the query.
+
+        The response may be delayed. The wait of the query for others does not count, or
+        the tickets of many steps would expire before they arrive.
+        """
+        slack_ms = min(TICKET_SLACK_MS, int(valid_ms * TICKET_SLACK_SHARE))
+        until_ms = sent_ms + valid_ms - slack_ms
         for name, worker in self.asked.items():
             if name in tickets:
                 self.tickets[name] = Ticket(tickets[name], worker, until_ms)
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -331,9 +331,7 @@
                     approved=len(tickets),
                     took_ms=self.planner_state.now.ms - advice.query_since_ms,
                 )
-                # The response may be delayed. The wait for other queries does not
-                # count, or the tickets of many steps would expire before they arrive.
-                advice.take_answer(dict(tickets), sent_ms + terms.valid_ms)
+                advice.take_answer(dict(tickets), sent_ms, terms.valid_ms)
             case AdviceFailed(reason=reason):
                 self.planner_state.note(
                     'advice_failed', job=job, step=step[1], reason=reason
