Renew all tickets of a step with one query

A query named only workers without a valid ticket. If the tickets of a gang expire in turns and the answers take longer than a ticket is valid, because the service is busy with other steps, each query renewed one part while the other expired, and the gang never had all of them. A query now also names the workers whose tickets are still valid, after the others.

test_a_gang_gets_all_its_tickets_at_the_same_time failed before.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -243,6 +243,22 @@
         self.assertEqual({fleet.state(job) for job in jobs}, {'completed'})
         self.assertEqual(sum(w.rejected for w in fleet.workers.values()), 0)
 
+    def test_a_gang_gets_all_its_tickets_at_the_same_time(self):
+        fleet = make_fleet(2, needs_ticket=True)
+        fleet.approved = {'w0', 'w1'}
+        other = fleet.workers['agent-w1']
+        other.silent = True
+        fleet.run(2_000)
+        # Queries of many other steps delay each answer for longer than it is valid.
+        for _ in range(50):
+            step = make_step(1, 8, label='none')
+            fleet.submit(make_job(step, queue=ADVISED))
+        gang = fleet.submit(make_job(make_step(2, 8, gang=True), queue=ADVISED))
+        fleet.run(500)
+        other.silent = False
+        fleet.run(20_000)
+        self.assertEqual(fleet.state(gang), 'completed')
+
     def test_tickets_of_short_validity_are_used(self):
         for valid_ms in (400, 600):
             with self.subTest(valid_ms=valid_ms):
--- a/yuccarelay/core/batch/advice.py
+++ b/yuccarelay/core/batch/advice.py
@@ -63,19 +63,22 @@
         now_ms: int,
     ) -> tuple[WorkerId, ...]:
         """
-        Return the workers to query now, in the given order.
+        Return the workers to query now, those without a valid ticket first.
 
-        Empty while a query is pending, or within `RETRY_MS` after one failed.
+        A query also renews the other tickets of the step. If each were renewed only
+        when it has expired, a gang whose tickets expire in turns might never have all
+        of them. Empty while a query is pending, or within `RETRY_MS` after one failed.
         """
         if self.query_since_ms or now_ms < self.retry_at_ms:
             return ()
-        unknown = [
-            worker
-            for worker in workers
-            if worker.name not in self.refused
-            and self.find_ticket(worker, now_ms) is None
-        ]
-        return tuple(unknown[:QUERY_WORKERS_LIMIT])
+        known, unknown = [], []
+        for worker in workers:
+            if worker.name not in self.refused:
+                ticket = self.find_ticket(worker, now_ms)
+                (unknown if ticket is None else known).append(worker)
+        if not unknown:
+            return ()
+        return tuple([*unknown, *known][:QUERY_WORKERS_LIMIT])
 
     def begin_query(self, workers: tuple[WorkerId, ...], now_ms: int) -> None:
         """Note that a query is pending."""
