Return best-effort tasks to full pace when nothing is beside them

The pace of a best-effort task was adjusted only while a latency-sensitive one ran on its worker. When that one ended or moved, or a new planner did not know the pace, the task kept it, and one that was paused stood still for ever. It now gets full pace again.

The test of PausedRunTest failed before.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -299,6 +299,27 @@
                 self.assertNotIn('worker_changed', dict(fleet.notes))
 
 
+class PausedRunTest(unittest.TestCase):
+    """Guards against best-effort tasks that stay paused with nothing beside them."""
+
+    def test_a_paused_task_goes_on_when_what_it_disturbed_is_gone(self):
+        for is_replaced in (False, True):
+            with self.subTest(is_replaced=is_replaced):
+                fleet = make_fleet(1, run_ms=LONG_MS)
+                (worker,) = fleet.workers.values()
+                step = make_step(1, is_long_running=True, target_ms=100)
+                job = fleet.submit(make_job(step))
+                worker.latency_sensitive_job, worker.tail_alone = job.id, 200
+                fleet.submit(make_job(make_step(1, best_effort=True)))
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(list(worker.paces.values()), [0])
+                fleet.cancel(job)
+                if is_replaced:
+                    fleet.replace_planner()
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(list(worker.paces.values()), [100])
+
+
 class EndedJobTest(unittest.TestCase):
     """Guards against an ended job on which each planner fails, so that none plans."""
 
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -188,39 +188,64 @@
 
 
 def pace_best_effort(planner_state: PlannerState, view: WorkerView) -> None:
-    """Adjust the pace of best-effort runs to the response times on the worker."""
-    latency_sensitive, best_effort_runs = planner_state.list_interfering(view)
-    if not best_effort_runs or view.id is None:
+    """
+    Adjust the pace of best-effort runs to the response times on the worker.
+
+    Without a latency-sensitive run beside them they return to full pace: one that was
+    paused would otherwise stand still for ever.
+    """
+    if view.id is None:
         return
+    latency_sensitive, best_effort_runs = planner_state.list_interfering(view)
     ratio = max(
-        run.recent_metric / planner_state.plans[run.task.job].step(run.task).target_ms
-        for run in latency_sensitive
+        (
+            run.recent_metric
+            / planner_state.plans[run.task.job].step(run.task).target_ms
+            for run in latency_sensitive
+        ),
+        default=0,
     )
     for run in best_effort_runs:
-        now_ms = planner_state.now.ms
-        if (
-            run.stage is not RunStage.RUNNING
-            or now_ms < run.pace_sent_ms + PACE_PERIOD_MS
-        ):
-            continue
         before = FULL_PERCENT if run.pace is None else run.pace
-        percent = choose_pace(before, ratio)
-        if percent == run.pace:
-            continue
-        planner_state.note(
-            'run_paced',
-            task=run.task,
-            run=run.number,
-            worker=run.worker.name,
-            percent=percent,
-            before=run.pace,
-            tail_ratio=round(ratio, 2),
-            age_ms=now_ms - view.read_ms,
-        )
-        run.pace, run.pace_sent_ms = percent, now_ms
-        planner_state.order(
-            view, Pace(planner_state.term, view.id, str(run.task), run.number, percent)
-        )
+        order_pace(planner_state, view, run, choose_pace(before, ratio), ratio)
+    if best_effort_runs:
+        return
+    for run in view.runs.values():
+        if run.pace != FULL_PERCENT:
+            plan = planner_state.plans[run.task.job]
+            if plan.step(run.task).best_effort:
+                order_pace(planner_state, view, run, FULL_PERCENT, ratio)
+
+
+def order_pace(
+    planner_state: PlannerState,
+    view: WorkerView,
+    run: Run,
+    percent: int,
+    ratio: float,
+) -> None:
+    """Order the pace of a run, unless it has it or its last order is too recent."""
+    now_ms = planner_state.now.ms
+    if (
+        run.stage is not RunStage.RUNNING
+        or now_ms < run.pace_sent_ms + PACE_PERIOD_MS
+        or percent == run.pace
+    ):
+        return
+    planner_state.note(
+        'run_paced',
+        task=run.task,
+        run=run.number,
+        worker=run.worker.name,
+        percent=percent,
+        before=run.pace,
+        tail_ratio=round(ratio, 2),
+        age_ms=now_ms - view.read_ms,
+    )
+    run.pace, run.pace_sent_ms = percent, now_ms
+    planner_state.order(
+        view, Pace(planner_state.term, view.id, str(run.task), run.number, percent)
+    )
 
 
 def release_expired_runs(planner_state: PlannerState, view: WorkerView) -> None:
