--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -3,6 +3,7 @@
 import unittest
 
 from tests.batch_fleet import (
+    ADVICE,
     ADVISED,
     CONFIGURATION,
     DEFERRABLE,
@@ -18,6 +19,7 @@
 )
 from yuccarelay.core.batch.agent import WorkerGuard
 from yuccarelay.core.batch.models import Job, Queue
+from yuccarelay.core.batch.supervision import ENDED_RETENTION_MS
 
 LONG_MS = 600_000
 # Work that could run may have nothing running for 3 s, and a task that lasts may be
@@ -352,7 +354,7 @@
 
 
 class AdviceQueueTest(unittest.TestCase):
-    """Guards against tickets that expire while their query waits for others."""
+    """Guards against tickets that count as expired whenever they arrive."""
 
     def test_many_steps_that_need_advice_all_run(self):
         fleet = make_fleet(3, needs_ticket=True)
@@ -364,6 +366,36 @@
         self.assertEqual({fleet.state(job) for job in jobs}, {'completed'})
         self.assertEqual(sum(w.rejected for w in fleet.workers.values()), 0)
 
+    def test_a_gang_gets_all_its_tickets_at_the_same_time(self):
+        fleet = make_fleet(2, needs_ticket=True)
+        fleet.approved = {'w0', 'w1'}
+        other = fleet.workers['agent-w1']
+        other.silent = True
+        fleet.run(2_000)
+        # Queries of many other steps delay each answer for longer than it is valid.
+        for _ in range(50):
+            step = make_step(1, 8, label='none')
+            fleet.submit(make_job(step, queue=ADVISED))
+        gang = fleet.submit(make_job(make_step(2, 8, gang=True), queue=ADVISED))
+        fleet.run(500)
+        other.silent = False
+        fleet.run(20_000)
+        self.assertEqual(fleet.state(gang), 'completed')
+
+    def test_tickets_of_short_validity_are_used(self):
+        for valid_ms in (400, 600):
+            with self.subTest(valid_ms=valid_ms):
+                queue = ADVISED._replace(advice=ADVICE._replace(valid_ms=valid_ms))
+                fleet = Fleet(
+                    FakeWorker('w0', 'r0', needs_ticket=True),
+                    configuration=CONFIGURATION._replace(queues=(queue,)),
+                )
+                fleet.approved, fleet.ticket_valid_ms = {'w0'}, valid_ms
+                job = fleet.submit(make_job(queue=queue))
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(fleet.state(job), 'completed')
+                self.assertEqual(fleet.workers['agent-w0'].rejected, 0)
+
 
 class BirthTest(unittest.TestCase):
     """Guards against a worker that is lost because its clock has been set back."""
@@ -390,5 +422,45 @@
                 self.assertNotIn('worker_changed', dict(fleet.notes))
 
 
+class PausedRunTest(unittest.TestCase):
+    """Guards against best-effort tasks that stay paused with nothing beside them."""
+
+    def test_a_paused_task_goes_on_when_what_it_disturbed_is_gone(self):
+        for is_replaced in (False, True):
+            with self.subTest(is_replaced=is_replaced):
+                fleet = make_fleet(1, run_ms=LONG_MS)
+                (worker,) = fleet.workers.values()
+                step = make_step(1, is_long_running=True, target_ms=100)
+                job = fleet.submit(make_job(step))
+                worker.latency_sensitive_job, worker.tail_alone = job.id, 200
+                fleet.submit(make_job(make_step(1, best_effort=True)))
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(list(worker.paces.values()), [0])
+                fleet.cancel(job)
+                if is_replaced:
+                    fleet.replace_planner()
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(list(worker.paces.values()), [100])
+
+
+class EndedJobTest(unittest.TestCase):
+    """Guards against an ended job on which each planner fails, so that none plans."""
+
+    def test_the_last_run_of_a_job_that_ended_long_ago_is_released(self):
+        fleet = make_fleet(1, run_ms=LONG_MS)
+        (worker,) = fleet.workers.values()
+        job = fleet.submit(make_job())
+        fleet.run(500)
+        worker.silent = True
+        fleet.cancel(job)
+        fleet.run(500)
+        record = fleet.records[job.id]
+        ended_at_ms = record.ended_at_ms - ENDED_RETENTION_MS
+        fleet.records[job.id] = record._replace(ended_at_ms=ended_at_ms)
+        fleet.replace_planner()
+        fleet.run(30_000)
+        self.assertNotIn(job.id, fleet.planner.planner_state.plans)
+
+
 if __name__ == '__main__':
     unittest.main()
