--- a/tests/test_batch_review.py
+++ b/tests/test_batch_review.py
@@ -30,6 +30,8 @@
 # Work that could run may have nothing running for 3 s (the users' rule on accepted
 # jobs).
 IDLE_LIMIT_MS = 3_000
+# A task that lasts may be away for 6 s after its last run (the same rule).
+AWAY_LIMIT_MS = 6_000
 # The first three attempts take less than 1 s, and the last one may wait for 2 s.
 SICK_MS = 2_500
 RECORDS_PER_WRITE = 15
@@ -155,6 +157,43 @@
         self.assertEqual(count_runs(fleet, job), 3)
 
 
+class BlockedStepTest(unittest.TestCase):
+    """Guards against a task that is passed over because a sibling may not start yet."""
+
+    def fail_oldest(self, fleet: Fleet, job: Job, indexes: range) -> None:
+        """Let that of some tasks fail which has run longest."""
+        tasks = {f'{job.id}.0.0.{index}' for index in indexes}
+        found = [
+            (run.started_ms, task, worker)
+            for worker in fleet.workers.values()
+            for task, run in worker.runs.items()
+            if task in tasks
+        ]
+        if found:
+            _, task, worker = min(found, key=lambda item: item[:2])
+            worker.end(task, 'failed')
+
+    def test_a_task_that_lasts_returns_while_siblings_fail_one_after_the_other(self):
+        fleet = make_fleet(63, per_rack=21, run_ms=LONG_MS)
+        blocker = make_step(1, 8, label='r0', is_long_running=True)
+        fleet.submit(make_job(blocker))
+        fleet.run(500)
+        step = make_step(20, 8, label='r0', is_long_running=True)
+        job = fleet.submit(make_job(step))
+        fleet.run(500)
+        self.fail_oldest(fleet, job, range(19, 20))
+        away_ms = longest_ms = 0
+        for _ in range(80):
+            self.fail_oldest(fleet, job, range(19))
+            fleet.run(200)
+            is_away = not any(
+                f'{job.id}.0.0.19' in worker.runs for worker in fleet.workers.values()
+            )
+            away_ms = away_ms + 200 if is_away else 0
+            longest_ms = max(longest_ms, away_ms)
+        self.assertLess(longest_ms, AWAY_LIMIT_MS)
+
+
 class LastAttemptTest(unittest.TestCase):
     """Guards against the attempts of a job that are used up while workers are sick."""
 
