--- a/tests/test_batch_review.py
+++ b/tests/test_batch_review.py
@@ -9,6 +9,7 @@
 
 from tests.batch_fleet import (
     DEFERRABLE,
+    DOWN_MS,
     ORDINARY,
     URGENT,
     FakeWorker,
@@ -244,6 +245,45 @@
         self.assertGreaterEqual(len(fleet.starts(job)), 4)
 
 
+class RenewedReservationTest(unittest.TestCase):
+    """Guards against reservations that are renewed while they keep nothing away."""
+
+    def start_probation(self, tasks: int, accelerators: int) -> tuple[Fleet, Job]:
+        """Return a fleet whose workers have crashed under a gang, and the gang."""
+        fleet = make_fleet(6, run_ms=800)
+        step = make_step(tasks, accelerators, gang=True, per_worker=1)
+        gang = fleet.submit(make_job(step))
+        while not fleet.starts(gang):
+            fleet.run(1)
+        for worker in fleet.workers.values():
+            if worker.runs:
+                worker.crashes_at_ms = fleet.now_ms
+        fleet.run(DOWN_MS)
+        return fleet, gang
+
+    def start_guaranteed(self, fleet: Fleet) -> None:
+        """Start a short guaranteed task on each worker."""
+        fleet.submit(make_job(make_step(6, 1, per_worker=1), queue=URGENT))
+        fleet.run(600)
+
+    def test_a_gang_on_probation_starts_while_guaranteed_work_starts_everywhere(self):
+        fleet, gang = self.start_probation(2, 4)
+        for _ in range(30):
+            self.start_guaranteed(fleet)
+        self.assertEqual(len(fleet.starts(gang)), 4)
+
+    def test_other_work_does_not_wait_for_a_gang_that_cannot_start(self):
+        fleet, _ = self.start_probation(6, 2)
+        jobs = []
+        for _ in range(30):
+            jobs.append((fleet.now_ms, fleet.submit(make_job(make_step(1, 1)))))
+            self.start_guaranteed(fleet)
+        for submitted_ms, job in jobs[:20]:
+            starts = fleet.starts(job)
+            self.assertTrue(starts)
+            self.assertLess(starts[0][0] - submitted_ms, IDLE_LIMIT_MS)
+
+
 class BackfillTest(unittest.TestCase):
     """Guards against large gangs that small tasks keep waiting without an end."""
 
