--- a/tests/test_batch_review.py
+++ b/tests/test_batch_review.py
@@ -9,6 +9,7 @@
 
 from tests.batch_fleet import (
     DEFERRABLE,
+    DOWN_MS,
     ORDINARY,
     URGENT,
     FakeWorker,
@@ -147,24 +148,55 @@
     def test_a_task_that_lasts_leaves_its_full_rack_while_siblings_restart(self):
         fleet = make_fleet(6, per_rack=2, run_ms=LONG_MS)
         step = make_step(3, 8, data_rack='r0', is_long_running=True)
+        fleet.submit(make_job(step))
+        seen_ms = [fleet.now_ms] * 3
+        longest_ms = 0
+        for _ in range(12):
+            fleet.run(1_000)
+            for worker in fleet.workers.values():
+                for task in list(worker.runs):
+                    seen_ms[int(task[-1])] = fleet.now_ms
+                    if task.endswith('.0'):
+                        worker.end(task, 'done')
+            longest_ms = max(longest_ms, fleet.now_ms - min(seen_ms))
+        self.assertLess(longest_ms, AWAY_LIMIT_MS)
+
+
+class BlockedStepTest(unittest.TestCase):
+    """Guards against a task that is passed over because a sibling may not start yet."""
+
+    def fail_oldest(self, fleet: Fleet, job: Job, indexes: range) -> None:
+        """Let that of some tasks fail which has run longest."""
+        tasks = {f'{job.id}.0.0.{index}' for index in indexes}
+        found = [
+            (run.started_ms, task, worker)
+            for worker in fleet.workers.values()
+            for task, run in worker.runs.items()
+            if task in tasks
+        ]
+        if found:
+            _, task, worker = min(found, key=lambda item: item[:2])
+            worker.end(task, 'failed')
+
+    def test_a_task_that_lasts_returns_while_siblings_fail_one_after_the_other(self):
+        fleet = make_fleet(63, per_rack=21, run_ms=LONG_MS)
+        blocker = make_step(1, 8, label='r0', is_long_running=True)
+        fleet.submit(make_job(blocker))
+        fleet.run(500)
+        step = make_step(20, 8, label='r0', is_long_running=True)
         job = fleet.submit(make_job(step))
-        longest_ms = dict.fromkeys(range(3), 0)
-        away_ms = dict(longest_ms)
-        for turn in range(1, 101):
+        fleet.run(500)
+        self.fail_oldest(fleet, job, range(19, 20))
+        away_ms = longest_ms = 0
+        for _ in range(80):
+            self.fail_oldest(fleet, job, range(19))
             fleet.run(200)
-            running = {
-                task: worker
-                for worker in fleet.workers.values()
-                for task in worker.runs
-            }
-            for index in range(3):
-                is_away = f'{job.id}.0.0.{index}' not in running
-                away_ms[index] = away_ms[index] + 200 if is_away else 0
-                longest_ms[index] = max(longest_ms[index], away_ms[index])
-            first = f'{job.id}.0.0.0'
-            if turn % 5 == 0 and first in running:
-                running[first].end(first, 'done')
-        self.assertLess(max(longest_ms.values()), AWAY_LIMIT_MS)
+            is_away = not any(
+                f'{job.id}.0.0.19' in worker.runs for worker in fleet.workers.values()
+            )
+            away_ms = away_ms + 200 if is_away else 0
+            longest_ms = max(longest_ms, away_ms)
+        self.assertLess(longest_ms, AWAY_LIMIT_MS)
 
 
 class LastAttemptTest(unittest.TestCase):
@@ -213,6 +245,45 @@
         self.assertGreaterEqual(len(fleet.starts(job)), 4)
 
 
+class RenewedReservationTest(unittest.TestCase):
+    """Guards against reservations that are renewed while they keep nothing away."""
+
+    def start_probation(self, tasks: int, accelerators: int) -> tuple[Fleet, Job]:
+        """Return a fleet whose workers have crashed under a gang, and the gang."""
+        fleet = make_fleet(6, run_ms=800)
+        step = make_step(tasks, accelerators, gang=True, per_worker=1)
+        gang = fleet.submit(make_job(step))
+        while not fleet.starts(gang):
+            fleet.run(1)
+        for worker in fleet.workers.values():
+            if worker.runs:
+                worker.crashes_at_ms = fleet.now_ms
+        fleet.run(DOWN_MS)
+        return fleet, gang
+
+    def start_guaranteed(self, fleet: Fleet) -> None:
+        """Start a short guaranteed task on each worker."""
+        fleet.submit(make_job(make_step(6, 1, per_worker=1), queue=URGENT))
+        fleet.run(600)
+
+    def test_a_gang_on_probation_starts_while_guaranteed_work_starts_everywhere(self):
+        fleet, gang = self.start_probation(2, 4)
+        for _ in range(30):
+            self.start_guaranteed(fleet)
+        self.assertEqual(len(fleet.starts(gang)), 4)
+
+    def test_other_work_does_not_wait_for_a_gang_that_cannot_start(self):
+        fleet, _ = self.start_probation(6, 2)
+        jobs = []
+        for _ in range(30):
+            jobs.append((fleet.now_ms, fleet.submit(make_job(make_step(1, 1)))))
+            self.start_guaranteed(fleet)
+        for submitted_ms, job in jobs[:20]:
+            starts = fleet.starts(job)
+            self.assertTrue(starts)
+            self.assertLess(starts[0][0] - submitted_ms, IDLE_LIMIT_MS)
+
+
 class BackfillTest(unittest.TestCase):
     """Guards against large gangs that small tasks keep waiting without an end."""
 
