Start work on probation beside new runs once it has waited

Cause: guaranteed work does not keep off workers on probation, so where it starts on each worker again and again their runs are never settled. The reservation of a unit on probation was renewed each 4 s, and other work kept off the workers meanwhile.

The reservation is made once a wait, for 2 s; then the unit starts there all the same. A crash beside new runs of others counts once at most, so that it does not give up a job.

--- a/yuccarelay/core/batch/crashes.py
+++ b/yuccarelay/core/batch/crashes.py
@@ -27,9 +27,9 @@
 # Most workers have no new runs at some moment within this time. For a unit on probation
 # that has waited longer, workers are reserved.
 SETTLING_WAIT_MS = SURVIVED_MS
-# A new run has survived after 1 s, and is listed as such by the poll after the present
-# one, which takes up to 2 s.
-SETTLING_RESERVATION_MS = 4_000
+# A new run has survived after 1 s, and is listed as such once the present poll of its
+# worker ends, after up to 2 s.
+SETTLING_RESERVATION_MS = 2_000
 
 
 def count_crash(planner_state: PlannerState, view: WorkerView, run: Run) -> None:
@@ -41,6 +41,9 @@
     if has_left or run.has_survived or age_ms > START_WINDOW_MS or plan.ended:
         return
     crashes = record.crashes + 1
+    if run.is_beside_new:
+        # Another new run may be to blame.
+        crashes = min(crashes, CRASHES_LIMIT - 1)
     plan.put(run.task, record._replace(crashes=crashes))
     planner_state.changed.add(plan.job.id)
     planner_state.suspects.add(plan.job.id)
@@ -139,6 +142,29 @@
     ]
 
 
+def must_settle(planner_state: PlannerState, unit: Unit) -> bool:
+    """
+    Whether a unit may start only where the runs of other jobs have survived.
+
+    Guaranteed work may start on each worker again and again, so this ends at a time.
+    """
+    plan = planner_state.plans[unit.job]
+    settled_by_ms = plan.waits[unit.tasks[0][1:]].settled_by_ms
+    is_over = 0 < settled_by_ms <= planner_state.now.ms
+    return has_crashed_worker(plan, unit) and not is_over
+
+
+def note_new_neighbours(planner_state: PlannerState, unit: Unit) -> None:
+    """Note whether new runs of other jobs are beside those of an assigned unit."""
+    plan = planner_state.plans[unit.job]
+    for task in unit.tasks:
+        run = plan.runs[task]
+        run.is_beside_new = any(
+            other.task.job != unit.job and not other.has_survived
+            for other in planner_state.workers[run.worker.agent].runs.values()
+        )
+
+
 def reserve_settling(
     planner_state: PlannerState, unit: Unit, placement: Placement
 ) -> None:
@@ -148,8 +174,10 @@
     Other work keeps off them meanwhile. Without this, short work that starts on each
     worker again and again would hold up the unit without an end.
     """
-    step = planner_state.plans[unit.job].job.steps[unit.step]
+    plan = planner_state.plans[unit.job]
+    step = plan.job.steps[unit.step]
     until_ms = planner_state.now.ms + SETTLING_RESERVATION_MS
+    plan.waits[unit.tasks[0][1:]].settled_by_ms = until_ms
     reservation = Reservation(placement, resources_held(step), until_ms)
     planner_state.reserved[tuple(unit)] = reservation
     planner_state.note(
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -64,7 +64,8 @@
     why the run was stopped, empty while it was not.
     `seen_running_ms` is when a report last listed it as running, 0 if none has;
     `has_survived` is set if that was some time after the start. `lost_with_worker` is
-    set once its worker is known to have ended under it.
+    set once its worker is known to have ended under it. `is_beside_new` means that new
+    runs of other jobs were on its worker when it was assigned on probation.
     `recent_metric` is the worker's metric over the last half second. `pace` is the
     ordered speed in percent of full speed, None while it is not known.
     """
@@ -87,6 +88,7 @@
     listed: bool = False
     seen_running_ms: int = 0
     has_survived: bool = False
+    is_beside_new: bool = False
     lost_with_worker: bool = False
     start_repeated: bool = False
     recent_metric: float = 0
@@ -127,10 +129,16 @@
 
 @dataclass(slots=True)
 class Wait:
-    """The wait of a unit that may start, and how often it was passed over."""
+    """
+    The wait of a unit that may start, and how often it was passed over.
+
+    A unit on probation that had workers reserved starts at `settled_by_ms` even if
+    other runs there are still new; 0 if it had none.
+    """
 
     since_ms: int
     passes: int = 0
+    settled_by_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -11,6 +11,8 @@
     keep_off,
     list_settled,
     list_unshared,
+    must_settle,
+    note_new_neighbours,
     reserve_settling,
 )
 from yuccarelay.core.batch.entities import Reservation
@@ -102,7 +104,7 @@
             if candidate.agent in reservation.placement
         ]
     open_candidates = candidates
-    if has_crashed_worker(entry.plan, entry.unit):
+    if must_settle(planner_state, entry.unit):
         candidates = list_settled(planner_state, entry.unit, candidates)
     placement = choose_placement(planner_state, entry, candidates)
     if placement is None and reservation is None:
@@ -114,6 +116,8 @@
     if placement is not None:
         planner_state.reserved.pop(key, None)
         planner_state.assign(entry.plan, entry.unit, placement)
+        if has_crashed_worker(entry.plan, entry.unit):
+            note_new_neighbours(planner_state, entry.unit)
         snapshot.refresh((*placement, *(reservation.placement if reservation else ())))
         return True
     if reservation is not None:
@@ -158,7 +162,7 @@
     """Reserve workers for a unit that waits only for new runs to survive."""
     wait = entry.plan.waits[entry.unit.tasks[0][1:]]
     has_waited = planner_state.now.ms >= wait.since_ms + SETTLING_WAIT_MS
-    if not has_waited or not has_crashed_worker(entry.plan, entry.unit):
+    if not has_waited or not must_settle(planner_state, entry.unit):
         return False
     placement = choose_placement(planner_state, entry, candidates)
     if placement is None:
