--- a/tests/test_batch_review.py
+++ b/tests/test_batch_review.py
@@ -22,6 +22,7 @@
 from yuccarelay.core.batch.entities import WorkerView
 from yuccarelay.core.batch.events import SaveRecord
 from yuccarelay.core.batch.models import Job, JobRecord
+from yuccarelay.core.batch.protocol import Start
 from yuccarelay.core.batch.scheduling import assign_units
 from yuccarelay.ports.store import TransactionResult
 from yuccarelay.tasks.batch.records import RecordsTask, TermBegan
@@ -320,6 +321,40 @@
         self.assertLess(calls.call_count, 4 * workers)
 
 
+class WatchedFleet(Fleet):
+    """Counts the starts, and those whose assignment is not saved yet."""
+
+    ordered = 0
+    unsaved_starts = 0
+
+    def deliver(self, item: tuple) -> None:
+        """Check an order to start a run, and deliver the item."""
+        match item:
+            case ('order', _, Start(task=task, run=run), _):
+                job, _, key = task.partition('.')
+                self.ordered += 1
+                self.unsaved_starts += self.records[job].tasks[key].run < run
+        super().deliver(item)
+
+
+class UnsavedAssignmentTest(unittest.TestCase):
+    """Guards against a start that another planner would not find in the store."""
+
+    def test_no_run_starts_before_its_own_assignment_is_saved(self):
+        workers = [FakeWorker(f'w{n}', 'r0', run_ms=LONG_MS) for n in range(3)]
+        fleet = WatchedFleet(*workers).run(200)
+        fleet.submit(make_job(make_step(12, per_worker=4, is_long_running=True)))
+        fleet.run(1_000)
+        fleet.write_ms = 300
+        for number in range(20):
+            worker = workers[number % len(workers)]
+            if worker.runs:
+                worker.end(next(iter(worker.runs)), 'done')
+            fleet.run(100)
+        self.assertGreater(fleet.ordered, 20)
+        self.assertEqual(fleet.unsaved_starts, 0)
+
+
 class BusyStore:
     """Answers each write after the newest versions of other records have arrived."""
 
