Do not withhold resources for long from a task that lasts

Cause: a task that lasts may be away for 6 s however full the fleet is, but what others have reserved in advance was open to it only while most of the fleet is idle.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -235,20 +235,21 @@
 
         An advance reservation keeps a full fleet from being filled with small tasks. In
         one that is mostly idle it would keep work waiting beside free resources. What a
-        unit that has waited for `BACKFILL_LIMIT_MS` has reserved is kept all the same.
+        unit that has waited for `BACKFILL_LIMIT_MS` has reserved is kept all the same,
+        but not from a long-running task, which may be away for 6 s on any fleet.
         """
         now_ms = self.planner_state.now.ms
-        wait = self.planner_state.plans[unit.job].waits[unit.tasks[0][1:]]
+        plan = self.planner_state.plans[unit.job]
+        wait = plan.waits[unit.tasks[0][1:]]
+        is_long_running = plan.job.steps[unit.step].is_long_running
         usable = [
             reservation
             for reservation in self.advance_reservations
-            if now_ms < reservation.backfill_until_ms
+            if is_long_running or now_ms < reservation.backfill_until_ms
         ]
-        if (
-            not usable
-            or now_ms < wait.since_ms + LONGEST_IDLE_MS
-            or self._share_in_use(queue.service) >= IDLE_SHARE
-        ):
+        if not usable or now_ms < wait.since_ms + LONGEST_IDLE_MS:
+            return []
+        if not is_long_running and self._share_in_use(queue.service) >= IDLE_SHARE:
             return []
         for reservation in usable:
             candidates = [
