--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -14,6 +14,7 @@
     could_hold,
     group_victims,
     is_usable,
+    resources_held,
 )
 
 # A unit that cannot be placed otherwise waits this long before it uses workers that it
@@ -241,7 +242,8 @@
         now_ms = self.planner_state.now.ms
         plan = self.planner_state.plans[unit.job]
         wait = plan.waits[unit.tasks[0][1:]]
-        is_long_running = plan.job.steps[unit.step].is_long_running
+        step = plan.job.steps[unit.step]
+        is_long_running = step.is_long_running
         usable = [
             reservation
             for reservation in self.advance_reservations
@@ -251,11 +253,22 @@
             return []
         if not is_long_running and self._share_in_use(queue.service) >= IDLE_SHARE:
             return []
-        for reservation in usable:
-            candidates = [
-                add_reservation(candidate, reservation) for candidate in candidates
-            ]
-        return candidates
+        return self._add_withheld(step, usable, candidates)
+
+    def _add_withheld(
+        self, step: Step, withheld: list[Reservation], candidates: list[Candidate]
+    ) -> list[Candidate]:
+        """Return the candidates with what is withheld, or none if that is no use."""
+        agents = {agent for reservation in withheld for agent in reservation.placement}
+        need = resources_held(step)
+        found, is_of_use = [], False
+        for candidate in candidates:
+            if candidate.agent in agents and not candidate.avoided:
+                for reservation in withheld:
+                    candidate = add_reservation(candidate, reservation)
+                is_of_use |= candidate.free.holds(need)
+            found.append(candidate)
+        return found if is_of_use else []
 
     def _share_in_use(self, service: str) -> float:
         """
