Let short work use what is withheld until its unit can start

Cause: what a unit that has waited for 10 s had reserved was also kept from work that would have ended before it could start, in a fleet with 30 % in use.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -177,6 +177,17 @@
         fleet.run(AWAY_LIMIT_MS)
         self.assertEqual(count_runs(fleet, job), 1)
 
+    def test_short_work_uses_what_a_gang_has_withheld_for_long(self):
+        fleet = make_fleet(6, run_ms=60_000)
+        fleet.submit(make_job(make_step(6, per_worker=1, estimated_ms=60_000)))
+        fleet.run(500)
+        gang = make_step(5, 8, gang=True, estimated_ms=60_000)
+        fleet.submit(make_job(gang, queue=ORDINARY))
+        fleet.run(15_000)
+        job = fleet.submit(make_job(make_step(2, 4, gang=True), queue=DEFERRABLE))
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 2)
+
     def test_nothing_is_withheld_for_long_for_work_that_stands_still(self):
         fleet = make_fleet(4, run_ms=LONG_MS)
         fleet.submit(make_job(make_step(2, 8)))
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -236,18 +236,23 @@
 
         An advance reservation keeps a full fleet from being filled with small tasks. In
         one that is mostly idle it would keep work waiting beside free resources. What a
-        unit that has waited for `BACKFILL_LIMIT_MS` has reserved is kept all the same,
-        but not from a long-running task, which may be away for 6 s on any fleet.
+        unit that has waited for `BACKFILL_LIMIT_MS` has reserved is kept from work that
+        would delay it. A long-running task may be away for 6 s on any fleet.
         """
         now_ms = self.planner_state.now.ms
         plan = self.planner_state.plans[unit.job]
         wait = plan.waits[unit.tasks[0][1:]]
         step = plan.job.steps[unit.step]
         is_long_running = step.is_long_running
+        end_ms = now_ms + self.planner_state.durations.estimate_ms(
+            queue.name, step.estimated_ms
+        )
         usable = [
             reservation
             for reservation in self.advance_reservations
-            if is_long_running or now_ms < reservation.backfill_until_ms
+            if is_long_running
+            or now_ms < reservation.backfill_until_ms
+            or end_ms <= reservation.start_ms
         ]
         if not usable or now_ms < wait.since_ms + LONGEST_IDLE_MS:
             return []
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -118,13 +118,15 @@
     """
     Resources on workers that are reserved for a unit until `until_ms`.
 
-    Before `backfill_until_ms` others may use them in a fleet that is mostly idle.
+    In a fleet that is mostly idle others may use them before `backfill_until_ms`, and
+    if they end before `start_ms`, when the unit is expected to start.
     """
 
     placement: tuple[str, ...]
     need: Resources
     until_ms: int
     backfill_until_ms: int = 0
+    start_ms: float = 0
 
 
 @dataclass(slots=True)
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -297,5 +297,6 @@
                 need=resources_held(step),
                 until_ms=now_ms,
                 backfill_until_ms=since_ms + BACKFILL_LIMIT_MS,
+                start_ms=soonest.cost,
             )
         )
