--- a/tests/play_fleet.py
+++ b/tests/play_fleet.py
@@ -7,6 +7,7 @@
 from tests.random_plays import (
     Cancel,
     Crash,
+    CrashNewest,
     Drain,
     FailTask,
     Fault,
@@ -18,6 +19,7 @@
     Script,
     Sicken,
     Silence,
+    SlowStore,
     StopStore,
     Submit,
 )
@@ -123,6 +125,7 @@
         self.deadly: set[str] = set()
         self.durations_ms: dict[str, int] = {}
         self.store_back_ms = 0
+        self.store_slow_until_ms = 0
         super().__init__(
             *(
                 PlayWorker(
@@ -149,6 +152,8 @@
             while self.pending and self.pending[-1][0] <= self.now_ms:
                 self.apply(self.pending.pop()[1])
             self.store_down = self.now_ms < self.store_back_ms
+            if self.now_ms >= self.store_slow_until_ms:
+                self.write_ms = 0
             for worker in self.workers.values():
                 worker.update_faults(self.now_ms)
             if not self.now_ms % CHECKPOINT_PERIOD_MS:
@@ -171,6 +176,8 @@
                 self._fail_task(target, job)
             case Crash(worker):
                 workers[worker].crashes_at_ms = now_ms
+            case CrashNewest():
+                self._crash_newest()
             case Silence(worker, ms):
                 workers[worker].silent_until_ms = now_ms + ms
             case LoseStarts(worker, count):
@@ -185,6 +192,8 @@
                 self._make_deadly(target)
             case StopStore(ms):
                 self.store_back_ms = now_ms + ms
+            case SlowStore(ms, write_ms):
+                self.store_slow_until_ms, self.write_ms = now_ms + ms, write_ms
             case ReplacePlanner(delay_ms):
                 # A planner is elected in the store.
                 if now_ms >= self.store_back_ms:
@@ -197,7 +206,7 @@
     def end_faults(self) -> None:
         """End all faults."""
         self.deadly.clear()
-        self.store_back_ms = 0
+        self.store_back_ms = self.store_slow_until_ms = 0
         for worker in self.workers.values():
             worker.end_faults()
 
@@ -225,6 +234,14 @@
             task, name = found[int(target * len(found))]
             self.workers[f'agent-{name}'].end(task, 'failed')
 
+    def _crash_newest(self) -> None:
+        found = max(
+            (run.started_ms, worker.name)
+            for worker in self.workers.values()
+            for run in (*worker.runs.values(), FakeRun('', 0, 0))
+        )
+        self.workers[f'agent-{found[1]}'].crashes_at_ms = self.now_ms
+
     def _make_deadly(self, target: float) -> None:
         job = self._find_open_job(target)
         if job is not None:
--- a/tests/random_plays.py
+++ b/tests/random_plays.py
@@ -66,6 +66,11 @@
     worker: int
 
 
+@dataclass(frozen=True)
+class CrashNewest:
+    """The worker that started a run last restarts, as if the run had crashed it."""
+
+
 @dataclass(frozen=True)
 class Silence:
     """An agent does not answer; its worker goes on until the leases expire."""
@@ -120,6 +125,14 @@
     ms: int
 
 
+@dataclass(frozen=True)
+class SlowStore:
+    """A write of records takes some time."""
+
+    ms: int
+    write_ms: int
+
+
 @dataclass(frozen=True)
 class ReplacePlanner:
     """Another planner is elected; orders of the old one may arrive late."""
@@ -138,6 +151,7 @@
     Sicken
     | FailTask
     | Crash
+    | CrashNewest
     | Silence
     | LoseStarts
     | LoseAnswers
@@ -145,6 +159,7 @@
     | Drain
     | MakeDeadly
     | StopStore
+    | SlowStore
     | ReplacePlanner
     | Cancel
 )
@@ -321,7 +336,7 @@
             case 'task':
                 return FailTask(rng.random(), job)
             case 'crash':
-                return Crash(worker)
+                return rng.choice((Crash(worker), CrashNewest()))
             case 'silent':
                 return Silence(worker, rng.randint(500, 14_000))
             case 'drain':
@@ -329,6 +344,8 @@
             case 'deadly':
                 return MakeDeadly(rng.random())
             case 'store':
+                if rng.random() < 0.5:
+                    return SlowStore(rng.randint(1_000, 8_000), rng.randint(50, 800))
                 return StopStore(rng.randint(300, 8_000))
             case 'planner':
                 delay_ms = rng.choice((None, None, rng.randint(100, 2_000)))
