--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -165,6 +165,18 @@
         fleet.run(IDLE_LIMIT_MS)
         self.assertEqual(count_runs(fleet, gang), 2)
 
+    def test_they_are_not_withheld_for_long_from_a_long_running_task(self):
+        fleet = make_fleet(6, run_ms=20_000)
+        blocker = make_step(4, 8, estimated_ms=20_000)
+        fleet.submit(make_job(blocker))
+        fleet.run(500)
+        gang = make_step(3, 8, gang=True, estimated_ms=20_000)
+        fleet.submit(make_job(gang, queue=ORDINARY))
+        step = make_step(1, is_long_running=True)
+        job = fleet.submit(make_job(step, queue=DEFERRABLE))
+        fleet.run(AWAY_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 1)
+
     def test_nothing_is_withheld_for_long_for_work_that_stands_still(self):
         fleet = make_fleet(4, run_ms=LONG_MS)
         fleet.submit(make_job(make_step(2, 8)))
