--- a/tests/play_fleet.py
+++ b/tests/play_fleet.py
@@ -25,7 +25,7 @@
     StopStore,
     Submit,
 )
-from tests.random_plays import Script
+from tests.random_plays import LASTING_MS, Script
 from yuccarelay.core.batch.events import Configured
 from yuccarelay.core.batch.models import (
     ENDED,
@@ -47,6 +47,8 @@
 SICK_RUN_MS = 300
 CHECKPOINT_PERIOD_MS = 500
 SLOW_FACTOR = 5
+# A task that lasts reports this progress while it is available.
+AVAILABLE_PERCENT = 100.0
 # With more than one service the planner cannot tell where jobs of an unknown queue run.
 ELSEWHERE = Queue('elsewhere', 'h', '/e/', 'bureau', 1, 3, 3.0, 1_500)
 
@@ -109,7 +111,9 @@
     def _set_end(self, run: FakeRun, now_ms: int) -> None:
         task = parse_task_id(run.task)
         duration_ms = self.durations_ms[f'{task.job}.{task.step}']
-        if run.checkpoint:
+        if duration_ms == LASTING_MS:
+            run.percent = AVAILABLE_PERCENT
+        elif run.checkpoint:
             duration_ms = duration_ms * (100 - int(run.checkpoint)) // 100
         run.ends_ms = now_ms + duration_ms
         if now_ms < self.slow_until_ms:
