--- a/tests/play_fleet.py
+++ b/tests/play_fleet.py
@@ -92,9 +92,9 @@
         self.counts_from_ms = max(self.counts_from_ms, self.seen_ms + duration_ms)
 
     def end(self, task: str, how: str) -> None:
-        """End a run; the planner may avoid a worker after failures."""
+        """End a run; a sick worker does not count as free for some time."""
         super().end(task, how)
-        if how == 'failed':
+        if self.how == 'failed':
             self.hold_capacity(FAILED_HOLD_MS)
 
     def order(self, order, now_ms: int):
