--- a/tests/test_batch_progress.py
+++ b/tests/test_batch_progress.py
@@ -1,6 +1,7 @@
 """Plays random loads and faults, and checks that work that could run is started."""
 
 import unittest
+from unittest import mock
 
 from tests.batch_fleet import TICK_MS, Fleet, make_fleet, make_job, make_step
 from tests.progress import (
@@ -11,6 +12,7 @@
     describe_seed,
 )
 from tests.random_plays import CALM_MS, make_script
+from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
 
 # Chosen by the time that they take, before any result was known. Others are searched
 # by hand with `python -m tests.progress`.
@@ -35,6 +37,11 @@
         view.avoid_until_ms = FOREVER_MS
 
 
+def keep_avoided(_snapshot, _unit, _queue, _step, candidates: list) -> list:
+    """Replace the admission of avoided workers by none."""
+    return candidates
+
+
 class RandomPlayTest(unittest.TestCase):
     """Guards against accepted work that could run and is not started."""
 
@@ -51,6 +58,7 @@
 class IdleJobTest(unittest.TestCase):
     """Guards against a check that misses jobs with nothing running."""
 
+    @mock.patch.object(CapacitySnapshot, '_admit_avoided', keep_avoided)
     def test_work_kept_off_free_workers_for_ever_is_reported(self):
         fleet = make_fleet(4, run_ms=LONG_MS)
         fleet.submit(make_job(make_step(1, 8)))
