--- a/tests/random_plays.py
+++ b/tests/random_plays.py
@@ -146,15 +146,7 @@
     def _draw_job(self, at_ms: int, is_early: bool = False) -> Submit:
         rng = self.rng
         self.jobs += 1
-        count = rng.choices((1, 2, 3), (7, 2, 1))[0]
-        range_ms = (4_000, 40_000) if is_early else (150, 4_000)
-        steps, durations_ms = [], []
-        for number in range(count):
-            after = (number - 1,) if number and rng.random() < 0.8 else ()
-            duration_ms = int(draw_between(rng, *range_ms))
-            step = self._draw_step(duration_ms, after, count == 1, is_early)
-            steps.append(step)
-            durations_ms.append(LASTING_MS if step.is_long_running else duration_ms)
+        steps, durations_ms = self._draw_steps(is_early)
         queue = rng.choice((URGENT, ORDINARY, ORDINARY, DEFERRABLE, DEFERRABLE))
         if rng.random() < 0.1:
             queue = ADVISED
@@ -166,43 +158,40 @@
             queue=queue.name,
             organisation=rng.choice(('guild', 'kanem')),
             specification='s',
-            steps=tuple(steps),
+            steps=steps,
             accepted_at_ms=WALL_START_MS + at_ms,
             first_run_ms=WALL_START_MS + at_ms + interval_ms if repetitions else 0,
             interval_ms=interval_ms,
             repetitions=repetitions,
         )
-        return Submit(job, tuple(durations_ms))
+        return Submit(job, durations_ms)
+
+    def _draw_steps(self, is_early: bool) -> tuple[tuple[Step, ...], tuple[int, ...]]:
+        """Return the steps of a job and the durations of their tasks."""
+        rng = self.rng
+        count = rng.choices((1, 2, 3), (7, 2, 1))[0]
+        range_ms = (4_000, 40_000) if is_early else (150, 4_000)
+        steps, durations_ms = [], []
+        for number in range(count):
+            after = (number - 1,) if number and rng.random() < 0.8 else ()
+            duration_ms = int(draw_between(rng, *range_ms))
+            step = self._draw_step(duration_ms, after, count == 1, is_early)
+            steps.append(step)
+            durations_ms.append(LASTING_MS if step.is_long_running else duration_ms)
+        return tuple(steps), tuple(durations_ms)
 
     def _draw_step(
         self, duration_ms: int, after: tuple[int, ...], may_last: bool, is_early: bool
     ) -> Step:
         rng = self.rng
-        size = len(self.workers)
         kind = rng.choices(('single', 'wide', 'whole', 'gang'), (3, 4, 2, 3))[0]
         accelerators = 8 if kind == 'whole' else rng.choice((1, 1, 2, 4, 8))
-        limit = int(STEP_PART * self.accelerators)
-        if is_early:
-            limit = int(EARLY_PART * self.accelerators) - self.early_accelerators
-        limit = max(1, limit // accelerators)
-        if kind == 'single':
-            count = 1
-        elif kind == 'whole' or accelerators == 8:
-            count = min(limit, rng.randint(1, max(2, size // 2)))
-        else:
-            count = min(limit, rng.randint(2, 16))
+        count = self._draw_count(kind, accelerators, is_early)
         is_gang = kind == 'gang' and count > 1
         per_worker = rng.randint(1, 2) if rng.random() < 0.2 else 0
         if per_worker:
-            count = min(count, per_worker * size * 2 // 3)
-        is_lasting = False
-        held = count * accelerators
-        self.early_accelerators += held if is_early else 0
-        if may_last and rng.random() < (0.35 if is_early else 0.08):
-            is_lasting = (
-                self.lasting_accelerators + held <= LASTING_PART * self.accelerators
-            )
-            self.lasting_accelerators += held if is_lasting else 0
+            count = min(count, per_worker * len(self.workers) * 2 // 3)
+        is_lasting = self._draw_lasting(count * accelerators, may_last, is_early)
         racks = sorted({worker.rack for worker in self.workers})
         return make_step(
             count,
@@ -218,6 +207,30 @@
             is_long_running=is_lasting,
         )
 
+    def _draw_count(self, kind: str, accelerators: int, is_early: bool) -> int:
+        """Return the number of tasks of a step, within its part of the fleet."""
+        limit = int(STEP_PART * self.accelerators)
+        if is_early:
+            limit = int(EARLY_PART * self.accelerators) - self.early_accelerators
+        limit = max(1, limit // accelerators)
+        if kind == 'single':
+            return 1
+        if accelerators == WORKER_CAPACITY.accelerators:
+            most = max(2, len(self.workers) // 2)
+            return min(limit, self.rng.randint(1, most))
+        return min(limit, self.rng.randint(2, 16))
+
+    def _draw_lasting(self, held: int, may_last: bool, is_early: bool) -> bool:
+        """Return whether a step lasts that holds a number of accelerators."""
+        self.early_accelerators += held if is_early else 0
+        if not may_last or self.rng.random() >= (0.35 if is_early else 0.08):
+            return False
+        total = self.lasting_accelerators + held
+        if total > LASTING_PART * self.accelerators:
+            return False
+        self.lasting_accelerators = total
+        return True
+
     def _add_traffic(self, until_ms: int) -> None:
         """Add jobs at a rate that keeps a drawn part of the fleet in use."""
         is_overloaded = self.rng.random() < 0.2
