--- a/tests/test_batch_progress.py
+++ b/tests/test_batch_progress.py
@@ -65,11 +65,7 @@
         fleet.run(500)
         avoid_workers(fleet, 'w1', 'w2', 'w3')
         job = fleet.submit(make_job(make_step(1, 8)))
-        # The planner itself ends such a wait, so what ends it is taken out here.
-        with mock.patch.object(
-            CapacitySnapshot, '_admit_avoided', lambda *arguments: arguments[-1]
-        ):
-            found = watch(fleet)
+        found = watch(fleet)
         self.assertEqual({violation.job for violation in found}, {job.id})
         self.assertIn('idle', {violation.rule for violation in found})
         self.assertIn('cause=failing', found[0].note)
