--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,8 @@
     22: 'as 12',
     38: 'an entry suspended during its drain interrupted requests it had not read',
     50: 'SIGHUP ended a role that was still importing its modules',
+    504: 'SIGTERM ended an entry that was still importing its modules',
+    508: 'an entry that was restarted ended because its address could not be used',
 }
 SHORT_RUN = 1
 
