--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -25,7 +25,8 @@
 # while others could hold it.
 RECOVERY_MS = 8_000
 # Others may use what is reserved in advance for a unit until it has waited this long.
-# After that it is kept, so that small tasks cannot hold up a large gang without an end.
+# Later only work that does not delay it may, so that small tasks cannot hold up a large
+# gang without an end.
 BACKFILL_LIMIT_MS = 10_000
 # While less than this share of a service is in use, most of it is idle, and work need
 # not wait for the ends of other work.
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -71,7 +71,7 @@
     blocked = set()
     for entry in waiting:
         step = entry.unit[:3]
-        # The tasks of a step are equal: if one cannot be placed, none can.
+        # The tasks of a step are alike: if the first cannot be placed, the others wait.
         if step in blocked and tuple(entry.unit) not in planner_state.reserved:
             continue
         if not place_unit(planner_state, snapshot, entry):
