Keep a cancellation that arrives before its job

Cause: a replica that has lost the history of its watch lists all keys, in the order of their names, so the cancellation of a job comes before the job. The planner passed over a cancellation of a job that it did not know, and started it 0.02 s after the acknowledgement. It now remembers such cancellations for the term.

Evidence: test_a_cancellation_that_arrives_before_its_job_is_kept failed before.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -87,6 +87,14 @@
         fleet.run(4_000)
         self.assertEqual(fleet.state(job), 'completed')
 
+    def test_a_cancellation_that_arrives_before_its_job_is_kept(self):
+        fleet = make_fleet()
+        job = make_job()
+        fleet.cancel(job)
+        fleet.submit(job)
+        fleet.run(2_000)
+        self.assertEqual((fleet.state(job), fleet.starts(job)), ('cancelled', []))
+
     def test_an_older_configuration_is_ignored(self):
         fleet = make_fleet()
         fleet.feed(Configured(CONFIGURATION._replace(version=5)))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,8 @@
     50: 'SIGHUP ended a role that was still importing its modules',
     504: 'SIGTERM ended an entry that was still importing its modules',
     508: 'an entry that was restarted ended because its address could not be used',
+    521: 'a planner passed over a cancellation that a listing has before its job',
+    550: 'as 508',
 }
 SHORT_RUN = 1
 
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -194,6 +194,9 @@
             tasks=sum(step.count for step in job.steps),
             accelerators=max(step.need.accelerators for step in job.steps),
         )
+        if job.id in self.planner_state.early_cancellations:
+            self.planner_state.early_cancellations.discard(job.id)
+            self._cancel(job.id)
 
     def _restore_runs(self, plan: JobPlan) -> None:
         """Treat each assigned task of a record as a run that may exist."""
@@ -210,9 +213,16 @@
                 run.pace = None
 
     def _cancel(self, job: str) -> None:
-        """Cancel a job and stop its runs."""
+        """
+        Cancel a job and stop its runs.
+
+        A listing of the store has the cancellations before the jobs.
+        """
         plan = self.planner_state.plans.get(job)
-        if plan is None or plan.ended:
+        if plan is None:
+            self.planner_state.early_cancellations.add(job)
+            return
+        if plan.ended:
             return
         plan.cancelled = True
         self.planner_state.end_job(plan, JobState.CANCELLED)
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -73,6 +73,8 @@
         """Discard the state that belongs to a term."""
         self.term = 0
         self.plans: dict[str, JobPlan] = {}
+        # Jobs whose cancellation was reported before the job itself.
+        self.early_cancellations: set[str] = set()
         self.queues.job_terms.clear()
         # Jobs under which a worker has crashed, until their tasks survive a start.
         self.suspects: set[str] = set()
