--- a/review/3/case.py
+++ b/review/3/case.py
@@ -50,7 +50,7 @@
     )
     for job in JOBS:
         stage.call('GET', f'/q/{job}', stage.entry_names[1])
-    noted = {(e['task'], e['run']) for e in stage.events('noted', job='c3')}
+    noted = stage.noted('c3')
     ended: dict[str, float] = {}
     again = []
     for task, run, _, begin, end, how in sorted(stage.runs('c3'), key=lambda r: r[3]):
@@ -58,8 +58,7 @@
             again.append((task, run, begin - ended[task]))
         elif how == 'done' and (task, run) in noted:
             ended[task] = end
-    lapsed = [run for run in stage.runs('c3') if run[5] == 'lapsed']
-    stage.record(f'{len(noted)} ends were taken note of, {len(lapsed)} runs lapsed')
+    stage.record(f'{len(noted)} ends were taken note of without a lapse of the lease')
     if again:
         task, run, after_s = again[0]
         return st.BROKEN, (
--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -399,6 +399,19 @@
             found.append((event['task'], event['run'], event['worker'], event['t'], end, how))
         return found
 
+    def noted(self, job=''):
+        """
+        Return the runs, as (task, run), whose ends were taken note of.
+
+        Those are left out between whose end and its note the worker's lease lapsed.
+        """
+        lapses = {(e['task'], e['run']): e['lapses'] for e in self.events('end', job=job)}
+        return {
+            (event['task'], event['run'])
+            for event in self.events('noted', job=job)
+            if lapses.get((event['task'], event['run'])) == event['lapses']
+        }
+
     def record(self, text, at=None):
         """Add a line to the record."""
         with self.lock:
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -42,6 +42,8 @@
         self.began = time.monotonic()
         self.fence = 0
         self.until_ms = 0
+        self.lapses = 0
+        self.has_lapsed = True
         self.runs = {}
         self.closed = {}
         self.ends = []
@@ -65,13 +67,16 @@
         self.closed[key] = max(run['run'], self.closed.get(key, 0))
         self.end_number += 1
         self.ends.append([self.end_number, run['task'], run['run'], how, ''])
-        self.write('end', task=run['task'], run=run['run'], how=how)
+        self.write('end', task=run['task'], run=run['run'], how=how, lapses=self.lapses)
 
     async def advance(self):
         """End the runs that are done, stopped or without a lease."""
         while True:
             await asyncio.sleep(STEP_S)
             now_ms = self.now_ms()
+            if now_ms >= self.until_ms and not self.has_lapsed:
+                self.lapses += 1
+            self.has_lapsed = now_ms >= self.until_ms
             for run in list(self.runs.values()):
                 if now_ms >= self.until_ms:
                     self.end(run, 'lapsed')
@@ -187,7 +192,9 @@
         seen = body.get('lastSeen', 0)
         for row in worker.ends:
             if row[0] <= seen:
-                worker.write('noted', task=row[1], run=row[2], how=row[3])
+                worker.write(
+                    'noted', task=row[1], run=row[2], how=row[3], lapses=worker.lapses
+                )
         worker.ends = [row for row in worker.ends if row[0] > seen]
         deadline = time.monotonic() + min(body.get('waitMs', 0), 2_000) / 1000
         while not worker.ends and time.monotonic() < deadline:
