--- a/review/build.sh
+++ b/review/build.sh
@@ -8,4 +8,5 @@
 for file in review/common/*.py review/*/case.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
+bash -n review/common/run
 python3 -c 'import yuccarelay.standins.platform_store'
--- a/review/common/stage.py
+++ b/review/common/stage.py
@@ -28,7 +28,8 @@
 READY_LIMIT_S = 25
 HOST = 'h.example'
 KEY = 'key-1'
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# `common/run` turns these into 0, 1 and 2.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 SETTINGS = """\
 node = "{node}"
 role = "{role}"
@@ -131,7 +132,7 @@
         self.folder = None
 
     def __enter__(self):
-        for name in (signal.SIGTERM, signal.SIGINT):
+        for name in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(name, lambda *_: sys.exit(NOT_RUN))
         if not (ROOT / 'target' / 'deps').is_dir():
             raise NotPossible('target/deps is missing: run the build of the deploy file')
@@ -263,6 +264,8 @@
 
     def end_all(self):
         """End all processes, keep what they wrote if asked, and remove the folder."""
+        for name in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(name, signal.SIG_IGN)
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
