Refuse heartbeats and deregistrations that are not whole

Cause: only the service, the address, the state and the sequence number of a heartbeat were required. Without 'born' a heartbeat counted as born at 0, without 'clockMs' the worker's clock was taken as 0. A deregistration that could not be decoded counted as one that does not state the birth, so it closed any worker of that name.

The heartbeats in test_platform_wire and test_malformed_input have all fields now; the deregistrations that counted as unstated must be errors.

--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -12,6 +12,7 @@
 
 from tests.batch_fleet import CONFIGURATION, LONGEST_HOLD_MS, make_fleet, make_job
 from tests.fakes import FakeClock, FakeJournal
+from tests.utils import make_heartbeat_body
 from yuccarelay.adapters import batch_codec, batch_records
 from yuccarelay.adapters.http_connection import HttpResponse
 from yuccarelay.core.batch.agent import WorkerGuard
@@ -61,6 +62,7 @@
     jobs.decode_draft(data)
     jobs.decode_configuration(data)
     worker.decode_heartbeat('w', data)
+    worker.decode_deregistration(data)
     worker.read_lists(data)
     worker.read_clock(data)
     worker.read_refusal(HttpResponse(409, data))
@@ -174,9 +176,8 @@
     @settings(derandomize=True, deadline=None, database=None, max_examples=300)
     @given(NUMBERS, NUMBERS, NUMBERS)
     def test_a_heartbeat_can_be_reported_or_is_an_error(self, clock, born, left):
-        fields = {'clockMs': clock, 'born': born, 'remainingMs': left}
-        body = {'service': 's', 'address': 'a', 'state': 'ready', 'sequence': 1}
-        match worker.decode_heartbeat('w', json.dumps(body | fields).encode()):
+        body = make_heartbeat_body(clockMs=clock, born=born, remainingMs=left)
+        match worker.decode_heartbeat('w', json.dumps(body).encode()):
             case Ok(heartbeat):
                 batch_codec.encode(Report(None, heartbeat.info, False))
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok
 
+from tests.utils import make_heartbeat_body
 from yuccarelay.adapters.http_client import HttpFailure
 from yuccarelay.adapters.http_connection import HttpResponse
 from yuccarelay.core.batch.models import AdviceTerms, Resources
@@ -16,7 +17,11 @@
 from yuccarelay.platform.front import read_deadline, read_key
 from yuccarelay.platform.jobs import decode_configuration, decode_draft
 from yuccarelay.platform.settings import read_settings
-from yuccarelay.platform.worker import decode_heartbeat, read_born, read_lists
+from yuccarelay.platform.worker import (
+    decode_deregistration,
+    decode_heartbeat,
+    read_lists,
+)
 from yuccarelay.ports.worker import NoAnswer, WorkerRuns
 
 SETTINGS = """
@@ -116,36 +121,62 @@
 class WorkerTest(unittest.TestCase):
     """Guards against malformed heartbeats and lists that are taken as valid."""
 
+    # Of another type than each field of a heartbeat.
+    OTHER_VALUES = (None, True, -1, 1.5, [1], {'a': 1})
+
+    def decode(self, body: dict):
+        return decode_heartbeat('i-1', json.dumps(body).encode())
+
     def test_a_heartbeat_is_read(self):
-        body = {
-            'service': 's',
-            'address': '1.2.3.4:1',
-            'zone': 'z',
-            'state': 'draining',
-            'sequence': 4,
-            'capacity': {'cpu': 16_000, 'memMb': 32, 'gpu': 8},
-            'labels': ['a', 'r1-3'],
-            'clockMs': 5,
-            'born': 9,
-            'remainingMs': 3_000,
-        }
-        beat = decode_heartbeat('i-1', json.dumps(body).encode()).unwrap()
+        body = make_heartbeat_body(state='draining', remainingMs=3_000)
+        beat = self.decode(body).unwrap()
         self.assertEqual(beat.info.capacity, Resources(16_000, 32, 8))
         self.assertEqual((beat.info.rack, beat.info.born_ms), ('r1-3', 9))
         self.assertEqual((beat.info.draining, beat.info.leaves_in_ms), (True, 3_000))
 
     def test_malformed_heartbeats_are_errors(self):
-        good = {'service': 's', 'address': 'a', 'state': 'ready', 'sequence': 1}
-        self.assertTrue(decode_heartbeat('i', json.dumps(good).encode()).is_ok())
+        self.assertTrue(self.decode(make_heartbeat_body()).is_ok())
         for change in ({'state': 'odd'}, {'sequence': 'x'}, {'service': None}):
-            body = json.dumps({**good, **change}).encode()
-            self.assertTrue(decode_heartbeat('i', body).is_err())
+            self.assertTrue(self.decode(make_heartbeat_body(**change)).is_err())
         self.assertTrue(decode_heartbeat('i', b'\x00').is_err())
 
-    def test_the_start_of_a_worker_is_read_from_its_deregistration(self):
-        self.assertEqual(read_born(b'{"born":1700000000000}'), 1_700_000_000_000)
-        for body in (b'', b'{}', b'{"born":"x"}', b'[]', b'\x00'):
-            self.assertEqual(read_born(body), 0)
+    def test_a_heartbeat_without_one_of_its_fields_is_an_error(self):
+        # Another writer's message that lacks a field changed what the agent knew.
+        for field in make_heartbeat_body():
+            body = make_heartbeat_body()
+            del body[field]
+            self.assertTrue(self.decode(body).is_err(), field)
+        for field in ('cpu', 'memMb', 'gpu'):
+            body = make_heartbeat_body()
+            del body['capacity'][field]
+            self.assertTrue(self.decode(body).is_err(), field)
+        body = make_heartbeat_body(state='draining')
+        self.assertTrue(self.decode(body).is_err())
+
+    def test_a_heartbeat_with_a_field_of_another_type_is_an_error(self):
+        for field, value in make_heartbeat_body(remainingMs=0).items():
+            other = 'x' if isinstance(value, int | dict | list) else 7
+            for odd in (other, *self.OTHER_VALUES):
+                if (field, odd) == ('remainingMs', None):
+                    continue
+                body = make_heartbeat_body(**{field: odd})
+                self.assertTrue(self.decode(body).is_err(), (field, odd))
+        for field in ('cpu', 'memMb', 'gpu'):
+            for odd in ('x', *self.OTHER_VALUES):
+                body = make_heartbeat_body()
+                body['capacity'][field] = odd
+                self.assertTrue(self.decode(body).is_err(), (field, odd))
+
+    def test_the_birth_of_a_worker_is_read_from_its_deregistration(self):
+        body = b'{"born":1700000000000}'
+        self.assertEqual(decode_deregistration(body), Ok(1_700_000_000_000))
+        for body in (b'', b'{}'):
+            self.assertEqual(decode_deregistration(body), Ok(None))
+
+    def test_a_malformed_deregistration_is_an_error(self):
+        # It was taken for one that does not state the birth, and closed the worker.
+        for body in (b'{"born":"x"}', b'{"born":null}', b'{"born":0}', b'[]', b'\x00'):
+            self.assertTrue(decode_deregistration(body).is_err(), body)
 
     def test_lists_are_read_or_count_as_no_answer(self):
         body = {
--- a/tests/utils.py
+++ b/tests/utils.py
@@ -79,3 +79,22 @@
         operator_digests=(make_digest('operator-token'),),
         organisations={item.name: item for item in organisations},
     )
+
+
+def make_heartbeat_body(**changes) -> dict:
+    """Return a worker's heartbeat as it is sent, with some fields changed."""
+    body = {
+        'service': 'desk',
+        'address': '10.1.0.9:8080',
+        'zone': 'hobart',
+        'version': 'v1',
+        'slots': 8,
+        'state': 'ready',
+        'coldRemainingMs': 0,
+        'capacity': {'cpu': 16_000, 'memMb': 32, 'gpu': 8},
+        'labels': ['a', 'r1-3'],
+        'clockMs': 5,
+        'born': 9,
+        'sequence': 4,
+    }
+    return body | changes
--- a/yuccarelay/adapters/decoding.py
+++ b/yuccarelay/adapters/decoding.py
@@ -13,6 +13,7 @@
 LARGEST_INTEGER = 2**53
 Integer = Annotated[int, msgspec.Meta(ge=-LARGEST_INTEGER, le=LARGEST_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=LARGEST_INTEGER)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=LARGEST_INTEGER)]
 # RecursionError is raised for deeply nested arrays, also in fields that are skipped.
 DECODE_ERRORS = (
     msgspec.MsgspecError,
--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -68,17 +68,17 @@
         self.take_clock(heartbeat.clock_ms, now_ms)
         return True
 
-    def take_deregistration(self, name: str, born_ms: int = 0) -> bool:
+    def take_deregistration(self, name: str, born_ms: int | None = None) -> bool:
         """
         Note that a worker deregistered; false if it is not the current one.
 
-        `born_ms` is 0 if it is not known. A worker keeps its name when it restarts, and
-        the deregistration of the previous incarnation may arrive late. No heartbeat of
-        a deregistered incarnation is accepted, so the next one would be lost.
+        `born_ms` is None if it is not stated. A worker keeps its name when it restarts,
+        and the deregistration of the previous incarnation may arrive late. No heartbeat
+        of a deregistered incarnation is accepted, so the next one would be lost.
         """
         if self.worker is None or self.worker.name != name:
             return False
-        if born_ms not in (0, self.worker.born_ms):
+        if born_ms not in (None, self.worker.born_ms):
             return False
         self.closed_below_ms = self.worker.born_ms + 1
         self.changes += 1
--- a/yuccarelay/platform/control.py
+++ b/yuccarelay/platform/control.py
@@ -5,7 +5,7 @@
 from tornado.httpserver import HTTPServer
 
 from yuccarelay.platform.serving import listen, make_app
-from yuccarelay.platform.worker import decode_heartbeat, read_born
+from yuccarelay.platform.worker import decode_deregistration, decode_heartbeat
 
 
 class HeartbeatHandler(tornado.web.RequestHandler):
@@ -31,13 +31,20 @@
 class DeregisterHandler(tornado.web.RequestHandler):
     """Deregistration of an agent's co-located worker."""
 
-    def initialize(self, deregister) -> None:
-        """Take the function that deregisters a worker."""
+    def initialize(self, deregister, journal) -> None:
+        """Take the function that deregisters a worker, and the journal."""
         self.deregister = deregister
+        self.journal = journal
 
     async def post(self, name: str) -> None:
-        """Deregister the worker."""
-        await self.deregister(name, read_born(self.request.body))
+        """Deregister the worker; a malformed body is logged and ignored."""
+        match decode_deregistration(self.request.body):
+            case Ok(born_ms):
+                await self.deregister(name, born_ms)
+            case Err(reason):
+                self.journal.write(
+                    'deregistration_ignored', {'worker': name, 'reason': reason}
+                )
         await self.finish({})
 
 
@@ -52,7 +59,7 @@
         (
             r'/api/Instances\.Deregister/(.+)',
             DeregisterHandler,
-            {'deregister': deregister},
+            {'deregister': deregister, 'journal': journal},
         ),
     ]
     return listen(make_app(handlers), address)
--- a/yuccarelay/platform/worker.py
+++ b/yuccarelay/platform/worker.py
@@ -6,7 +6,12 @@
 from result import Err, Ok, Result
 
 from yuccarelay.adapters import decoding
-from yuccarelay.adapters.decoding import LARGEST_INTEGER, Integer
+from yuccarelay.adapters.decoding import (
+    LARGEST_INTEGER,
+    Count,
+    Integer,
+    Positive,
+)
 from yuccarelay.adapters.http_client import HttpClient, HttpFailure
 from yuccarelay.adapters.http_connection import HttpResponse
 from yuccarelay.core.batch.agent import Heartbeat
@@ -34,24 +39,32 @@
 class WireCapacity(msgspec.Struct, rename='camel'):
     """Capacity of a worker; `cpu` is in thousandths of a core."""
 
-    cpu: Integer = 0
-    mem_mb: Integer = 0
-    gpu: Integer = 0
+    cpu: Count
+    mem_mb: Count
+    gpu: Count
 
 
 class WireHeartbeat(msgspec.Struct, rename='camel'):
-    """A worker's heartbeat; `labels` has its kind and then its rack."""
+    """
+    A worker's heartbeat; `labels` has its kind and then its rack.
+
+    A worker sends all fields, `remaining_ms` while it drains. Those that are not used
+    here are decoded as well: a heartbeat without one of them is not a worker's.
+    """
 
     service: str
     address: str
+    zone: str
+    version: str
+    slots: Count
     state: str
-    sequence: Integer
-    zone: str = ''
-    capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
-    labels: tuple[str, ...] = ()
-    clock_ms: Integer = 0
-    born: Integer = 0
-    remaining_ms: Integer = 0
+    cold_remaining_ms: Count
+    sequence: Count
+    born: Positive
+    capacity: WireCapacity
+    labels: tuple[str, ...]
+    clock_ms: Count
+    remaining_ms: Count | None = None
 
 
 class WireAnswer(msgspec.Struct, rename='camel'):
@@ -71,9 +84,9 @@
 
 
 class WireDeregistration(msgspec.Struct):
-    """A worker's deregistration."""
+    """A worker's deregistration, if it has a body."""
 
-    born: Integer = 0
+    born: Positive | msgspec.UnsetType = msgspec.UNSET
 
 
 HEARTBEAT_DECODER = msgspec.json.Decoder(WireHeartbeat)
@@ -85,18 +98,26 @@
 def decode_heartbeat(name: str, body: bytes) -> Result[Heartbeat, str]:
     """Decode a heartbeat; a field of the wrong type or an unknown state is an error."""
     match decoding.decode(HEARTBEAT_DECODER.decode, body):
-        case Ok(heartbeat) if heartbeat.state in STATES:
-            return Ok(make_heartbeat(name, heartbeat))
-        case Ok(heartbeat):
+        case Ok(heartbeat) if heartbeat.state not in STATES:
             return Err(f'unknown state {heartbeat.state[:40]!r}')
+        case Ok(WireHeartbeat(state=state, remaining_ms=None)) if state == DRAINING:
+            return Err('a draining worker without the time that is left')
+        case Ok(heartbeat):
+            return Ok(make_heartbeat(name, heartbeat))
         case Err() as failed:
             return failed
 
 
-def read_born(body: bytes) -> int:
-    """Return the start of the worker in a deregistration, 0 if it has none."""
-    found = decoding.decode(DEREGISTRATION_DECODER.decode, body)
-    return found.unwrap_or(WireDeregistration()).born
+def decode_deregistration(body: bytes) -> Result[int | None, str]:
+    """
+    Return the birth of the worker that deregisters, None if it is not stated.
+
+    A worker may deregister without a body. One that cannot be decoded is an error.
+    """
+    if not body:
+        return Ok(None)
+    decoded = decoding.decode(DEREGISTRATION_DECODER.decode, body)
+    return decoded.map(lambda found: found.born or None)
 
 
 def make_heartbeat(name: str, heartbeat: WireHeartbeat) -> Heartbeat:
@@ -110,7 +131,7 @@
         labels=heartbeat.labels,
         rack=heartbeat.labels[1] if len(heartbeat.labels) > 1 else '',
         draining=heartbeat.state == DRAINING,
-        leaves_in_ms=heartbeat.remaining_ms,
+        leaves_in_ms=heartbeat.remaining_ms or 0,
     )
     return Heartbeat(info, heartbeat.sequence, heartbeat.clock_ms)
 
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -60,7 +60,7 @@
     """The worker deregistered; `recorded` is set once the guard has handled it."""
 
     name: str
-    born_ms: int
+    born_ms: int | None
     recorded: asyncio.Future
 
 
@@ -98,7 +98,7 @@
         self.inbox.put_nowait(HeartbeatReceived(heartbeat, recorded))
         await recorded
 
-    async def deregister(self, name: str, born_ms: int) -> None:
+    async def deregister(self, name: str, born_ms: int | None) -> None:
         """Pass a deregistration on; return once the guard has handled it."""
         recorded = asyncio.get_running_loop().create_future()
         self.inbox.put_nowait(WorkerDeregistered(name, born_ms, recorded))
