--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -184,6 +184,15 @@
             self.leaves_in_ms,
         )
         self.guard.take_heartbeat(Heartbeat(info, self.sequence, now_ms), now_ms)
+        self.identify()
+
+    def identify(self) -> None:
+        """Let the agent ask the worker which of the candidates it is."""
+        for candidate in self.guard.list_candidates():
+            if candidate == (self.name, self.born_ms):
+                self.guard.confirm(candidate)
+            else:
+                self.guard.refute(candidate)
 
     def crash(self, now_ms: int) -> None:
         """Restart as a new incarnation without state."""
--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -5,12 +5,29 @@
 
 from tests.fakes import FakeClock, FakeJournal
 from yuccarelay.adapters import batch_codec
-from yuccarelay.core.batch.agent import Heartbeat, WorkerGuard
+from yuccarelay.core.batch.agent import (
+    CANDIDATES_LIMIT,
+    Heartbeat,
+    Reception,
+    WorkerGuard,
+    name_incarnation,
+)
 from yuccarelay.core.batch.leases import make_leases
 from yuccarelay.core.batch.models import Resources, WorkerId, WorkerInfo
 from yuccarelay.core.batch.protocol import Declined, LeaseReference, Look, OldTerm
-from yuccarelay.ports.worker import Accepted, NoAnswer, Refused, WorkerRuns
-from yuccarelay.tasks.batch.agent import ORDER_TRIES, WorkerAgentTask, retry_order
+from yuccarelay.ports.worker import (
+    Accepted,
+    NoAnswer,
+    OtherIncarnation,
+    Refused,
+    WorkerRuns,
+)
+from yuccarelay.tasks.batch.agent import (
+    ORDER_TRIES,
+    HeartbeatReceived,
+    WorkerAgentTask,
+    retry_order,
+)
 
 LEASES = make_leases(6_000)
 
@@ -29,24 +46,32 @@
     return Heartbeat(info, sequence, clock_ms)
 
 
+def meet(guard: WorkerGuard, heartbeat: Heartbeat, now_ms: int) -> None:
+    """Let a guard receive the first heartbeat of a worker that then answers a call."""
+    guard.take_heartbeat(heartbeat, now_ms)
+    guard.confirm(name_incarnation(heartbeat.info))
+
+
 class WorkerGuardTest(unittest.TestCase):
     """Guards against orders that reach another worker or incarnation than meant."""
 
     def setUp(self):
         self.guard = WorkerGuard('agent-1', 7, LEASES)
-        self.guard.take_heartbeat(make_heartbeat(), 1_000)
+        meet(self.guard, make_heartbeat(), 1_000)
         self.worker = WorkerId('agent-1', 'i-1', 10)
 
+    def take(self, *args, **fields) -> Reception:
+        return self.guard.take_heartbeat(make_heartbeat(*args, **fields), 1_100)
+
     def test_late_heartbeats_are_ignored(self):
-        self.assertTrue(
-            self.guard.take_heartbeat(make_heartbeat(5, draining=True), 1_100)
-        )
-        self.assertFalse(self.guard.take_heartbeat(make_heartbeat(4), 1_200))
+        self.assertEqual(self.take(5, draining=True), Reception.APPLIED)
+        self.assertEqual(self.take(4), Reception.LATE)
         self.assertTrue(self.guard.worker.draining)
 
     def test_an_older_incarnation_is_ignored(self):
-        self.assertTrue(self.guard.take_heartbeat(make_heartbeat(1, born_ms=20), 1_100))
-        self.assertFalse(self.guard.take_heartbeat(make_heartbeat(9), 1_200))
+        meet(self.guard, make_heartbeat(1, born_ms=20), 1_100)
+        self.assertEqual(self.take(9), Reception.UNCONFIRMED)
+        self.assertEqual(self.guard.worker.born_ms, 20)
         self.assertEqual(self.guard.closed_below_ms, 20)
         self.assertEqual(self.guard.check_start(self.worker), Declined('other_worker'))
 
@@ -54,20 +79,28 @@
         self.assertTrue(self.guard.take_deregistration('i-1'))
         self.assertIsNone(self.guard.worker_id())
         self.assertEqual(self.guard.closed_below_ms, 11)
-        self.assertFalse(self.guard.take_heartbeat(make_heartbeat(9), 1_200))
+        self.assertEqual(self.take(9), Reception.LATE)
+        self.assertEqual(self.guard.list_candidates(), [])
 
     def test_a_late_deregistration_does_not_close_the_next_incarnation(self):
         # The worker would get no work until it restarts once more.
-        self.guard.take_heartbeat(make_heartbeat(1, born_ms=20), 1_100)
+        meet(self.guard, make_heartbeat(1, born_ms=20), 1_100)
         self.assertFalse(self.guard.take_deregistration('i-1', 10))
-        self.assertTrue(self.guard.take_heartbeat(make_heartbeat(2, born_ms=20), 1_200))
+        self.assertEqual(self.take(2, born_ms=20), Reception.APPLIED)
         self.assertTrue(self.guard.take_deregistration('i-1', 20))
 
     def test_a_draining_worker_starts_nothing(self):
         self.assertIsNone(self.guard.check_start(self.worker))
-        self.guard.take_heartbeat(make_heartbeat(2, draining=True), 1_100)
+        self.take(2, draining=True)
         self.assertEqual(self.guard.check_start(self.worker), Declined('draining'))
 
+    def test_candidates_are_limited_and_the_newest_are_kept(self):
+        for born_ms in range(20, 40):
+            self.take(1, born_ms=born_ms)
+        candidates = self.guard.list_candidates()
+        self.assertEqual(len(candidates), CANDIDATES_LIMIT)
+        self.assertEqual(candidates[0].born_ms, 39)
+
     def test_older_terms_are_refused(self):
         self.assertIsNone(self.guard.check_term(4))
         self.assertEqual(self.guard.check_term(3), OldTerm(4))
@@ -88,22 +121,22 @@
 
     def __init__(self):
         self.waits = []
+        self.name = 'i-1'
         self.born_ms = 10
+        self.silent = False
 
     async def hold(self, name, term, seen, wait_ms, until_ms):
         self.waits.append(wait_ms)
+        if self.silent:
+            return NoAnswer('silent')
+        if name != self.name:
+            return OtherIncarnation()
         return WorkerRuns(500, self.born_ms, (), ())
 
 
-class PollTest(unittest.IsolatedAsyncioTestCase):
-    """
-    Guards against a change that the planner learns of seconds later.
+class AgentCase(unittest.IsolatedAsyncioTestCase):
+    """An agent that knows its worker, and the polls of a planner."""
 
-    A heartbeat may arrive while the last report or the next poll is on its way. On
-    smc-relay-grown a planner placed gangs on workers that had drained for 2 s.
-    """
-
-    LONG_WAIT_MS = 60_000
     ANSWER_LIMIT_S = 5
 
     def setUp(self):
@@ -113,37 +146,54 @@
         self.agent = WorkerAgentTask(
             self.guard, self.worker, self, FakeClock(), FakeJournal()
         )
-        self.guard.take_heartbeat(make_heartbeat(), 1_000)
+        meet(self.guard, make_heartbeat(), 1_000)
 
     def reply(self, _request, data):
         """Receive a reply in place of the agent's socket."""
         self.replies.append(batch_codec.decode(data).unwrap())
 
-    async def poll(self, report=None, wait_ms=0, call_worker=False):
+    async def poll(self, report=None, wait_ms=0, call_worker=False, **fields):
         """Send the poll that follows a report, and return its reply."""
         worker, changes = self.guard.worker_id(), None
         if report is not None:
             worker = WorkerId('agent-1', report.worker.name, report.worker.born_ms)
             changes = report.changes
-        order = Look(1, None, worker, 0, wait_ms, call_worker, changes)
+        order = Look(1, None, worker, 0, wait_ms, call_worker, changes, **fields)
         async with asyncio.timeout(self.ANSWER_LIMIT_S):
             await self.agent.serve(1, batch_codec.encode(order))
         return self.replies.pop()
 
+
+class PollTest(AgentCase):
+    """
+    Guards against a change that the planner learns of seconds later.
+
+    A heartbeat may arrive while the last report or the next poll is on its way. On
+    smc-relay-grown a planner placed gangs on workers that had drained for 2 s.
+    """
+
+    LONG_WAIT_MS = 60_000
+
     async def test_a_worker_whose_clock_was_set_back_is_used_again(self):
         self.worker.born_ms = 4
         self.guard.take_heartbeat(make_heartbeat(1, born_ms=4), 1_100)
         report = await self.poll(call_worker=True)
-        self.assertFalse(report.lists_read)
-        self.guard.take_heartbeat(make_heartbeat(2, born_ms=4), 1_200)
-        report = await self.poll(call_worker=True)
         self.assertTrue(report.lists_read)
         self.assertEqual((report.worker.born_ms, report.closed_below_ms), (4, 4))
 
+    async def test_a_worker_that_answers_before_its_heartbeat_is_used_after_it(self):
+        self.worker.born_ms = 4
+        report = await self.poll(call_worker=True)
+        self.assertIsNone(report.worker)
+        self.guard.take_heartbeat(make_heartbeat(1, born_ms=4), 1_200)
+        report = await self.poll(call_worker=True)
+        self.assertEqual((report.worker.born_ms, report.closed_below_ms), (4, 4))
+
     async def test_a_call_without_a_birth_does_not_close_the_worker(self):
         self.worker.born_ms = 0
         await self.poll(call_worker=True)
-        self.assertTrue(self.guard.take_heartbeat(make_heartbeat(2), 1_200))
+        taken = self.guard.take_heartbeat(make_heartbeat(2), 1_200)
+        self.assertEqual(taken, Reception.APPLIED)
         self.worker.born_ms = 10
         self.assertTrue((await self.poll(call_worker=True)).lists_read)
 
@@ -179,6 +229,98 @@
         self.assertEqual(self.worker.waits, [0, 100])
 
 
+class ForeignHeartbeatTest(AgentCase):
+    """
+    Guards against work that runs twice after a heartbeat of another writer.
+
+    It was taken for a new incarnation of the agent's worker, and a planner started the
+    worker's running task elsewhere (review/2).
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.guard.check_term(1)
+        self.worker_id = self.guard.worker_id()
+
+    async def send(self, sequence=1, service='desk', **fields) -> None:
+        """Send a heartbeat, and let the agent finish the calls that follow."""
+        heartbeat = make_heartbeat(sequence, **fields)
+        info = heartbeat.info._replace(service=service)
+        self.agent.handle(
+            HeartbeatReceived(
+                heartbeat._replace(info=info),
+                asyncio.get_running_loop().create_future(),
+            )
+        )
+        while self.agent.order_tasks:
+            await asyncio.gather(*self.agent.order_tasks)
+
+    async def check_unchanged(self, **fields) -> None:
+        """Check what a planner learns after a foreign heartbeat, and the next beat."""
+        for call_worker in (False, True):
+            await self.send(1_000_000, **fields)
+            report = await self.poll(call_worker=call_worker)
+            self.assertEqual(self.guard.worker_id(), self.worker_id)
+            self.assertEqual(report.worker.name, 'i-1')
+            self.assertEqual((report.worker.born_ms, report.closed_below_ms), (10, 10))
+            self.assertEqual(report.worker.service, 'desk')
+            self.assertFalse(report.worker.draining)
+        await self.send(2, draining=True)
+        self.assertTrue(self.guard.worker.draining)
+
+    async def test_one_of_another_name_changes_nothing(self):
+        await self.check_unchanged(name='i-7f3a91c2', born_ms=2**41, service='none')
+
+    async def test_one_of_a_later_birth_changes_nothing(self):
+        await self.check_unchanged(born_ms=2**41)
+
+    async def test_one_of_an_earlier_birth_changes_nothing(self):
+        await self.check_unchanged(born_ms=1)
+
+    async def test_one_of_another_service_under_the_workers_name_changes_nothing(self):
+        await self.check_unchanged(service='none', draining=True)
+
+    async def test_one_that_a_silent_worker_cannot_refute_changes_nothing(self):
+        self.worker.silent = True
+        await self.send(1, name='i-2', born_ms=2**41)
+        report = await self.poll(call_worker=True)
+        self.assertFalse(report.lists_read)
+        self.assertEqual((report.worker.name, report.closed_below_ms), ('i-1', 10))
+        self.worker.silent = False
+        await self.check_unchanged(name='i-2', born_ms=2**41)
+
+    async def test_a_real_incarnation_takes_over_at_once(self):
+        for name, born_ms in (('i-1', 20), ('i-2', 30), ('i-2', 5)):
+            self.worker.name, self.worker.born_ms = name, born_ms
+            await self.send(1, name='i-9', born_ms=2**41)
+            await self.send(1, name=name, born_ms=born_ms)
+            self.assertEqual(self.guard.worker_id(), ('agent-1', name, born_ms))
+            self.assertEqual(self.guard.closed_below_ms, born_ms)
+
+    async def test_an_agent_without_a_planner_asks_with_the_first_poll(self):
+        # A call without a term would be refused, and one with a guess might not be.
+        self.guard = WorkerGuard('agent-1', 8, LEASES)
+        self.agent.guard = self.guard
+        await self.send(1, name='i-9', born_ms=2**41)
+        await self.send(1)
+        self.assertEqual(self.worker.waits, [])
+        report = await self.poll()
+        self.assertEqual((report.worker.name, report.worker.born_ms), ('i-1', 10))
+
+    async def test_a_service_that_no_configuration_has_gives_way_to_another(self):
+        # The foreign heartbeat came first, to an agent that had just started.
+        self.guard.worker = None
+        await self.send(9, service='none')
+        await self.send(2)
+        self.assertEqual(self.guard.worker.service, 'none')
+        await self.poll(is_service_known=False)
+        await self.send(3)
+        self.assertEqual(self.guard.worker.service, 'desk')
+        await self.poll()
+        await self.send(10, service='none')
+        self.assertEqual(self.guard.worker.service, 'desk')
+
+
 class RetryOrderTest(unittest.IsolatedAsyncioTestCase):
     """Guards against gangs abandoned for one lost answer, and lost ends of runs."""
 
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -357,6 +357,15 @@
         view = fleet.planner.planner_state.workers['agent-w0']
         self.assertIsNone(view.id)
 
+    def test_an_agent_is_told_of_a_service_that_no_configuration_has(self):
+        # The heartbeat that named it may have been of another writer.
+        fleet = make_fleet(1)
+        view = fleet.planner.planner_state.workers['agent-w0']
+        self.assertTrue(view.poll.is_service_known)
+        view.info = view.info._replace(service='none')
+        fleet.planner.planner_state.poll(view)
+        self.assertFalse(view.poll.is_service_known)
+
     def test_a_stop_without_an_answer_is_repeated_less_and_less_often(self):
         # Soak seed 50: the repeats kept slow workers busy, so that none was answered.
         fleet = make_fleet(1, run_ms=60_000)
--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -1,11 +1,12 @@
 """
 Decisions of the agent that is co-located with a worker.
 
-The agent stores no durable state. It tracks the worker by its heartbeats, refuses
-planners of an old term, and converts a lease reference to the end of the lease on the
-worker's clock.
+The agent stores no durable state. It tracks the worker by its heartbeats once the
+worker itself has confirmed which incarnation it is, refuses planners of an old term,
+and converts a lease reference to the end of the lease on the worker's clock.
 """
 
+import enum
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -13,6 +14,10 @@
 from yuccarelay.core.batch.models import WorkerId, WorkerInfo
 from yuccarelay.core.batch.protocol import Declined, LeaseReference, OldTerm
 
+# A worker has one incarnation at a time; further candidates are late heartbeats or
+# those of other writers.
+CANDIDATES_LIMIT = 8
+
 
 class Heartbeat(NamedTuple):
     """A worker's report about itself; `clock_ms` is on its own clock."""
@@ -22,6 +27,35 @@
     clock_ms: int
 
 
+class Reception(enum.Enum):
+    """
+    What became of a heartbeat.
+
+    UNCONFIRMED: it names an incarnation that has not answered a call yet.
+    CONTRADICTORY: it describes the known incarnation as another worker, so another
+    writer sent it.
+    """
+
+    APPLIED = 'applied'
+    LATE = 'late'
+    UNCONFIRMED = 'unconfirmed'
+    CONTRADICTORY = 'contradictory'
+
+
+class Incarnation(NamedTuple):
+    """The name and the birth that distinguish an incarnation of the worker."""
+
+    name: str
+    born_ms: int
+
+
+class Candidate(NamedTuple):
+    """The newest heartbeat of an incarnation that has not answered a call yet."""
+
+    heartbeat: Heartbeat
+    received_ms: int
+
+
 @dataclass(slots=True)
 class ClockSample:
     """A reading of the worker's clock and when it arrived here."""
@@ -31,7 +65,15 @@
 
 
 class WorkerGuard:
-    """One agent's state of its worker, and the checks that orders must pass."""
+    """
+    One agent's state of its worker, and the checks that orders must pass.
+
+    `worker` is the incarnation that has answered a call under its name and birth.
+    Heartbeats alone prove nothing: they may be late or of another writer.
+    `is_service_known` is false while the planner has no such service as the worker's in
+    its configuration. The heartbeat that named it may be of another writer, so one that
+    names another service is accepted.
+    """
 
     def __init__(self, node: str, incarnation: int, leases: Leases):
         self.node = node
@@ -39,34 +81,75 @@
         self.leases = leases
         self.term = 0
         self.worker: WorkerInfo | None = None
+        self.candidates: dict[Incarnation, Candidate] = {}
+        self.departed: Incarnation | None = None
+        self.is_service_known = True
         self.drain_deadline_ms = 0
         self.sequence = -1
         self.closed_below_ms = 0
         self.changes = 0
         self.sample: ClockSample | None = None
 
-    def take_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
-        """Apply a heartbeat; false if it is older than the last one applied."""
+    def take_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> Reception:
+        """Apply a heartbeat of the known incarnation, or keep it as a candidate's."""
         info = heartbeat.info
-        if info.born_ms < self.closed_below_ms:
-            return False
-        known = self.worker
-        same_incarnation = known is not None and (known.name, known.born_ms) == (
-            info.name,
-            info.born_ms,
-        )
-        if same_incarnation and heartbeat.sequence <= self.sequence:
+        if self.worker is None or name_incarnation(self.worker) != (
+            name_incarnation(info)
+        ):
+            return self._keep_candidate(heartbeat, now_ms)
+        if is_contradictory(self.worker, info):
+            if self.is_service_known or info.service == self.worker.service:
+                return Reception.CONTRADICTORY
+        elif heartbeat.sequence <= self.sequence:
+            return Reception.LATE
+        self._apply(heartbeat, now_ms)
+        return Reception.APPLIED
+
+    def _keep_candidate(self, heartbeat: Heartbeat, now_ms: int) -> Reception:
+        """Keep a heartbeat until the worker has answered under its name and birth."""
+        incarnation = name_incarnation(heartbeat.info)
+        known = self.candidates.get(incarnation)
+        is_old = known is not None and heartbeat.sequence <= known.heartbeat.sequence
+        if is_old or incarnation == self.departed:
+            return Reception.LATE
+        self.candidates.pop(incarnation, None)
+        if len(self.candidates) >= CANDIDATES_LIMIT:
+            del self.candidates[next(iter(self.candidates))]
+        self.candidates[incarnation] = Candidate(heartbeat, now_ms)
+        return Reception.UNCONFIRMED
+
+    def list_candidates(self) -> list[Incarnation]:
+        """Return the incarnations that have not answered yet, the newest first."""
+        return list(reversed(self.candidates))
+
+    def confirm(self, incarnation: Incarnation) -> bool:
+        """
+        Note that a candidate has answered a call: it is the only incarnation.
+
+        False if it is a candidate no more, because its heartbeats are applied already.
+        """
+        candidate = self.candidates.pop(incarnation, None)
+        if candidate is None:
             return False
-        if not same_incarnation:
-            self.sample = None
-        self.closed_below_ms = max(self.closed_below_ms, info.born_ms)
-        if has_changed(known, info):
+        self.candidates.clear()
+        self.worker = None
+        self.sample = None
+        self.closed_below_ms = incarnation.born_ms
+        self._apply(*candidate)
+        return True
+
+    def refute(self, incarnation: Incarnation) -> None:
+        """Drop a candidate in whose place another incarnation has answered."""
+        self.candidates.pop(incarnation, None)
+
+    def _apply(self, heartbeat: Heartbeat, received_ms: int) -> None:
+        """Take over what a heartbeat says of the worker."""
+        if has_changed(self.worker, heartbeat.info):
             self.changes += 1
-        self.worker = info
-        self.drain_deadline_ms = now_ms + info.leaves_in_ms
+        self.worker = heartbeat.info
+        self.drain_deadline_ms = received_ms + heartbeat.info.leaves_in_ms
         self.sequence = heartbeat.sequence
-        self.take_clock(heartbeat.clock_ms, now_ms)
-        return True
+        self.take_clock(heartbeat.clock_ms, received_ms)
 
     def take_deregistration(self, name: str, born_ms: int | None = None) -> bool:
         """
@@ -80,28 +163,24 @@
             return False
         if born_ms not in (None, self.worker.born_ms):
             return False
+        self.departed = name_incarnation(self.worker)
         self.closed_below_ms = self.worker.born_ms + 1
-        self.changes += 1
-        self.worker = None
-        self.sample = None
+        self._forget_worker()
         return True
 
-    def take_birth(self, born_ms: int) -> bool:
+    def take_other_birth(self) -> None:
         """
-        Note the birth of the incarnation that has just answered a call.
+        Note that another incarnation has answered under the worker's name.
 
-        If it is before that of the known one, the time of day was set back between
-        them. The heartbeats of the one that answers would be refused for ever. Returns
-        whether the known one has ended, and the next heartbeat is to be accepted.
-        `born_ms` is 0 if it is not known.
+        The known one has ended. The next heartbeat of the one that answers makes it a
+        candidate; its birth may be earlier, if the time of day was set back.
         """
-        if self.worker is None or not 0 < born_ms < self.worker.born_ms:
-            return False
-        self.closed_below_ms = born_ms
+        self._forget_worker()
+
+    def _forget_worker(self) -> None:
         self.changes += 1
         self.worker = None
         self.sample = None
-        return True
 
     def take_clock(self, worker_ms: int, now_ms: int) -> None:
         """Note a reading of the worker's clock."""
@@ -143,6 +222,20 @@
         return None
 
 
+def name_incarnation(info: WorkerInfo) -> Incarnation:
+    """Return the incarnation that a worker describes."""
+    return Incarnation(info.name, info.born_ms)
+
+
+def is_contradictory(before: WorkerInfo, now: WorkerInfo) -> bool:
+    """Whether two descriptions of an incarnation cannot both be its own."""
+    return (before.service, before.domain, before.labels) != (
+        now.service,
+        now.domain,
+        now.labels,
+    )
+
+
 def has_changed(before: WorkerInfo | None, now: WorkerInfo) -> bool:
     """Whether a heartbeat differs from the last in more than the time to drain."""
     if before is None:
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -64,6 +64,7 @@
         self.leases = leases
         self.now = Moment(0, 0)
         self.configuration: Configuration | None = None
+        self.services: frozenset[str] = frozenset()
         self.queues = KnownQueues()
         self.confirmed_ms = 0
         self.durations = Durations()
@@ -109,6 +110,7 @@
         if known is not None and configuration.version <= known.version:
             return
         self.configuration = configuration
+        self.services = frozenset(queue.service for queue in configuration.queues)
         self.queues.configure(configuration)
         self.dirty = True
 
@@ -156,11 +158,18 @@
             wait_ms,
             reads_lists,
             view.changes,
+            self._is_service_known(view),
         )
         view.poll = order
         view.poll_sent_ms = self.now.ms
         self.order(view, order)
 
+    def _is_service_known(self, view: WorkerView) -> bool:
+        """Whether the configuration, once there is one, has a worker's service."""
+        if view.info is None or self.configuration is None:
+            return True
+        return view.info.service in self.services
+
     def _is_on_probation(self, view: WorkerView) -> bool:
         """Whether a task that may crash a worker was started there, or will be."""
         return any(
--- a/yuccarelay/core/batch/protocol.py
+++ b/yuccarelay/core/batch/protocol.py
@@ -39,7 +39,8 @@
 
     `changes` is that of the last report. If the agent's is another one, it answers at
     once: the worker changed while the last report or this poll was on its way. It is
-    None in the first poll.
+    None in the first poll. `is_service_known` is false if the planner's configuration
+    lacks the service that the worker reported.
     """
 
     term: int
@@ -49,6 +50,7 @@
     wait_ms: int
     call_worker: bool
     changes: int | None = None
+    is_service_known: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,9 +58,10 @@
     """
     An agent's answer to `Look`.
 
-    `worker` is None while no worker is known. `lists_read` is false when the
-    worker was not called or did not answer. `closed_below_ms` is the `born_ms` of the
-    oldest incarnation of the worker that may still have runs. `changes` counts the
+    `worker` is None while no worker is known; it has answered a call under its name and
+    birth. `lists_read` is false when the worker was not called or did not answer.
+    `closed_below_ms` is the `born_ms` of the oldest incarnation of the worker that may
+    still have runs. `changes` counts the
     changes of the worker that this incarnation of the agent has learned of.
     """
 
--- a/yuccarelay/platform/worker.py
+++ b/yuccarelay/platform/worker.py
@@ -20,7 +20,9 @@
 from yuccarelay.ports.worker import (
     Accepted,
     Fenced,
+    HoldAnswer,
     NoAnswer,
+    OtherIncarnation,
     Refused,
     WorkerAnswer,
     WorkerRuns,
@@ -32,8 +34,10 @@
 HOLD_SLACK_S = 0.8
 DRAINING = 'draining'
 STATES = ('ready', DRAINING)
+# Status of a worker that is not the one which the call names.
+MISDIRECTED = 421
 # With these statuses a worker has done nothing.
-REFUSALS = (400, 409, 421, 429, 503)
+REFUSALS = (400, 409, MISDIRECTED, 429, 503)
 
 
 class WireCapacity(msgspec.Struct, rename='camel'):
@@ -179,7 +183,7 @@
         seen: int,
         wait_ms: int,
         until_ms: int | None,
-    ) -> WorkerRuns | Refused | Fenced | NoAnswer:
+    ) -> HoldAnswer:
         """Extend the lease to `until_ms`, if given, and read the lists of runs."""
         body = {'fencingToken': term, 'lastSeen': seen}
         if wait_ms:
@@ -192,6 +196,8 @@
         match answer:
             case Ok(HttpResponse(status=200, body=data)):
                 return read_lists(data)
+            case Ok(HttpResponse(status=status)) if status == MISDIRECTED:
+                return OtherIncarnation()
             case Ok(response):
                 return read_refusal(response)
             case Err(HttpFailure(reason, sent)):
--- a/yuccarelay/ports/worker.py
+++ b/yuccarelay/ports/worker.py
@@ -33,6 +33,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class OtherIncarnation:
+    """A worker of another name answered; it did nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerRuns:
     """Running and ended runs of a worker's incarnation that began at `born_ms`."""
@@ -44,6 +49,7 @@
 
 
 WorkerAnswer = Accepted | Refused | Fenced | NoAnswer
+HoldAnswer = WorkerRuns | Refused | Fenced | NoAnswer | OtherIncarnation
 
 
 class Worker(Protocol):
@@ -68,6 +74,6 @@
         seen: int,
         wait_ms: int,
         until_ms: int | None,
-    ) -> WorkerRuns | Refused | Fenced | NoAnswer:
+    ) -> HoldAnswer:
         """Extend the lease to `until_ms`, if given, and read the lists of runs."""
         ...
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -1,13 +1,13 @@
 """The agent's task: carries out a planner's orders on the co-located worker."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 
 from result import Err, Ok
 
 from yuccarelay.adapters import batch_codec
-from yuccarelay.core.batch.agent import Heartbeat, WorkerGuard
+from yuccarelay.core.batch.agent import Heartbeat, Reception, WorkerGuard
 from yuccarelay.core.batch.models import WorkerId
 from yuccarelay.core.batch.protocol import (
     Answer,
@@ -31,7 +31,9 @@
 from yuccarelay.ports.worker import (
     Accepted,
     Fenced,
+    HoldAnswer,
     NoAnswer,
+    OtherIncarnation,
     Refused,
     Worker,
     WorkerAnswer,
@@ -133,27 +135,66 @@
                     self._wake_polls()
                 recorded.set_result(None)
             case OrderReceived(request_id, data):
-                task = asyncio.ensure_future(self.serve(request_id, data))
-                self.order_tasks.add(task)
-                task.add_done_callback(self.order_tasks.discard)
+                self._start_task(self.serve(request_id, data))
+
+    def _start_task(self, work: Coroutine) -> None:
+        """Run calls to the worker beside the handling of messages."""
+        task = asyncio.ensure_future(work)
+        self.order_tasks.add(task)
+        task.add_done_callback(self.order_tasks.discard)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
         changes = self.guard.changes
-        if not self.guard.take_heartbeat(heartbeat, self.clock.now_ms()):
-            fields = {'worker': heartbeat.info.name, 'sequence': heartbeat.sequence}
-            self.journal.write('heartbeat_late', fields)
-            return
-        if self.guard.changes != changes:
-            self.journal.write(
-                'worker_heard',
-                {
-                    'worker': heartbeat.info.name,
-                    'born_ms': heartbeat.info.born_ms,
-                    'draining': heartbeat.info.draining,
-                    'leaves_in_ms': heartbeat.info.leaves_in_ms,
-                },
-            )
-            self._wake_polls()
+        fields = {'worker': heartbeat.info.name, 'sequence': heartbeat.sequence}
+        match self.guard.take_heartbeat(heartbeat, self.clock.now_ms()):
+            case Reception.LATE:
+                self.journal.write('heartbeat_late', fields)
+            case Reception.CONTRADICTORY:
+                reason = 'another service, failure domain or labels'
+                self.journal.write('heartbeat_ignored', fields | {'reason': reason})
+            case Reception.UNCONFIRMED if self.guard.term:
+                self._start_task(self._identify_worker(self.guard.term))
+            case Reception.APPLIED if self.guard.changes != changes:
+                self._report_change()
+
+    def _report_change(self) -> None:
+        """Log what is now known of the worker, and report it to the planner."""
+        info = self.guard.worker
+        self.journal.write(
+            'worker_heard',
+            {
+                'worker': info.name,
+                'born_ms': info.born_ms,
+                'draining': info.draining,
+                'leaves_in_ms': info.leaves_in_ms,
+            },
+        )
+        self._wake_polls()
+
+    async def _identify_worker(self, term: int) -> HoldAnswer | None:
+        """
+        Ask the worker which of the candidates it is, if there are any.
+
+        Returns the last answer, or None without a call. A heartbeat proves nothing by
+        itself: on the word of one, a planner started running work a second time.
+        """
+        found = None
+        for candidate in self.guard.list_candidates():
+            found = await self.worker.hold(candidate.name, term, 0, 0, None)
+            match found:
+                case WorkerRuns(born_ms=born_ms) if born_ms == candidate.born_ms:
+                    if self.guard.confirm(candidate):
+                        self._report_change()
+                    return found
+                case WorkerRuns() | OtherIncarnation():
+                    self.guard.refute(candidate)
+                    self.journal.write(
+                        'heartbeat_refuted',
+                        {'worker': candidate.name, 'born_ms': candidate.born_ms},
+                    )
+                case _:
+                    return found
+        return found
 
     def _wake_polls(self) -> None:
         """End the polls that wait for a change."""
@@ -196,6 +237,14 @@
         return Declined('unknown_order')
 
     async def _poll(self, order: Look) -> Answer:
+        self.guard.is_service_known = order.is_service_known
+        match await self._identify_worker(order.term):
+            case Fenced():
+                return OldTerm(order.term + 1)
+            case NoAnswer(reason) if order.call_worker:
+                # A second call would take longer than the planner waits.
+                self._log_silence(reason)
+                return self._make_report(False)
         worker = self.guard.worker_id()
         if worker is None or not order.call_worker:
             return await self._report_from_heartbeats(order)
@@ -217,18 +266,26 @@
             case Fenced():
                 return OldTerm(order.term + 1)
             case Refused(reason) | NoAnswer(reason):
-                self.journal.write(
-                    'worker_silent', {'worker': worker.name, 'reason': reason}
-                )
+                self._log_silence(reason)
+            case OtherIncarnation():
+                self._log_silence('another worker answered')
         return self._make_report(False)
 
+    def _log_silence(self, reason: str) -> None:
+        """Log a call that the worker did not answer with its lists."""
+        worker = self.guard.worker
+        name = worker.name if worker else None
+        self.journal.write('worker_silent', {'worker': name, 'reason': reason})
+
     def _handle_other_birth(self, called: WorkerId, born_ms: int) -> None:
         """Handle the answer of another incarnation than the one that was called."""
-        if called == self.guard.worker_id() and self.guard.take_birth(born_ms):
-            self.journal.write(
-                'worker_born_earlier',
-                {'worker': called.name, 'born_ms': born_ms, 'known': called.born_ms},
-            )
+        if called != self.guard.worker_id() or not born_ms:
+            return
+        self.guard.take_other_birth()
+        self.journal.write(
+            'worker_reborn',
+            {'worker': called.name, 'born_ms': born_ms, 'known': called.born_ms},
+        )
 
     async def _hold(
         self,
@@ -236,7 +293,7 @@
         order: Look,
         seen: int,
         until_ms: int | None,
-    ) -> WorkerRuns | Refused | Fenced | NoAnswer:
+    ) -> HoldAnswer:
         """
         Hold until a run ends, there is another change, or the wait is over.
 
