Release runs of an ended worker on its successor's lists only

Cause: 'closed_below_ms' of any report counted as proof that earlier incarnations have ended. An agent moves it on a heartbeat.

Now such runs wait for the lists of the incarnation that is there, or for the expiry of the lease; only a worker that is gone (no worker is reported) releases by birth. This holds whatever an agent believes, so it is a second check of the gravest rule.

The test 'another incarnation without its lists releases nothing' failed before: runs 1 and 2 were started.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -16,11 +16,15 @@
     make_step,
 )
 from yuccarelay.core.batch.agent import WorkerGuard
-from yuccarelay.core.batch.events import AgentAddressChanged, Configured
+from yuccarelay.core.batch.events import (
+    AgentAddressChanged,
+    Configured,
+    OrderAnswered,
+)
 from yuccarelay.core.batch.leases import ABANDON_MS, TERM_TTL_S, make_leases
 from yuccarelay.core.batch.models import TaskStage
 from yuccarelay.core.batch.planner_state import SETTLE_WAIT_MS
-from yuccarelay.core.batch.protocol import AgentAddress
+from yuccarelay.core.batch.protocol import AgentAddress, Report
 from yuccarelay.core.batch.releases import SERIES_GAP_MS, TURN_GAP_MS
 from yuccarelay.core.batch.scheduling import RELEASE_WAIT_MS
 
@@ -357,6 +361,22 @@
         view = fleet.planner.planner_state.workers['agent-w0']
         self.assertIsNone(view.id)
 
+    def test_another_incarnation_without_its_lists_releases_nothing(self):
+        # review/2: the runs of a worker were started elsewhere on the word of a
+        # heartbeat, while the worker went on with them.
+        fleet = make_fleet(2, run_ms=8_000)
+        job = fleet.submit(make_job())
+        fleet.run(500)
+        view = next(
+            view for view in fleet.planner.planner_state.workers.values() if view.runs
+        )
+        other = view.info._replace(name='other', born_ms=2**41)
+        report = Report(view.basis, other, False, closed_below_ms=other.born_ms)
+        fleet.feed(OrderAnswered(view.agent, view.poll, report, fleet.now_ms))
+        fleet.run(9_000)
+        self.assertEqual([run for _, _, run in fleet.starts(job)], [1])
+        self.assertEqual(fleet.state(job), 'completed')
+
     def test_an_agent_is_told_of_a_service_that_no_configuration_has(self):
         # The heartbeat that named it may have been of another writer.
         fleet = make_fleet(1)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -135,9 +135,11 @@
         """
         Release the runs of incarnations that have ended.
 
-        An incarnation that has just answered (`is_current`) is the only one. Otherwise
-        those that were born earlier have ended. The time of birth alone would leave
-        runs in place if the time of day has been set back between two incarnations.
+        An incarnation that has just answered (`is_current`) is the only one. The time
+        of birth alone would leave runs in place if the time of day has been set back
+        between two incarnations. If there is no worker, those that were born before
+        `closed_below_ms` have ended. That another incarnation is reported without its
+        lists proves nothing: the runs wait for its lists, or for the lease to expire.
 
         A worker keeps its name when it restarts, so the next incarnation may carry
         out a start that was meant for the previous one. Only a run that the previous
@@ -148,7 +150,8 @@
         for run in list(view.runs.values()):
             if run.worker == view.id:
                 continue
-            if not is_current and run.worker.born_ms >= view.closed_below_ms:
+            is_closed = view.id is None and run.worker.born_ms < view.closed_below_ms
+            if not is_current and not is_closed:
                 continue
             if not run.lost_with_worker and run.stage is not RunStage.RECORDING:
                 run.lost_with_worker = True
