Take a deregistered worker for ended once nothing listens

Cause: the platform's deregistrations have no body, so that one of the previous incarnation of a restarted worker, or of another writer, looks like that of the worker which is there. The agent believed it at once.

Now it only makes the agent call the worker, also while the worker is idle. Once the connection to its address is refused the worker has ended, and its runs are released as before. A worker that answers, or that is only silent, stays in use, and its next heartbeat ends the suspicion. The HTTP client tells a refused connection from others.

The tests 'a worker that still answers stays in use' and 'a silent worker has not ended' failed before (the report named no worker).

--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -18,6 +18,7 @@
 from yuccarelay.ports.worker import (
     Accepted,
     NoAnswer,
+    NotListening,
     OtherIncarnation,
     Refused,
     WorkerRuns,
@@ -26,6 +27,7 @@
     ORDER_TRIES,
     HeartbeatReceived,
     WorkerAgentTask,
+    WorkerDeregistered,
     retry_order,
 )
 
@@ -77,6 +79,7 @@
 
     def test_a_deregistered_worker_is_unknown(self):
         self.assertTrue(self.guard.take_deregistration('i-1'))
+        self.guard.take_departure()
         self.assertIsNone(self.guard.worker_id())
         self.assertEqual(self.guard.closed_below_ms, 11)
         self.assertEqual(self.take(9), Reception.LATE)
@@ -124,9 +127,12 @@
         self.name = 'i-1'
         self.born_ms = 10
         self.silent = False
+        self.ended = False
 
     async def hold(self, name, term, seen, wait_ms, until_ms):
         self.waits.append(wait_ms)
+        if self.ended:
+            return NotListening()
         if self.silent:
             return NoAnswer('silent')
         if name != self.name:
@@ -209,8 +215,10 @@
     async def test_the_end_of_a_worker_is_reported_at_once(self):
         report = await self.poll()
         self.guard.take_deregistration('i-1')
+        self.worker.ended = True
         report = await self.poll(report, self.LONG_WAIT_MS)
         self.assertIsNone(report.worker)
+        self.assertEqual(report.closed_below_ms, 11)
 
     async def test_a_poll_without_news_waits(self):
         report = await self.poll(call_worker=True)
@@ -229,6 +237,57 @@
         self.assertEqual(self.worker.waits, [0, 100])
 
 
+class DeregistrationTest(AgentCase):
+    """
+    Guards against running work that is started elsewhere after a deregistration.
+
+    One without a body may be late, when the worker runs again under the same name, or
+    of another writer. The agent took it for the end of the worker.
+    """
+
+    async def deregister(self, name='i-1', born_ms=None) -> None:
+        self.agent.handle(
+            WorkerDeregistered(
+                name, born_ms, asyncio.get_running_loop().create_future()
+            )
+        )
+
+    async def test_a_worker_that_still_answers_stays_in_use(self):
+        for born_ms in (None, 10):
+            await self.deregister(born_ms=born_ms)
+            for call_worker in (False, True):
+                report = await self.poll(call_worker=call_worker)
+                self.assertEqual(
+                    (report.worker.name, report.closed_below_ms), ('i-1', 10)
+                )
+            self.assertIsNone(self.guard.check_start(self.guard.worker_id()))
+            taken = self.guard.take_heartbeat(make_heartbeat(2 + (born_ms or 0)), 1_200)
+            self.assertEqual(taken, Reception.APPLIED)
+            self.assertFalse(self.guard.is_leaving)
+
+    async def test_a_silent_worker_has_not_ended(self):
+        self.worker.silent = True
+        await self.deregister()
+        report = await self.poll(call_worker=True)
+        self.assertEqual((report.worker.name, report.closed_below_ms), ('i-1', 10))
+
+    async def test_the_end_is_noted_once_nothing_listens(self):
+        await self.deregister()
+        await self.poll()
+        self.worker.ended = True
+        report = await self.poll()
+        self.assertIsNone(report.worker)
+        self.assertEqual(report.closed_below_ms, 11)
+
+    async def test_a_worker_that_is_only_gone_has_not_deregistered(self):
+        # It may have crashed; its work waits for the next incarnation or the lease.
+        self.worker.ended = True
+        for name, born_ms in (('i-1', 9), ('i-2', None)):
+            await self.deregister(name, born_ms)
+            report = await self.poll(call_worker=True)
+            self.assertEqual((report.worker.name, report.closed_below_ms), ('i-1', 10))
+
+
 class ForeignHeartbeatTest(AgentCase):
     """
     Guards against work that runs twice after a heartbeat of another writer.
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -220,16 +220,18 @@
     async def test_a_refused_connection_was_not_sent(self):
         client = HttpClient('127.0.0.1:1')
         match await self.call(client):
-            case Err(HttpFailure(sent=sent)):
+            case Err(HttpFailure(sent=sent, refused=refused)):
                 self.assertFalse(sent)
+                self.assertTrue(refused)
             case found:
                 self.fail(found)
 
     async def test_a_silent_server_leaves_the_outcome_open(self):
         scripted, client = await self.open(None, ANSWER)
         match await self.call(client, SHORT_LIMIT_S):
-            case Err(HttpFailure(sent=sent)):
+            case Err(HttpFailure(sent=sent, refused=refused)):
                 self.assertTrue(sent)
+                self.assertFalse(refused)
             case found:
                 self.fail(found)
         # A late response on the old connection must not answer the next request.
--- a/yuccarelay/adapters/http_client.py
+++ b/yuccarelay/adapters/http_client.py
@@ -34,10 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpFailure:
-    """No complete response; `sent` is false if the request was definitely not sent."""
+    """
+    No complete response; `sent` is false if the request was definitely not sent.
+
+    `refused` means that nothing listens at the address.
+    """
 
     reason: str
     sent: bool
+    refused: bool = False
 
 
 class ConnectionPool:
@@ -131,7 +136,8 @@
             async with asyncio.timeout_at(min(deadline, now + CONNECT_LIMIT_S)):
                 connection = await pool.acquire()
         except (TimeoutError, OSError) as error:
-            return Err(HttpFailure(describe(error), sent=False))
+            refused = isinstance(find_cause(error), ConnectionRefusedError)
+            return Err(HttpFailure(describe(error), sent=False, refused=refused))
         return await self._exchange(pool, connection, request, deadline, timeout_s)
 
     async def _exchange(
@@ -187,6 +193,12 @@
 
 def describe(error: Exception) -> str:
     """Return the type and the text of an error."""
-    if isinstance(error, StreamClosedError) and error.real_error is not None:
-        error = error.real_error
+    error = find_cause(error)
     return f'{type(error).__name__}: {error}'[:200]
+
+
+def find_cause(error: Exception) -> BaseException:
+    """Return the error for which a stream was closed, or the error itself."""
+    if isinstance(error, StreamClosedError) and error.real_error is not None:
+        return error.real_error
+    return error
--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -69,7 +69,8 @@
     One agent's state of its worker, and the checks that orders must pass.
 
     `worker` is the incarnation that has answered a call under its name and birth.
-    Heartbeats alone prove nothing: they may be late or of another writer.
+    Heartbeats alone prove nothing: they may be late or of another writer. The same
+    holds for a deregistration, after which `is_leaving` is set.
     `is_service_known` is false while the planner has no such service as the worker's in
     its configuration. The heartbeat that named it may be of another writer, so one that
     names another service is accepted.
@@ -82,6 +83,7 @@
         self.term = 0
         self.worker: WorkerInfo | None = None
         self.candidates: dict[Incarnation, Candidate] = {}
+        self.is_leaving = False
         self.departed: Incarnation | None = None
         self.is_service_known = True
         self.drain_deadline_ms = 0
@@ -146,6 +148,8 @@
         """Take over what a heartbeat says of the worker."""
         if has_changed(self.worker, heartbeat.info):
             self.changes += 1
+        # A worker sends no heartbeat after its deregistration.
+        self.is_leaving = False
         self.worker = heartbeat.info
         self.drain_deadline_ms = received_ms + heartbeat.info.leaves_in_ms
         self.sequence = heartbeat.sequence
@@ -153,20 +157,28 @@
 
     def take_deregistration(self, name: str, born_ms: int | None = None) -> bool:
         """
-        Note that a worker deregistered; false if it is not the current one.
+        Note that a worker says it ends; false if it is not the current one.
 
         `born_ms` is None if it is not stated. A worker keeps its name when it restarts,
-        and the deregistration of the previous incarnation may arrive late. No heartbeat
-        of a deregistered incarnation is accepted, so the next one would be lost.
+        and the deregistration of the previous incarnation may arrive late. So it only
+        means that the worker has left once nothing listens at its address.
         """
         if self.worker is None or self.worker.name != name:
             return False
         if born_ms not in (None, self.worker.born_ms):
             return False
+        self.is_leaving = True
+        return True
+
+    def take_departure(self) -> None:
+        """
+        Note that the deregistered worker has ended.
+
+        Its heartbeats that are still on their way are not accepted any more.
+        """
         self.departed = name_incarnation(self.worker)
         self.closed_below_ms = self.worker.born_ms + 1
         self._forget_worker()
-        return True
 
     def take_other_birth(self) -> None:
         """
@@ -178,6 +190,7 @@
         self._forget_worker()
 
     def _forget_worker(self) -> None:
+        self.is_leaving = False
         self.changes += 1
         self.worker = None
         self.sample = None
--- a/yuccarelay/platform/worker.py
+++ b/yuccarelay/platform/worker.py
@@ -22,6 +22,7 @@
     Fenced,
     HoldAnswer,
     NoAnswer,
+    NotListening,
     OtherIncarnation,
     Refused,
     WorkerAnswer,
@@ -200,6 +201,8 @@
                 return OtherIncarnation()
             case Ok(response):
                 return read_refusal(response)
+            case Err(HttpFailure(refused=True)):
+                return NotListening()
             case Err(HttpFailure(reason, sent)):
                 return NoAnswer(reason) if sent else Refused(reason)
 
--- a/yuccarelay/ports/worker.py
+++ b/yuccarelay/ports/worker.py
@@ -38,6 +38,11 @@
     """A worker of another name answered; it did nothing."""
 
 
+@dataclass(frozen=True, slots=True)
+class NotListening:
+    """No process listens where the worker did."""
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerRuns:
     """Running and ended runs of a worker's incarnation that began at `born_ms`."""
@@ -49,7 +54,7 @@
 
 
 WorkerAnswer = Accepted | Refused | Fenced | NoAnswer
-HoldAnswer = WorkerRuns | Refused | Fenced | NoAnswer | OtherIncarnation
+HoldAnswer = WorkerRuns | Refused | Fenced | NoAnswer | OtherIncarnation | NotListening
 
 
 class Worker(Protocol):
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -33,6 +33,7 @@
     Fenced,
     HoldAnswer,
     NoAnswer,
+    NotListening,
     OtherIncarnation,
     Refused,
     Worker,
@@ -130,8 +131,10 @@
                     write_failure(self.journal, 'heartbeat_failed', error)
                     recorded.set_exception(error)
             case WorkerDeregistered(name, born_ms, recorded):
-                if self.guard.take_deregistration(name, born_ms):
-                    self.journal.write('worker_left', {'worker': name})
+                is_known = self.guard.take_deregistration(name, born_ms)
+                fields = {'worker': name, 'is_known': is_known}
+                self.journal.write('worker_deregistered', fields)
+                if is_known:
                     self._wake_polls()
                 recorded.set_result(None)
             case OrderReceived(request_id, data):
@@ -246,7 +249,7 @@
                 self._log_silence(reason)
                 return self._make_report(False)
         worker = self.guard.worker_id()
-        if worker is None or not order.call_worker:
+        if worker is None or not (order.call_worker or self.guard.is_leaving):
             return await self._report_from_heartbeats(order)
         until_ms = None
         seen = 0
@@ -269,8 +272,21 @@
                 self._log_silence(reason)
             case OtherIncarnation():
                 self._log_silence('another worker answered')
+            case NotListening():
+                self._handle_end(worker)
         return self._make_report(False)
 
+    def _handle_end(self, called: WorkerId) -> None:
+        """Handle that nothing listens any more where the worker did."""
+        if called != self.guard.worker_id():
+            return
+        if not self.guard.is_leaving:
+            self._log_silence('nothing listens')
+            return
+        self.guard.take_departure()
+        self.journal.write('worker_left', {'worker': called.name})
+        self._wake_polls()
+
     def _log_silence(self, reason: str) -> None:
         """Log a call that the worker did not answer with its lists."""
         worker = self.guard.worker
