Wait for ends that a worker does not list yet

Cause: a worker lists 500 ended runs at a time, and the same ones again until they are acknowledged, which they are once they are recorded. A run that was in neither list counted as gone: it was stopped and released. The store's outage keeps the first 500 unacknowledged, so the ends behind them were taken for lost runs.

Now the decoder of the lists says whether they can be whole (fewer than 500 ends), the agent passes it on, and the planner decides nothing from the absence of a run in lists that may be cut: not for a run that it believes running, nor for one whose stop was accepted, nor for one that a new planner has not settled. Their resources are held. The next whole list settles them, a run that is really missing included.

Looked at for the same cause, without a fault: an unknown job is read from the store before it is answered with 410; a listing of the store that lacks a new job is followed by the watch from its first page's revision; the lists of another incarnation than the one called are not read.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -152,6 +152,8 @@
     tails: list[tuple[int, float]] = field(default_factory=list)
     needs_ticket: bool = False
     rejected: int = 0
+    # So many ended runs are listed at a time.
+    ends_limit: int = 500
     tickets: dict[str, int] = field(default_factory=dict)
     latency_sensitive_job: str = ''
     tail_alone: float = 0
@@ -295,7 +297,7 @@
                 )
                 for run in self.runs.values()
             )
-            ended = tuple(self.ended)
+            ended = tuple(self.ended[: self.ends_limit])
         else:
             running = ended = ()
         return Report(
@@ -305,6 +307,7 @@
             running,
             ended,
             self.guard.closed_below_ms,
+            is_whole=len(ended) < self.ends_limit,
         )
 
     def percent(self, run: FakeRun, now_ms: int) -> float:
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -170,6 +170,74 @@
         self.assertEqual(fleet.records[job.id].tasks['0.0.0'].checkpoint, '0000aa')
 
 
+class CutListTest(unittest.TestCase):
+    """
+    Guards against work that is repeated because a list did not show its end.
+
+    A worker lists 500 ended runs at a time, again with each poll until they are
+    acknowledged. Tasks whose ends came after them were started again (review/3).
+    """
+
+    LIMIT = 10
+
+    def start(self, count: int, run_ms: int = 2_000):
+        """Start tasks on one worker, and let the store be down when they end."""
+        fleet = make_fleet(1, run_ms=run_ms, ends_limit=self.LIMIT)
+        self.worker = fleet.workers['agent-w0']
+        job = fleet.submit(make_job(make_step(count, 0)))
+        fleet.run(1_000)
+        self.assertEqual(len(self.worker.runs), count)
+        fleet.store_down = True
+        return fleet, job
+
+    def check_done_once(self, fleet, job) -> None:
+        self.assertEqual(fleet.state(job), 'completed')
+        self.assertEqual({run for _, _, run in fleet.starts(job)}, {1})
+
+    def test_ends_that_are_not_listed_yet_are_waited_for(self):
+        for count in (self.LIMIT - 1, self.LIMIT, self.LIMIT + 1, 3 * self.LIMIT):
+            with self.subTest(count=count):
+                fleet, job = self.start(count)
+                fleet.run(4_500)
+                fleet.store_down = False
+                fleet.run(4_000)
+                self.check_done_once(fleet, job)
+
+    def test_a_new_planner_waits_for_them_as_well(self):
+        fleet, job = self.start(3 * self.LIMIT)
+        fleet.run(2_500)
+        fleet.replace_planner()
+        fleet.run(2_000)
+        fleet.store_down = False
+        fleet.run(4_000)
+        self.check_done_once(fleet, job)
+
+    def test_a_stopped_run_holds_its_resources_until_its_end_is_listed(self):
+        fleet, job = self.start(3 * self.LIMIT, run_ms=2_000)
+        fleet.run(2_500)
+        view = fleet.planner.planner_state.workers['agent-w0']
+        listed = {end.task for end in self.worker.ended[: self.LIMIT]}
+        run = next(run for run in view.runs.values() if str(run.task) not in listed)
+        fleet.planner.planner_state.stop_run(run, 'test')
+        fleet.run(1_000)
+        self.assertIs(view.runs.get(run.task), run)
+        fleet.store_down = False
+        fleet.run(4_000)
+        self.check_done_once(fleet, job)
+
+    def test_a_run_that_is_missing_is_settled_once_the_list_is_whole(self):
+        fleet, job = self.start(3 * self.LIMIT)
+        task = next(reversed(self.worker.runs))
+        del self.worker.runs[task]
+        fleet.run(2_500)
+        self.assertEqual(len(fleet.starts(job)), 3 * self.LIMIT)
+        fleet.store_down = False
+        fleet.run(5_000)
+        self.assertEqual(fleet.state(job), 'completed')
+        again = [start for start in fleet.starts(job) if start[2] == 2]
+        self.assertEqual([start[1] for start in again], [task])
+
+
 class FailoverTest(unittest.TestCase):
     """Guards against work that a new planner loses or starts twice."""
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -178,6 +178,14 @@
         for body in (b'{"born":"x"}', b'{"born":null}', b'{"born":0}', b'[]', b'\x00'):
             self.assertTrue(decode_deregistration(body).is_err(), body)
 
+    def test_a_list_of_as_many_ends_as_a_worker_lists_may_be_cut(self):
+        # Tasks whose ends were not listed yet counted as lost (review/3).
+        for count, is_whole in ((0, True), (499, True), (500, False)):
+            ends = [[n + 1, f'j.0.0.{n}', 1, 'done', ''] for n in range(count)]
+            body = {'clockMs': 5, 'born': 9, 'running': [], 'finished': ends}
+            found = read_lists(json.dumps(body).encode())
+            self.assertIs(found.is_whole, is_whole)
+
     def test_lists_are_read_or_count_as_no_answer(self):
         body = {
             'clockMs': 5,
--- a/yuccarelay/core/batch/protocol.py
+++ b/yuccarelay/core/batch/protocol.py
@@ -61,8 +61,9 @@
     `worker` is None while no worker is known; it has answered a call under its name and
     birth. `lists_read` is false when the worker was not called or did not answer.
     `closed_below_ms` is the `born_ms` of the oldest incarnation of the worker that may
-    still have runs. `changes` counts the
-    changes of the worker that this incarnation of the agent has learned of.
+    still have runs. `changes` counts the changes of the worker that this incarnation of
+    the agent has learned of. Without `is_whole` the worker may have more ended runs
+    than the report lists.
     """
 
     basis: LeaseReference
@@ -72,6 +73,7 @@
     ended: tuple[EndedRun, ...] = ()
     closed_below_ms: int = 0
     changes: int | None = None
+    is_whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -85,7 +85,7 @@
             view.read_ms = now_ms
             view.basis, view.basis_received_ms = report.basis, now_ms
             self._read_ends(view, report.ended)
-            self._read_running(view, report.running, event.sent_ms)
+            self._read_running(view, report, event.sent_ms)
         elif event.order.call_worker or report.worker is None:
             # The leases of a worker that does not answer are not extended.
             view.basis = None
@@ -326,13 +326,13 @@
     def _read_running(
         self,
         view: WorkerView,
-        running: tuple[RunningTask, ...],
+        report: Report,
         sent_ms: int,
     ) -> None:
         planner_state = self.planner_state
         now_ms = planner_state.now.ms
         listed = set()
-        for entry in running:
+        for entry in report.running:
             task = parse_task_id(entry.task)
             plan = planner_state.plans.get(task.job) if task else None
             run = plan.runs.get(task) if plan else None
@@ -367,6 +367,9 @@
                 planner_state.send_stop(run)
             note_survival(planner_state, plan, run)
         self._record_checkpoints(view)
+        if not report.is_whole:
+            # A run that is missing may be among the ends that are not listed yet.
+            return
         for run in list(view.runs.values()):
             if run.task not in listed and run.worker == view.id:
                 self._resolve_missing(run, sent_ms)
--- a/yuccarelay/platform/worker.py
+++ b/yuccarelay/platform/worker.py
@@ -37,6 +37,8 @@
 STATES = ('ready', DRAINING)
 # Status of a worker that is not the one which the call names.
 MISDIRECTED = 421
+# A worker lists at most this many ends at a time.
+ENDS_LIMIT = 500
 # With these statuses a worker has done nothing.
 REFUSALS = (400, 409, MISDIRECTED, 429, 503)
 
@@ -283,7 +285,8 @@
         )
         for row in lists.finished
     )
-    return WorkerRuns(lists.clock_ms, lists.born, running, ended)
+    is_whole = len(ended) < ENDS_LIMIT
+    return WorkerRuns(lists.clock_ms, lists.born, running, ended, is_whole)
 
 
 def parse_count(value) -> int:
--- a/yuccarelay/ports/worker.py
+++ b/yuccarelay/ports/worker.py
@@ -45,12 +45,17 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerRuns:
-    """Running and ended runs of a worker's incarnation that began at `born_ms`."""
+    """
+    Running and ended runs of a worker's incarnation that began at `born_ms`.
+
+    Without `is_whole` there may be more ended runs than are listed.
+    """
 
     clock_ms: int
     born_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
+    is_whole: bool = True
 
 
 WorkerAnswer = Accepted | Refused | Fenced | NoAnswer
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -247,7 +247,7 @@
             case NoAnswer(reason) if order.call_worker:
                 # A second call would take longer than the planner waits.
                 self._log_silence(reason)
-                return self._make_report(False)
+                return self._make_report()
         worker = self.guard.worker_id()
         if worker is None or not (order.call_worker or self.guard.is_leaving):
             return await self._report_from_heartbeats(order)
@@ -258,12 +258,10 @@
             seen = order.seen
         found = await self._hold(worker.name, order, seen, until_ms)
         match found:
-            case WorkerRuns(clock_ms, born_ms, running, ended) if (
-                born_ms == worker.born_ms
-            ):
+            case WorkerRuns(clock_ms, born_ms) if born_ms == worker.born_ms:
                 if worker == self.guard.worker_id():
                     self.guard.take_clock(clock_ms, self.clock.now_ms())
-                    return self._make_report(True, running, ended)
+                    return self._make_report(found)
             case WorkerRuns(born_ms=born_ms):
                 self._handle_other_birth(worker, born_ms)
             case Fenced():
@@ -274,7 +272,7 @@
                 self._log_silence('another worker answered')
             case NotListening():
                 self._handle_end(worker)
-        return self._make_report(False)
+        return self._make_report()
 
     def _handle_end(self, called: WorkerId) -> None:
         """Handle that nothing listens any more where the worker did."""
@@ -335,14 +333,14 @@
                     await self.changed.wait()
         except TimeoutError:
             pass
-        return self._make_report(False)
+        return self._make_report()
 
     def _has_news(self, order: Look) -> bool:
         """Whether the worker changed since the last report that the planner read."""
         is_unread = order.changes not in (None, self.guard.changes)
         return is_unread or order.worker != self.guard.worker_id()
 
-    def _make_report(self, lists_read: bool, running=(), ended=()) -> Report:
+    def _make_report(self, lists: WorkerRuns | None = None) -> Report:
         guard, now_ms = self.guard, self.clock.now_ms()
         info = guard.worker
         if info is not None and info.draining:
@@ -351,11 +349,12 @@
         return Report(
             basis=LeaseReference(guard.incarnation, now_ms),
             worker=info,
-            lists_read=lists_read,
-            running=running,
-            ended=ended,
+            lists_read=lists is not None,
+            running=lists.running if lists else (),
+            ended=lists.ended if lists else (),
             closed_below_ms=guard.closed_below_ms,
             changes=guard.changes,
+            is_whole=lists is None or lists.is_whole,
         )
 
     async def _start(self, order: Start) -> Answer:
