Let agents say when the leases that they gave have expired

Cause, from the logs of all processes: the 14 agents of the lost workers answered every planner (32 times 'worker_silent' each). Still each of the eight planners took the leases of its predecessors for valid until 14.6 s after its own election, and the elections were 1.5 s apart. No 'run_released' came for these runs, so the broken gangs could not be placed.

Only the agent calls a worker. So it knows when the last lease that it gave has expired, whichever planner ordered it, and says so in each report, as a duration on its own clock. It has seen the term of the planner that asks and refuses older ones from then on; a poll of an older planner that was waiting for the worker is refused before it extends a lease. A new process of an agent counts from its own start, because its predecessor had ended by then. If the agent's process changes, the planner goes back to its own bound: the new process may know no newer term. A worker whose agent does not answer is waited for as before.

--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -70,13 +70,16 @@
 
     `worker` is the incarnation that has answered a call under its name and birth.
     Heartbeats alone prove nothing: they may be late or of another writer. The same
-    holds for a deregistration, after which `is_leaving` is set.
+    holds for a deregistration, after which `is_leaving` is set. `leases_expire_ms` is
+    when all leases that the agent has ever given have expired, on its own clock.
     `is_service_known` is false while the planner has no such service as the worker's in
     its configuration. The heartbeat that named it may be of another writer, so one that
     names another service is accepted.
     """
 
-    def __init__(self, node: str, incarnation: int, leases: Leases):
+    def __init__(
+        self, node: str, incarnation: int, leases: Leases, started_ms: int = 0
+    ):
         self.node = node
         self.incarnation = incarnation
         self.leases = leases
@@ -91,6 +94,8 @@
         self.closed_below_ms = 0
         self.changes = 0
         self.sample: ClockSample | None = None
+        # An earlier process of this agent gave its last lease before this one started.
+        self.leases_expire_ms = leases.lease_expiry_ms(started_ms)
 
     def take_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> Reception:
         """Apply a heartbeat of the known incarnation, or keep it as a candidate's."""
@@ -212,9 +217,9 @@
         self.term = term
         return None
 
-    def lease_end(self, basis: LeaseReference | None, now_ms: int) -> int | None:
+    def extend_lease(self, basis: LeaseReference | None, now_ms: int) -> int | None:
         """
-        Return the end of a lease on the worker's clock.
+        Return the end of a lease on the worker's clock, and note when it has expired.
 
         None if the lease has expired, if the reference is not of this incarnation of
         the agent, or if no reading of the worker's clock is known.
@@ -224,6 +229,8 @@
         end_ms = basis.at_ms + self.leases.lease_ms
         if self.sample is None or end_ms <= now_ms:
             return None
+        expiry_ms = self.leases.lease_expiry_ms(basis.at_ms)
+        self.leases_expire_ms = max(self.leases_expire_ms, expiry_ms)
         return self.sample.worker_ms + end_ms - self.sample.at_ms
 
     def check_start(self, worker: WorkerId) -> Declined | None:
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -255,12 +255,13 @@
     """
     The planner's view of one agent and its worker.
 
-    `lease_expiry_ms` is when all leases of its runs have expired, unless they are
-    extended again. `read_ms` is when its lists were last read; it goes back to 0 when
-    the agent stops answering or the worker's incarnation changes. `seen` is the number
-    of the last ended run that is recorded, and `acknowledged_end` the last one
-    acknowledged to the worker. `ends` maps the numbers of listed ended runs to the job
-    and the version of its record that must be saved before they are acknowledged.
+    `inherited_expiry_ms` is when the leases of earlier planners have expired, and
+    `own_expiry_ms` when those of this one have, unless they are extended again.
+    `read_ms` is when its lists were last read; it goes back to 0 when the agent stops
+    answering or the worker's incarnation changes. `seen` is the number of the last
+    ended run that is recorded, and `acknowledged_end` the last one acknowledged to the
+    worker. `ends` maps the numbers of listed ended runs to the job and the version of
+    its record that must be saved before they are acknowledged.
     `has_drained` is whether the incarnation before this one was draining when it ended.
     `suspect_until_ms` follows a failed run, because the worker may be the cause, and
     `proven_until_ms` one that made progress or was done.
@@ -270,7 +271,8 @@
 
     agent: str
     agent_address: AgentAddress
-    lease_expiry_ms: int
+    inherited_expiry_ms: int
+    own_expiry_ms: int = 0
     info: WorkerInfo | None = None
     id: WorkerId | None = None
     basis: LeaseReference | None = None
@@ -302,6 +304,15 @@
             total = total.plus(run.need)
         return total
 
+    @property
+    def lease_expiry_ms(self) -> int:
+        """When all leases of the worker's runs have expired."""
+        return max(self.inherited_expiry_ms, self.own_expiry_ms)
+
+    def extend_lease(self, expiry_ms: int) -> None:
+        """Note that a lease was ordered which has expired at a time."""
+        self.own_expiry_ms = max(self.own_expiry_ms, expiry_ms)
+
     @property
     def is_polling(self) -> bool:
         """Whether a poll has not been answered yet."""
--- a/yuccarelay/core/batch/leases.py
+++ b/yuccarelay/core/batch/leases.py
@@ -4,8 +4,11 @@
 A run may be started elsewhere only once its lease is certain to have expired. A lease
 runs for `lease_ms` from a lease reference that the planner has received, on a worker's
 clock that may be slow. A planner extends leases for at most `abandon_ms` after the
-store last confirmed its term, so a successor that cannot reach a worker waits for
-`abandon_ms` plus the time in which one lease expires.
+store last confirmed its term, so a successor that reaches neither a worker nor its
+agent waits for `abandon_ms` plus the time in which one lease expires.
+
+Only the agent of a worker calls it. So the agent knows when the last lease that it gave
+has expired, whichever planner ordered it, and tells each planner.
 """
 
 from typing import NamedTuple
@@ -38,7 +41,11 @@
         return basis_received_ms + duration_ms + EXPIRY_SLACK_MS
 
     def inherited_expiry_ms(self, elected_ms: int) -> int:
-        """Return when the leases of earlier planners have expired at the latest."""
+        """
+        Return when the leases of earlier planners have expired at the latest.
+
+        That is so long as the agent has not said when those it gave have expired.
+        """
         return self.lease_expiry_ms(elected_ms + self.abandon_ms)
 
 
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -130,6 +130,9 @@
         self.planner_state.reset()
         self.planner_state.term = event.term
         self.planner_state.confirmed_ms = self.planner_state.now.ms
+        self.planner_state.inherited_expiry_ms = (
+            self.planner_state.leases.inherited_expiry_ms(self.planner_state.now.ms)
+        )
         for node, agent_address in event.agents.items():
             self._add_agent(node, agent_address)
         self.planner_state.queues.job_terms.update(event.job_terms)
@@ -155,14 +158,15 @@
         """
         view = self.planner_state.workers.get(node)
         if view is None:
-            lease_expiry_ms = self.planner_state.leases.inherited_expiry_ms(
-                self.planner_state.now.ms
+            view = WorkerView(
+                node, agent_address, self.planner_state.inherited_expiry_ms
             )
-            view = WorkerView(node, agent_address, lease_expiry_ms)
             self.planner_state.workers[node] = view
         elif view.agent_address != agent_address:
             view.agent_address = agent_address
             view.poll = None
+            # The earlier process of the agent knew the newest term, this one does not.
+            view.inherited_expiry_ms = self.planner_state.inherited_expiry_ms
             self.planner_state.effects.append(Reconnect(agent_address.address))
         if not view.is_polling:
             self.planner_state.poll(view)
@@ -262,9 +266,8 @@
         """Order the start of a run, and extend the lease of its worker for it."""
         view = self.planner_state.workers[run.worker.agent]
         run.move(RunStage.ORDERED, self.planner_state.now.ms)
-        view.lease_expiry_ms = max(
-            view.lease_expiry_ms,
-            self.planner_state.leases.lease_expiry_ms(view.basis_received_ms),
+        view.extend_lease(
+            self.planner_state.leases.lease_expiry_ms(view.basis_received_ms)
         )
         order = Start(
             term=self.planner_state.term,
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -67,6 +67,8 @@
         self.services: frozenset[str] = frozenset()
         self.queues = KnownQueues()
         self.confirmed_ms = 0
+        # When the leases of earlier planners have expired at the latest.
+        self.inherited_expiry_ms = 0
         self.durations = Durations()
         self.reset()
 
@@ -137,10 +139,7 @@
         basis = None
         if view.runs and view.basis is not None and self.may_extend_leases():
             basis = view.basis
-            view.lease_expiry_ms = max(
-                view.lease_expiry_ms,
-                self.leases.lease_expiry_ms(view.basis_received_ms),
-            )
+            view.extend_lease(self.leases.lease_expiry_ms(view.basis_received_ms))
         wait_ms = 0 if lists_unread else POLL_WAIT_MS if reads_lists else IDLE_WAIT_MS
         if RunStage.STOPPING in stages:
             wait_ms = min(wait_ms, STOP_RETRY_MS)
@@ -231,8 +230,7 @@
         plan.runs[task] = run
         view = self.workers.get(worker.agent)
         if view is None:
-            lease_expiry_ms = self.leases.inherited_expiry_ms(self.now.ms)
-            view = WorkerView(worker.agent, AgentAddress(''), lease_expiry_ms)
+            view = WorkerView(worker.agent, AgentAddress(''), self.inherited_expiry_ms)
             self.workers[worker.agent] = view
         view.runs[task] = run
         return run
--- a/yuccarelay/core/batch/protocol.py
+++ b/yuccarelay/core/batch/protocol.py
@@ -63,7 +63,8 @@
     `closed_below_ms` is the `born_ms` of the oldest incarnation of the worker that may
     still have runs. `changes` counts the changes of the worker that this incarnation of
     the agent has learned of. Without `is_whole` the worker may have more ended runs
-    than the report lists.
+    than the report lists. `leases_expire_in_ms` counts from the report, because the
+    agent's clock is its own: by then all leases that it has given have expired.
     """
 
     basis: LeaseReference
@@ -74,6 +75,7 @@
     closed_below_ms: int = 0
     changes: int | None = None
     is_whole: bool = True
+    leases_expire_in_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -69,6 +69,7 @@
             view.closed_below_ms = report.closed_below_ms
         view.closed_below_ms = max(view.closed_below_ms, report.closed_below_ms)
         view.changes = report.changes
+        self._learn_expiry(view, report)
         if not report.lists_read and is_outdated(view, report):
             # An agent that has restarted takes a late heartbeat for its worker's.
             report = replace(report, worker=None)
@@ -93,6 +94,19 @@
             view.basis, view.basis_received_ms = report.basis, now_ms
         self._release_ended_incarnations(view, report.lists_read)
 
+    def _learn_expiry(self, view: WorkerView, report: Report) -> None:
+        """
+        Learn when the leases that the agent has given have expired.
+
+        The agent has seen this planner's term and refuses earlier planners from now on,
+        so this holds for the leases of all of them. Without it, each planner would wait
+        for a lost worker from its own election on.
+        """
+        if report.leases_expire_in_ms is None:
+            return
+        expiry_ms = self.planner_state.now.ms + report.leases_expire_in_ms
+        view.inherited_expiry_ms = min(view.inherited_expiry_ms, expiry_ms)
+
     def _note_incarnation(self, view: WorkerView, report: Report) -> None:
         """Note a new incarnation of the worker, or that there is no worker."""
         planner_state = self.planner_state
--- a/yuccarelay/host_agent.py
+++ b/yuccarelay/host_agent.py
@@ -42,6 +42,7 @@
         settings.node,
         rng.getrandbits(48),
         make_leases(settings.longest_hold_ms),
+        clock.now_ms(),
     )
     agent_task = WorkerAgentTask(guard, worker, listener, clock, journal)
     agent_address = batch_records.encode_agent(AgentAddress(address, guard.incarnation))
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -248,13 +248,17 @@
                 # A second call would take longer than the planner waits.
                 self._log_silence(reason)
                 return self._make_report()
+        # A newer planner may have been told meanwhile when the leases expire.
+        refused = self.guard.check_term(order.term)
+        if refused is not None:
+            return refused
         worker = self.guard.worker_id()
         if worker is None or not (order.call_worker or self.guard.is_leaving):
             return await self._report_from_heartbeats(order)
         until_ms = None
         seen = 0
         if order.worker == worker:
-            until_ms = self.guard.lease_end(order.basis, self.clock.now_ms())
+            until_ms = self.guard.extend_lease(order.basis, self.clock.now_ms())
             seen = order.seen
         found = await self._hold(worker.name, order, seen, until_ms)
         match found:
@@ -355,13 +359,14 @@
             closed_below_ms=guard.closed_below_ms,
             changes=guard.changes,
             is_whole=lists is None or lists.is_whole,
+            leases_expire_in_ms=max(0, guard.leases_expire_ms - now_ms),
         )
 
     async def _start(self, order: Start) -> Answer:
         declined = self.guard.check_start(order.worker)
         if declined is not None:
             return declined
-        until_ms = self.guard.lease_end(order.basis, self.clock.now_ms())
+        until_ms = self.guard.extend_lease(order.basis, self.clock.now_ms())
         if until_ms is None:
             return Declined('lease_over')
         answer, tries = await retry_order(
