Count a failed gang once if the planner changes

Two members of a gang end as failed, the planner changes between the two ends, and both count as an attempt.

Cause: which run had been counted was known to the planner's process only. Now the record of each task says it.

The test 'a gang counts one attempt if the planner changes' failed before: 2 failures instead of 1.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -793,6 +793,23 @@
         self.assertEqual(fleet.state(job), 'failed')
         self.assertEqual(len(fleet.starts(job)), 3 * ORDINARY.max_attempts)
 
+    def test_a_gang_counts_one_attempt_if_the_planner_changes(self):
+        # The job ended as failed before its attempts were used up.
+        fleet = make_fleet(2, run_ms=60_000)
+        job = fleet.submit(make_job(make_step(2, 8, gang=True)))
+        fleet.run(500)
+        first, second = fleet.workers.values()
+        [task], [other] = first.runs, second.runs
+        second.silent = True
+        first.end(task, 'failed')
+        fleet.run(200)
+        self.assertEqual(fleet.records[job.id].tasks['0.0.0'].failures, 1)
+        second.end(other, 'failed')
+        second.silent = False
+        fleet.replace_planner()
+        fleet.run(1_000)
+        self.assertEqual(fleet.records[job.id].tasks['0.0.0'].failures, 1)
+
     def test_a_retry_goes_to_another_worker(self):
         fleet = make_fleet(2, run_ms=100)
         fleet.workers['agent-w0'].how = 'failed'
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -175,7 +175,6 @@
     wait_log_due_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_on: dict[tuple[int, int], dict[WorkerId, int]] = field(default_factory=dict)
     proof_until_ms: dict[tuple[int, int], int] = field(default_factory=dict)
-    failed_attempts: set[tuple] = field(default_factory=set)
     displaced_core_s: float = 0
     advice: dict[tuple[int, int], StepAdvice] = field(default_factory=dict)
 
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -317,13 +317,13 @@
         tasks = (run.task,)
         if step.gang:
             tasks = plan.step_tasks(run.task.occurrence, run.task.step)
-        attempt = (*run.task[1:3], tasks[0].index, run.number)
-        if attempt in plan.failed_attempts:
+        if plan.task(run.task).failed_run >= run.number:
+            # Another member of the gang has failed, maybe under another planner.
             return
-        plan.failed_attempts.add(attempt)
         for task in tasks:
             record = plan.task(task)
-            plan.put(task, record._replace(failures=record.failures + 1))
+            failures = record.failures + 1
+            plan.put(task, record._replace(failures=failures, failed_run=run.number))
         planner_state.changed.add(plan.job.id)
         failures = plan.task(run.task).failures
         key, now_ms = run.task[1:3], planner_state.now.ms
