Count a crash of a worker once if the planner changes

Each new planner counted the crash again, and with the second one the job was given up.

Cause: 'lost_with_worker' is known to the planner's process only. Now the record of each task names the run whose crash was counted.

The test 'one crash is counted once by all planners' failed before: 2 crashes instead of 1.

--- a/tests/test_batch_crashes.py
+++ b/tests/test_batch_crashes.py
@@ -215,6 +215,22 @@
         fleet.run(LONG_MS)
         self.assertEqual(fleet.state(job), 'completed')
 
+    def test_one_crash_is_counted_once_by_all_planners(self):
+        # review/1: a crash and a change of the planner showed a job as failed.
+        fleet = make_fleet(3, run_ms=3_000)
+        job = fleet.submit(make_job())
+        fleet.run(100)
+        [worker] = [w for w in fleet.workers.values() if w.starts]
+        worker.crash(fleet.now_ms)
+        worker.lose_stops = 100
+        for _ in range(4):
+            fleet.replace_planner()
+            fleet.run(700)
+        self.assertEqual(fleet.records[job.id].tasks['0.0.0'].crashes, 1)
+        worker.lose_stops = 0
+        fleet.run(10_000)
+        self.assertEqual(fleet.state(job), 'completed')
+
     def test_a_silent_worker_is_no_crash(self):
         fleet = make_fleet(3)
         job = fleet.submit(make_job())
--- a/yuccarelay/core/batch/crashes.py
+++ b/yuccarelay/core/batch/crashes.py
@@ -40,11 +40,14 @@
     has_left = view.id is None or view.has_drained
     if has_left or run.has_survived or age_ms > START_WINDOW_MS or plan.ended:
         return
+    if record.crashed_run >= run.number:
+        # Another planner counted it before the run was released.
+        return
     crashes = record.crashes + 1
     if run.is_beside_new:
         # Another new run may be to blame.
         crashes = min(crashes, CRASHES_LIMIT - 1)
-    plan.put(run.task, record._replace(crashes=crashes))
+    plan.put(run.task, record._replace(crashes=crashes, crashed_run=run.number))
     planner_state.changed.add(plan.job.id)
     planner_state.suspects.add(plan.job.id)
     planner_state.note(
--- a/yuccarelay/core/batch/models.py
+++ b/yuccarelay/core/batch/models.py
@@ -172,8 +172,9 @@
 
     `assigned_at_ms` is the time of day of its latest assignment, from which a new
     planner computes how much work a stop would lose. `crashes` counts the workers that
-    crashed in a row right after they had started the task. `failed_run` is the last run
-    that was counted as a failure, so that the next planner does not count it again.
+    crashed in a row right after they had started the task. `failed_run` and
+    `crashed_run` are the last runs that were counted as a failure and as a crash, so
+    that the next planner does not count them again.
     """
 
     stage: TaskStage = TaskStage.WAITING
@@ -184,6 +185,7 @@
     assigned_at_ms: int = 0
     crashes: int = 0
     failed_run: int = 0
+    crashed_run: int = 0
 
 
 class JobRecord(NamedTuple):
