Start nothing beside a run without a record until it has ended

Cause: the resources of a worker's runs are summed up from the records, and a run without a record was stopped but not counted.

Now a worker that lists such a run takes no new work until a list shows that it has ended. A stop is repeated each second, and the end of the run ends the poll that waits.

The test 'a run without a record holds its worker' failed before: the job started beside it at once.

--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -9,8 +9,10 @@
     DEFERRABLE,
     LONGEST_HOLD_MS,
     ORDINARY,
+    TICK_MS,
     URGENT,
     WALL_START_MS,
+    FakeRun,
     make_fleet,
     make_job,
     make_step,
@@ -623,6 +625,25 @@
         fleet.run(3_000)
         self.assertEqual(len(fleet.starts(job)), 1)
 
+    def test_a_run_without_a_record_holds_its_worker(self):
+        # Its resources counted as free, and a worker that does not guard its capacity
+        # would have started more than it holds.
+        fleet = make_fleet(1, run_ms=60_000)
+        worker = fleet.workers['agent-w0']
+        orphan = 'f' * 16 + '.0.0.0'
+        # A worker with a run is polled for its lists.
+        fleet.submit(make_job(make_step(1, 1)))
+        fleet.run(500)
+        worker.runs[orphan] = FakeRun(orphan, 1, 99_000)
+        worker.lose_stops = 2
+        fleet.run(500)
+        job = fleet.submit(make_job(make_step(1, 4)))
+        while not fleet.starts(job):
+            self.assertLess(fleet.now_ms, 10_000)
+            fleet.run(TICK_MS)
+        self.assertNotIn(orphan, worker.runs)
+        self.assertIn((orphan, 1), worker.refused)
+
     def test_a_capacity_that_has_grown_again_is_used(self):
         fleet = make_fleet(1, run_ms=3_000)
         worker = fleet.workers['agent-w0']
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -356,4 +356,5 @@
         and view.read_ms > 0
         and view.basis is not None
         and not info.draining
+        and not view.has_orphans
     )
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -262,6 +262,8 @@
     worker. `ends` maps the numbers of listed ended runs to the job and the version of
     its record that must be saved before they are acknowledged.
     `has_drained` is whether the incarnation before this one was draining when it ended.
+    `has_orphans` means that it lists a run without a record, whose resources are not
+    known.
     `suspect_until_ms` follows a failed run, because the worker may be the cause, and
     `proven_until_ms` one that made progress or was done.
     `poll` is the poll that has not been answered yet, and `changes` the agent's count
@@ -295,6 +297,7 @@
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     orphaned_runs: dict[tuple[str, int], int] = field(default_factory=dict)
+    has_orphans: bool = False
 
     def used(self) -> Resources:
         """Return the resources held by all runs that may exist on the worker."""
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -133,6 +133,7 @@
             view.runs
             or view.ends
             or view.orphaned_runs
+            or view.has_orphans
             or view.acknowledged_end < view.seen
         )
         reads_lists = lists_unread or bool(has_work)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -129,6 +129,7 @@
                 {},
                 {},
             )
+            view.has_orphans = False
             view.read_ms = 0
             view.basis = None
             view.failures, view.failed_jobs = 0, set()
@@ -346,11 +347,13 @@
         planner_state = self.planner_state
         now_ms = planner_state.now.ms
         listed = set()
+        view.has_orphans = False
         for entry in report.running:
             task = parse_task_id(entry.task)
             plan = planner_state.plans.get(task.job) if task else None
             run = plan.runs.get(task) if plan else None
             if not is_run_of(run, entry.run, view):
+                view.has_orphans = True
                 self._stop_orphaned_run(view, entry)
                 continue
             listed.add(task)
