Take a listing that stops at an empty page for a failed read

Now it is a failed read, which is made again. The test 'an empty page with more to come is no whole listing' failed before.

--- a/tests/test_batch_replica.py
+++ b/tests/test_batch_replica.py
@@ -24,6 +24,7 @@
     ReplicaConfirmed,
     ReplicaTask,
     StoreReachability,
+    read_all,
 )
 from yuccarelay.tasks.mailbox import Mailbox
 
@@ -86,6 +87,31 @@
         self.assertEqual(await self.collect_reachability(6, 6), [True] * 6)
 
 
+class PagedStore:
+    """Answers reads with the given pages, one after the other."""
+
+    def __init__(self, *pages: Page):
+        self.pages = list(pages)
+
+    async def read_prefix(self, prefix, *, start_after='', limit=0):
+        return Ok(self.pages.pop(0))
+
+
+class CutListingTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against keys that count as deleted because a listing was cut."""
+
+    VALUE = StoredValue('yuccarelay/job/1', b'x', 1, 1)
+
+    async def test_all_pages_are_read(self):
+        store = PagedStore(Page((self.VALUE,), 5, True), Page((self.VALUE,), 9, False))
+        found = await read_all(store, '')
+        self.assertEqual(found, Ok(([self.VALUE] * 2, 5)))
+
+    async def test_an_empty_page_with_more_to_come_is_no_whole_listing(self):
+        store = PagedStore(Page((self.VALUE,), 5, True), Page((), 9, True))
+        self.assertTrue((await read_all(store, '')).is_err())
+
+
 class DelayedStore:
     """Answers each watch after the given delay, on a clock that the test sets."""
 
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -116,8 +116,10 @@
             case Ok(page):
                 values += page.values
                 revision = revision or page.revision
-                if not page.more or not page.values:
+                if not page.more:
                     return Ok((values, revision))
+                if not page.values:
+                    return Err(StoreFailure('an empty page, but more', ambiguous=False))
                 after = page.values[-1].key
             case Err() as failed:
                 return failed
