Log an unexpected error while an agent asks for its worker

The call that follows a heartbeat of an unknown incarnation runs in a task of its own; an unexpected error there would have been reported by the event loop only. Now it is logged as 'worker_not_identified', and the next heartbeat or poll asks again.

--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from tests.fakes import FakeClock, FakeJournal
 from yuccarelay.adapters import batch_codec
@@ -375,6 +376,13 @@
             self.assertEqual(self.guard.worker_id(), ('agent-1', name, born_ms))
             self.assertEqual(self.guard.closed_below_ms, born_ms)
 
+    async def test_an_error_while_the_worker_is_asked_is_logged(self):
+        with mock.patch.object(self.worker, 'hold', side_effect=KeyError('odd')):
+            await self.send(1, name='i-2', born_ms=20)
+        events = [event for event, _ in self.agent.journal.lines]
+        self.assertIn('worker_not_identified', events)
+        await self.check_unchanged(name='i-2', born_ms=20)
+
     async def test_an_agent_without_a_planner_asks_with_the_first_poll(self):
         # A call without a term would be refused, and one with a guess might not be.
         self.guard = WorkerGuard('agent-1', 8, LEASES)
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -156,10 +156,17 @@
                 reason = 'another service, failure domain or labels'
                 self.journal.write('heartbeat_ignored', fields | {'reason': reason})
             case Reception.UNCONFIRMED if self.guard.term:
-                self._start_task(self._identify_worker(self.guard.term))
+                self._start_task(self._ask_worker())
             case Reception.APPLIED if self.guard.changes != changes:
                 self._report_change()
 
+    async def _ask_worker(self) -> None:
+        """Identify the worker after a heartbeat, under the newest term."""
+        try:
+            await self._identify_worker(self.guard.term)
+        except Exception as error:
+            write_failure(self.journal, 'worker_not_identified', error)
+
     def _report_change(self) -> None:
         """Log what is now known of the worker, and report it to the planner."""
         info = self.guard.worker
