Hand on to the next planner which agents are not heard

Now a planner stores which agents with runs do not answer, with the time after which all their leases have expired, and extends no lease of them before a record without them is stored. A successor reads the record under its own term, counts the time from when its process first received it, and keeps to the same promise, so the wait goes on instead of starting anew. A planner that is an earlier process of the same node has ended for certain; if its record was complete, all other leases have expired 6.6 s after the election. Without either proof the bound of 14.6 s stays. Nothing is recorded while the store does not confirm the term, so that an agent that is silent for a moment in an outage is extended as before.

RecordsTask keeps its records by key, so that it can write this one as well.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -28,7 +28,9 @@
     QueueTermsStored,
     RecordSaved,
     SaveRecord,
+    SaveSilence,
     SendOrder,
+    SilenceSaved,
     TermConfirmed,
 )
 from yuccarelay.core.batch.known_queues import QueueTerms, make_terms
@@ -61,6 +63,11 @@
     Stopped,
     Unanswered,
 )
+from yuccarelay.core.batch.silence import (
+    NO_SILENCE,
+    SilenceRecord,
+    receive_silence,
+)
 
 TICK_MS = 100
 CRASH_AFTER_MS = 10
@@ -368,7 +375,10 @@
         # Duration of a write of records; the next one begins after it.
         self.write_ms = 0
         self.is_writing = False
-        self.unsaved: list[SaveRecord] = []
+        self.unsaved: list[SaveRecord | SaveSilence] = []
+        # The record of silent agents, and when the other entries received it.
+        self.silence = NO_SILENCE
+        self.silence_record = SilenceRecord()
         self.notes: list[tuple[str, dict]] = []
         self.queue: list = []
         self.order_numbers = itertools.count()
@@ -381,13 +391,20 @@
         self.advice_down = False
         self.replace_planner()
 
-    def replace_planner(self, orders_delayed_ms: int | None = None) -> None:
+    def replace_planner(
+        self, orders_delayed_ms: int | None = None, *, is_restart: bool = False
+    ) -> None:
         """
         Replace the planner by a new one that restores its state from the store.
 
         With `orders_delayed_ms` the orders of the old one are still in the network
-        and arrive later by that time.
+        and arrive later by that time. With `is_restart` it is a new process on the same
+        node, otherwise another entry that has been there for long.
         """
+        silence, ended_term = self.silence, 0
+        if is_restart:
+            silence = receive_silence(self.silence_record, self.now_ms)
+            ended_term = self.term
         orders = [entry[2] for entry in sorted(self.queue) if entry[2][0] == 'order']
         self.queue = []
         self.is_writing = False
@@ -409,6 +426,8 @@
                 frozenset(self.cancelled),
                 agents,
                 dict(self.job_terms),
+                silence=silence,
+                ended_term=ended_term,
             ),
         )
 
@@ -421,7 +440,7 @@
                     self.schedule(
                         NETWORK_DELAY_MS, ('order', agent, order, self.now_ms)
                     )
-                case SaveRecord():
+                case SaveRecord() | SaveSilence():
                     self.unsaved.append(effect)
                 case QueryAdvice():
                     self.queries.append(effect)
@@ -463,12 +482,21 @@
         else:
             self.confirm(saves)
 
-    def confirm(self, saves: list[SaveRecord]) -> None:
+    def confirm(self, saves: list[SaveRecord | SaveSilence]) -> None:
         """Store records and report them to the planner as saved."""
         for save in saves:
-            self.records[save.job] = save.record
+            match save:
+                case SaveRecord(job, _, record):
+                    self.records[job] = record
+                case SaveSilence(_, record):
+                    self.silence_record = record
+                    self.silence = receive_silence(record, self.now_ms)
         for save in saves:
-            self.feed(RecordSaved(save.job, save.version))
+            match save:
+                case SaveRecord(job, version):
+                    self.feed(RecordSaved(job, version))
+                case SaveSilence(version):
+                    self.feed(SilenceSaved(version))
 
     def run(self, duration_ms: int) -> 'Fleet':
         """Advance the virtual time in steps of 1 ms."""
--- a/yuccarelay/adapters/batch_records.py
+++ b/yuccarelay/adapters/batch_records.py
@@ -6,11 +6,12 @@
 from result import Err, Ok, Result
 
 from yuccarelay.adapters import decoding
-from yuccarelay.adapters.decoding import Integer
+from yuccarelay.adapters.decoding import Count, Integer
 from yuccarelay.core.batch.configuration_feed import EntryLink
 from yuccarelay.core.batch.known_queues import QueueTerms
 from yuccarelay.core.batch.models import AdviceTerms, Job, JobRecord
 from yuccarelay.core.batch.protocol import AgentAddress
+from yuccarelay.core.batch.silence import SilenceRecord
 
 ROOT = 'yuccarelay/'
 JOBS = ROOT + 'job/'
@@ -21,6 +22,7 @@
 AGENTS = ROOT + 'agent/'
 ENTRIES = ROOT + 'entry/'
 PLANNER = ROOT + 'planner'
+SILENCE = ROOT + 'silence'
 # Folders with a key for each job.
 JOB_FOLDERS = (JOBS, RECORDS, CANCELS, TERMS)
 
@@ -43,6 +45,7 @@
 TERMS_DECODER = msgspec.json.Decoder(StoredTerms)
 JOB_DECODER = msgspec.json.Decoder(Job)
 RECORD_DECODER = msgspec.json.Decoder(JobRecord)
+SILENCE_DECODER = msgspec.json.Decoder(tuple[Count, dict[str, Count]])
 # Occurrence, step and index of a task.
 TASK_KEY = re.compile(r'[0-9]{1,9}\.[0-9]{1,9}\.[0-9]{1,9}')
 ADDRESS = re.compile(r'[A-Za-z0-9._-]{1,253}:[0-9]{1,5}')
@@ -53,7 +56,7 @@
 UNKNOWN_ROUND_TRIP_MS = 999_999
 
 
-def encode(value: Job | JobRecord) -> bytes:
+def encode(value: Job | JobRecord | SilenceRecord) -> bytes:
     """Return a value as a JSON array of its fields."""
     return msgspec.json.encode(value)
 
@@ -68,6 +71,12 @@
     return decoding.decode(RECORD_DECODER.decode, data).and_then(_check_tasks)
 
 
+def decode_silence(data: bytes) -> Result[SilenceRecord, str]:
+    """Decode the record of silent agents."""
+    decoded = decoding.decode(SILENCE_DECODER.decode, data)
+    return decoded.map(lambda fields: SilenceRecord(*fields))
+
+
 def encode_terms(terms: QueueTerms) -> bytes:
     """Return the terms as a JSON array, without an advice if there is none."""
     return msgspec.json.encode(terms if terms.advice else terms[:-1])
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -53,7 +53,7 @@
         self.listed: dict[str, Candidate] = {}
         self.changed: set[str] = set()
         for view in planner_state.workers.values():
-            if is_open(view):
+            if is_open(view) and planner_state.silent_agents.may_extend(view.agent):
                 self.open.setdefault(view.info.service, []).append(view)
                 self.free[view.agent] = view.info.capacity.minus(view.used())
         for reservation in planner_state.reserved.values():
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -266,6 +266,7 @@
     known.
     `suspect_until_ms` follows a failed run, because the worker may be the cause, and
     `proven_until_ms` one that made progress or was done.
+    `is_silent` means that its agent does not answer.
     `poll` is the poll that has not been answered yet, and `changes` the agent's count
     in the last report.
     """
@@ -285,6 +286,7 @@
     has_drained: bool = False
     poll_sent_ms: int = 0
     poll: Look | None = None
+    is_silent: bool = False
     changes: int | None = None
     poll_due_ms: int = 0
     seen: int = 0
--- a/yuccarelay/core/batch/events.py
+++ b/yuccarelay/core/batch/events.py
@@ -6,6 +6,7 @@
 from yuccarelay.core.batch.known_queues import QueueTerms
 from yuccarelay.core.batch.models import Configuration, Job, JobRecord
 from yuccarelay.core.batch.protocol import AgentAddress, Answer, Order
+from yuccarelay.core.batch.silence import NO_SILENCE, KnownSilence, SilenceRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,7 +14,9 @@
     """
     The process was elected to plan under a term; the records are complete.
 
-    `withheld` has the jobs whose records exist but cannot be read.
+    `withheld` has the jobs whose records exist but cannot be read. `silence` is the
+    last record of the agents that earlier planners did not hear. `ended_term` is the
+    term of the planner before if its process has ended for certain, 0 if not.
     """
 
     term: int
@@ -23,6 +26,8 @@
     agents: Mapping[str, AgentAddress]
     job_terms: Mapping[str, QueueTerms] = field(default_factory=dict)
     withheld: frozenset[str] = frozenset()
+    silence: KnownSilence = NO_SILENCE
+    ended_term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +99,13 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceSaved:
+    """The store holds this version of the record of silent agents."""
+
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceGiven:
     """
@@ -133,6 +145,7 @@
     | Configured
     | OrderAnswered
     | RecordSaved
+    | SilenceSaved
     | AdviceGiven
     | AdviceFailed
     | PlannerTick
@@ -183,6 +196,14 @@
     record: JobRecord
 
 
+@dataclass(frozen=True, slots=True)
+class SaveSilence:
+    """Write the record of silent agents; a later version replaces it."""
+
+    version: int
+    record: SilenceRecord
+
+
 @dataclass(frozen=True, slots=True)
 class RemoveJob:
     """Remove a job that ended long ago from the store."""
@@ -205,4 +226,13 @@
     fields: Mapping[str, object]
 
 
-Effect = SendOrder | Reconnect | QueryAdvice | SaveRecord | RemoveJob | StepDown | Note
+Effect = (
+    SendOrder
+    | Reconnect
+    | QueryAdvice
+    | SaveRecord
+    | SaveSilence
+    | RemoveJob
+    | StepDown
+    | Note
+)
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -32,6 +32,7 @@
     QueueTermsStored,
     Reconnect,
     RecordSaved,
+    SilenceSaved,
     StepDown,
     TermConfirmed,
 )
@@ -60,6 +61,7 @@
 )
 from yuccarelay.core.batch.reports import ReportReader
 from yuccarelay.core.batch.scheduling import assign_units
+from yuccarelay.core.batch.silence import SilentAgents
 
 # Ended runs whose records are not saved yet are listed again by each poll; the pause
 # keeps the planner from polling in a busy loop.
@@ -110,6 +112,8 @@
                 self._handle_answer(event)
             case RecordSaved(job, version):
                 self._handle_record_saved(job, version)
+            case SilenceSaved(version):
+                self.planner_state.silent_agents.note_saved(version)
             case AdviceGiven() | AdviceFailed():
                 self._handle_advice(event)
             case PlannerTick():
@@ -129,9 +133,12 @@
         self.planner_state.reset()
         self.planner_state.term = event.term
         self.planner_state.confirmed_ms = self.planner_state.now.ms
+        self.planner_state.elected_ms = self.planner_state.now.ms
         self.planner_state.inherited_expiry_ms = (
             self.planner_state.leases.inherited_expiry_ms(self.planner_state.now.ms)
         )
+        self.planner_state.ended_term = event.ended_term
+        self.planner_state.silent_agents = SilentAgents(event.term, event.silence)
         for node, agent_address in event.agents.items():
             self._add_agent(node, agent_address)
         self.planner_state.queues.job_terms.update(event.job_terms)
@@ -159,10 +166,7 @@
         """
         view = self.planner_state.workers.get(node)
         if view is None:
-            view = WorkerView(
-                node, agent_address, self.planner_state.inherited_expiry_ms
-            )
-            self.planner_state.workers[node] = view
+            view = self.planner_state.add_worker(node, agent_address)
         elif view.agent_address != agent_address:
             view.agent_address = agent_address
             view.poll = None
@@ -259,7 +263,7 @@
         if (
             view.id != run.worker
             or view.basis is None
-            or not self.planner_state.may_extend_leases()
+            or not self.planner_state.may_extend_leases(view.agent)
         ):
             return 'worker_changed'
         if self.planner_state.find_ticket(plan, run.task, run.worker) is None:
@@ -311,6 +315,7 @@
         view.poll = None
         match event.answer:
             case Report() as report:
+                view.is_silent = False
                 if report.lists_read and event.order.worker == view.id:
                     view.acknowledged_end = max(view.acknowledged_end, event.order.seen)
                 self.reports.read(view, report, event)
@@ -320,6 +325,7 @@
             case Unanswered() | Declined():
                 # No lease is extended until the agent answers again.
                 view.basis = None
+                view.is_silent = True
                 pause_ms = LOST_AGENT_PAUSE_MS
                 if view.read_ms:
                     self.planner_state.note(
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -32,6 +32,7 @@
 from yuccarelay.core.batch.protocol import AgentAddress, Look, Pace, Start, Stop
 from yuccarelay.core.batch.ranking import Durations
 from yuccarelay.core.batch.releases import Releases
+from yuccarelay.core.batch.silence import SilentAgents
 from yuccarelay.core.batch.unit_placement import resources_held
 
 # The connection to an agent may be silent: a stop that has not been answered is sent
@@ -68,8 +69,11 @@
         self.services: frozenset[str] = frozenset()
         self.queues = KnownQueues()
         self.confirmed_ms = 0
+        self.elected_ms = 0
         # When the leases of earlier planners have expired at the latest.
         self.inherited_expiry_ms = 0
+        # Term of an earlier planner that has ended for certain.
+        self.ended_term = 0
         self.durations = Durations()
         self.reset()
 
@@ -87,6 +91,7 @@
         # Jobs under which a worker has crashed, until their tasks survive a start.
         self.suspects: set[str] = set()
         self.workers: dict[str, WorkerView] = {}
+        self.silent_agents = SilentAgents()
         self.reserved: dict[tuple, Reservation] = {}
         self.releases = Releases()
         self.pass_due_ms = 0
@@ -99,10 +104,18 @@
         """Queue a log line."""
         self.effects.append(Note(event, {'term': self.term, **fields}))
 
-    def may_extend_leases(self) -> bool:
+    def is_term_confirmed(self) -> bool:
         """Whether the store confirmed the term recently enough to extend leases."""
         return self.now.ms < self.confirmed_ms + self.leases.abandon_ms
 
+    def may_extend_leases(self, agent: str) -> bool:
+        """
+        Whether an agent may be ordered to extend leases.
+
+        The store may hold no record that says the opposite.
+        """
+        return self.is_term_confirmed() and self.silent_agents.may_extend(agent)
+
     def order(self, view: WorkerView, order: Look | Start | Stop | Pace) -> None:
         """Queue an order for an agent."""
         self.effects.append(SendOrder(view.agent, view.agent_address.address, order))
@@ -143,7 +156,8 @@
         )
         reads_lists = lists_unread or bool(has_work)
         basis = None
-        if view.runs and view.basis is not None and self.may_extend_leases():
+        may_extend = self.may_extend_leases(view.agent)
+        if view.runs and view.basis is not None and may_extend:
             basis = view.basis
             view.extend_lease(self.leases.lease_expiry_ms(view.basis_received_ms))
         wait_ms = 0 if lists_unread else POLL_WAIT_MS if reads_lists else IDLE_WAIT_MS
@@ -220,6 +234,23 @@
             else ([], [])
         )
 
+    def add_worker(self, agent: str, agent_address: AgentAddress) -> WorkerView:
+        """
+        Add the worker of an agent whose leases earlier planners may have extended.
+
+        What is known of an agent in the record of silent agents holds. If the last
+        planner has ended, it heard every other agent with runs before that.
+        """
+        silence = self.silent_agents.known
+        expiry_ms = silence.expiry_ms.get(agent, self.inherited_expiry_ms)
+        if agent not in silence.expiry_ms and 0 < silence.term == self.ended_term:
+            expiry_ms = self.leases.lease_expiry_ms(self.elected_ms)
+        expiry_ms = min(expiry_ms, self.inherited_expiry_ms)
+        view = WorkerView(agent, agent_address, expiry_ms)
+        view.is_silent = agent in silence.expiry_ms
+        self.workers[agent] = view
+        return view
+
     def track_run(self, plan: JobPlan, task: TaskId, stage: RunStage) -> Run:
         """Track a recorded assignment as a run until it is released."""
         record = plan.task(task)
@@ -236,8 +267,7 @@
         plan.runs[task] = run
         view = self.workers.get(worker.agent)
         if view is None:
-            view = WorkerView(worker.agent, AgentAddress(''), self.inherited_expiry_ms)
-            self.workers[worker.agent] = view
+            view = self.add_worker(worker.agent, AgentAddress(''))
         view.runs[task] = run
         return run
 
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -48,7 +48,7 @@
 
 def assign_units(planner_state: PlannerState) -> None:
     """Place the waiting units in the order of their ranks."""
-    if not planner_state.may_extend_leases():
+    if not planner_state.is_term_confirmed():
         return
     now_ms = planner_state.now.ms
     for key, reservation in list(planner_state.reserved.items()):
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -1,11 +1,12 @@
 """Periodic work of the planner, such as checks for lost and slow workers."""
 
 from yuccarelay.core.batch.entities import JobPlan, Run, RunStage, WorkerView
-from yuccarelay.core.batch.events import RemoveJob
+from yuccarelay.core.batch.events import RemoveJob, SaveSilence
 from yuccarelay.core.batch.models import ENDED
 from yuccarelay.core.batch.pacing import FULL_PERCENT, PACE_PERIOD_MS, choose_pace
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.protocol import Pace
+from yuccarelay.core.batch.silence import SILENCE_MS
 from yuccarelay.core.batch.slow_workers import Progress, find_slow_workers
 from yuccarelay.core.batch.wait_report import report_unsettled_run
 
@@ -19,6 +20,8 @@
 GANG_MULTIPLE = 1
 # Interval of the log line with the planner's state; a shorter one would fill the log.
 STATE_PERIOD_MS = 10_000
+# The store confirms the term every 0.3 s while it answers, and up to 0.4 s later.
+CONFIRMED_MS = 1_000
 # Records of ended jobs are retained for longer than callers may query them (120 s).
 ENDED_RETENTION_MS = 300_000
 
@@ -38,6 +41,7 @@
         if view.info is not None and view.info.draining:
             drain_worker(planner_state, view)
         pace_best_effort(planner_state, view)
+    hand_on_silence(planner_state)
     avoid_slow_workers(planner_state)
     note_state(planner_state)
     for plan in list(planner_state.plans.values()):
@@ -58,6 +62,43 @@
             planner_state.effects.append(RemoveJob(plan.job.id))
 
 
+def hand_on_silence(planner_state: PlannerState) -> None:
+    """
+    Store which agents with runs do not answer, so that a successor need not wait anew.
+
+    In an outage of the store there is no successor, and an agent that was silent for a
+    moment could not be heard again in time.
+    """
+    now_ms = planner_state.now.ms
+    if now_ms > planner_state.confirmed_ms + CONFIRMED_MS:
+        return
+    expiry_ms = {}
+    for view in planner_state.workers.values():
+        if is_overdue(view, now_ms):
+            view.is_silent = True
+        if view.is_silent and view.runs and view.lease_expiry_ms > now_ms:
+            expiry_ms[view.agent] = view.lease_expiry_ms
+    silent_agents = planner_state.silent_agents
+    if silent_agents.newest != expiry_ms.keys():
+        planner_state.note(
+            'agents_silent',
+            agents=','.join(sorted(expiry_ms)),
+            expires_in_ms=max(expiry_ms.values(), default=now_ms) - now_ms,
+        )
+    # Until then an agent may be neither heard nor silent.
+    is_complete = now_ms > planner_state.elected_ms + SILENCE_MS
+    record = silent_agents.update(expiry_ms, now_ms, is_complete=is_complete)
+    if record is not None:
+        planner_state.effects.append(SaveSilence(silent_agents.version, record))
+
+
+def is_overdue(view: WorkerView, now_ms: int) -> bool:
+    """Whether an agent should have answered a poll by now, or cannot be polled."""
+    if view.poll is None:
+        return not view.agent_address.address
+    return now_ms >= view.poll_sent_ms + view.poll.wait_ms + SILENCE_MS
+
+
 def note_state(planner_state: PlannerState) -> None:
     """Log the planner's state once in `STATE_PERIOD_MS`."""
     if planner_state.now.ms < planner_state.state_due_ms:
--- a/yuccarelay/tasks/batch/election.py
+++ b/yuccarelay/tasks/batch/election.py
@@ -9,17 +9,27 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 from result import Err, Ok
 
 from yuccarelay.adapters import batch_records
 from yuccarelay.core.batch.events import Deposed, Elected, StepDown, TermConfirmed
 from yuccarelay.core.batch.leases import TERM_RENEWAL_MS, TERM_TTL_S
+from yuccarelay.core.batch.silence import (
+    NO_SILENCE,
+    KnownSilence,
+    receive_silence,
+)
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.store import Guard, Put, Store, StoredValue, TransactionResult
 from yuccarelay.tasks.batch.records import TermBegan, TermEnded
-from yuccarelay.tasks.batch.replica import PlannerKeyChanged, read_all
+from yuccarelay.tasks.batch.replica import (
+    PlannerKeyChanged,
+    SilenceChanged,
+    read_all,
+)
 from yuccarelay.tasks.batch.request_handler import ResendAll
 from yuccarelay.tasks.mailbox import Mailbox
 
@@ -64,6 +74,9 @@
         self.term = 0
         self.resigned = False
         self.steps_down = False
+        self.silence = SilenceChanged(NO_SILENCE, 0)
+        # Term of the earlier run of this node whose key was taken over.
+        self.ended_term = 0
 
     async def run(self) -> None:
         """Compete and renew until cancelled."""
@@ -123,12 +136,23 @@
                     message = await self.inbox.get()
             except TimeoutError:
                 return
+            self._note_silence(message)
             if isinstance(message, PlannerKeyChanged) and not message.holder:
                 return
 
     def _discard_messages(self) -> None:
         while not self.inbox.empty():
-            self.inbox.get_nowait()
+            self._note_silence(self.inbox.get_nowait())
+
+    def _note_silence(self, message) -> None:
+        """
+        Keep the newest record of silent agents.
+
+        One that arrives again keeps the times of its first arrival.
+        """
+        match message:
+            case SilenceChanged(revision=revision) if revision > self.silence.revision:
+                self.silence = message
 
     async def _try_key(self, value: StoredValue | None) -> None:
         """Write the key if it has not changed since it was read."""
@@ -141,7 +165,8 @@
                 await asyncio.sleep(RETRY_S)
                 return
         sent_ms = self.clock.now_ms()
-        guard = Guard(batch_records.PLANNER, value.mod_revision if value else 0)
+        self.ended_term = value.mod_revision if value else 0
+        guard = Guard(batch_records.PLANNER, self.ended_term)
         put = Put(batch_records.PLANNER, self.holder.encode(), self.lease)
         match await self.store.transact((guard,), (put,)):
             case Ok(TransactionResult(succeeded=True, revision=revision)):
@@ -155,7 +180,13 @@
         """Read all keys, then notify the record writer, planner and request handler."""
         match await self._read_keys():
             case Ok((values, _)):
+                self._discard_messages()
                 elected, revisions = make_elected(term, values)
+                elected = replace(
+                    elected,
+                    silence=self._find_silence(values),
+                    ended_term=self.ended_term,
+                )
             case Err(failure):
                 self.journal.write('term_not_begun', {'reason': failure.reason})
                 await self.store.revoke_lease(self.lease)
@@ -168,6 +199,17 @@
         self.handler.put_nowait(ResendAll())
         self.journal.write('term_began', {'term': term, 'node': self.node})
 
+    def _find_silence(self, values: list[StoredValue]) -> KnownSilence:
+        """Return the stored record of silent agents, as this process first read it."""
+        for value in values:
+            if value.key == batch_records.SILENCE:
+                match batch_records.decode_silence(value.value):
+                    case Ok(record):
+                        silence = receive_silence(record, self.clock.now_ms())
+                        self._note_silence(SilenceChanged(silence, value.mod_revision))
+                        return self.silence.silence
+        return NO_SILENCE
+
     async def _read_keys(self):
         """
         Read all keys, and renew the lease meanwhile.
@@ -214,6 +256,7 @@
                     message = await self.inbox.get()
             except TimeoutError:
                 return False
+            self._note_silence(message)
             match message:
                 case PlannerKeyChanged(holder, revision):
                     if holder != self.holder and revision > self.term:
@@ -230,7 +273,7 @@
     term: int,
     values: list[StoredValue],
 ) -> tuple[Elected, dict[str, int]]:
-    """Return the planner's initial state, and the revision of each job's record."""
+    """Return the planner's initial state, and the revision of each record's key."""
     jobs, records, revisions, agents, job_terms = {}, {}, {}, {}, {}
     cancelled, withheld = set(), set()
     for value in values:
@@ -241,12 +284,14 @@
                     case Ok(job):
                         jobs[name] = job
             case batch_records.RECORDS:
-                revisions[name] = value.mod_revision
+                revisions[value.key] = value.mod_revision
                 match batch_records.decode_record(value.value):
                     case Ok(record):
                         records[name] = record
                     case Err():
                         withheld.add(name)
+            case batch_records.ROOT if value.key == batch_records.SILENCE:
+                revisions[value.key] = value.mod_revision
             case batch_records.TERMS:
                 match batch_records.decode_terms(value.value):
                     case Ok(terms):
--- a/yuccarelay/tasks/batch/planner.py
+++ b/yuccarelay/tasks/batch/planner.py
@@ -18,6 +18,7 @@
     Reconnect,
     RemoveJob,
     SaveRecord,
+    SaveSilence,
     SendOrder,
     StepDown,
 )
@@ -96,7 +97,7 @@
                 self.links.put_nowait(effect)
             case QueryAdvice():
                 self.advice.put_nowait(effect)
-            case SaveRecord() | RemoveJob():
+            case SaveRecord() | SaveSilence() | RemoveJob():
                 self.records.put_nowait(effect)
             case StepDown():
                 self.election.put_nowait(effect)
--- a/yuccarelay/tasks/batch/records.py
+++ b/yuccarelay/tasks/batch/records.py
@@ -1,5 +1,5 @@
 """
-The task that writes the records of jobs in a term.
+The task that writes the records of jobs, and that of silent agents, in a term.
 
 Each write requires that the planner's key still has the term's revision and
 that the record has the revision last seen. After a lost answer the next attempt
@@ -14,7 +14,13 @@
 from result import Err, Ok
 
 from yuccarelay.adapters import batch_records
-from yuccarelay.core.batch.events import RecordSaved, RemoveJob, SaveRecord
+from yuccarelay.core.batch.events import (
+    RecordSaved,
+    RemoveJob,
+    SaveRecord,
+    SaveSilence,
+    SilenceSaved,
+)
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.store import (
     Delete,
@@ -37,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TermBegan:
-    """Election to record writer: write under this term, from these revisions."""
+    """Election to record writer: write under this term, from these keys' revisions."""
 
     term: int
     revisions: dict[str, int]
@@ -57,8 +63,9 @@
     """
     Writes the newest version of each record, many in one call.
 
-    `refused` has the records of calls that the store has refused, and when each is due.
-    They are written in calls of their own, so that the others are not held up.
+    `waiting` has the records to write by their keys. `refused` has those of calls that
+    the store has refused, and when each is due. They are written in calls of their own,
+    so that the others are not held up.
     """
 
     def __init__(
@@ -78,7 +85,7 @@
         self.journal = journal
         self.term = 0
         self.revisions: dict[str, int] = {}
-        self.waiting: dict[str, SaveRecord] = {}
+        self.waiting: dict[str, SaveRecord | SaveSilence] = {}
         self.refused: dict[str, float] = {}
         self.failing = False
 
@@ -94,7 +101,7 @@
 
     async def _await_message(self) -> None:
         """Handle the next message, or return once a refused record is due."""
-        due = [self.refused[job] for job in self.waiting if job in self.refused]
+        due = [self.refused[key] for key in self.waiting if key in self.refused]
         try:
             async with asyncio.timeout_at(min(due, default=None)):
                 message = await self.inbox.get()
@@ -102,17 +109,19 @@
             return
         await self._handle(message)
 
-    def _choose_batch(self) -> list[SaveRecord]:
-        """Return the records to write in the next call."""
+    def _choose_batch(self) -> list[str]:
+        """
+        Return the keys of the records to write in the next call.
+
+        That of silent agents comes first: no lease of an agent in it is extended before
+        one without the agent is stored.
+        """
         now = asyncio.get_running_loop().time()
-        due = [
-            save
-            for save in self.waiting.values()
-            if now >= self.refused.get(save.job, 0)
-        ]
-        if due and due[0].job in self.refused:
+        due = [key for key in self.waiting if now >= self.refused.get(key, 0)]
+        due.sort(key=lambda key: key != batch_records.SILENCE)
+        if due and due[0] in self.refused:
             return due[:1]
-        batch = [save for save in due if save.job not in self.refused]
+        batch = [key for key in due if key not in self.refused]
         return batch[:RECORDS_PER_WRITE]
 
     async def _handle_waiting(self) -> None:
@@ -130,14 +139,16 @@
                 self.term = 0
                 self.waiting.clear()
             case SaveRecord(job) if self.term:
-                self.waiting[job] = message
+                self.waiting[batch_records.RECORDS + job] = message
+            case SaveSilence() if self.term:
+                self.waiting[batch_records.SILENCE] = message
             case RemoveJob(job) if self.term:
                 await self._remove_job(job)
 
     async def _remove_job(self, job: str) -> None:
         """Remove a job; a failure is left to a later term's clean-up."""
-        self.waiting.pop(job, None)
-        self.refused.pop(job, None)
+        self.waiting.pop(batch_records.RECORDS + job, None)
+        self.refused.pop(batch_records.RECORDS + job, None)
         folders = batch_records.JOB_FOLDERS
         guards = (Guard(batch_records.PLANNER, self.term),)
         removed = await self.store.transact(
@@ -148,7 +159,7 @@
             reason = removed.err_value.reason
             self.journal.write('job_not_removed', {'job': job, 'reason': reason})
 
-    async def _write_batch(self, batch: list[SaveRecord]) -> None:
+    async def _write_batch(self, batch: list[str]) -> None:
         """
         Write some records and notify the planner, or wait before a retry.
 
@@ -156,13 +167,11 @@
         next planner start again, so it would take its own records for saved.
         """
         term = self.term
-        keys = {save.job: batch_records.RECORDS + save.job for save in batch}
+        saves = {key: self.waiting[key] for key in batch}
         guards = [Guard(batch_records.PLANNER, self.term)]
-        guards += [
-            Guard(keys[save.job], self.revisions.get(save.job, 0)) for save in batch
-        ]
+        guards += [Guard(key, self.revisions.get(key, 0)) for key in batch]
         puts = [
-            Put(keys[save.job], batch_records.encode(save.record)) for save in batch
+            Put(key, batch_records.encode(save.record)) for key, save in saves.items()
         ]
         written = await self.store.transact(tuple(guards), tuple(puts))
         await self._handle_waiting()
@@ -171,14 +180,14 @@
         match written:
             case Ok(TransactionResult(succeeded=True, revision=revision)):
                 self._set_failing(False)
-                for save in batch:
-                    self.revisions[save.job] = revision
-                    self.refused.pop(save.job, None)
+                for key, save in saves.items():
+                    self.revisions[key] = revision
+                    self.refused.pop(key, None)
                     # A newer version goes behind the records that wait already.
-                    newest = self.waiting.pop(save.job, save)
+                    newest = self.waiting.pop(key, save)
                     if newest != save:
-                        self.waiting[save.job] = newest
-                    self.planner.put_nowait(RecordSaved(save.job, save.version))
+                        self.waiting[key] = newest
+                    self._report_saved(save)
             case Ok(TransactionResult(current=current)):
                 self._handle_conflict(batch, {value.key: value for value in current})
             case Err(StoreFailure(refused=True, reason=reason)):
@@ -187,7 +196,15 @@
                 self._set_failing(True, failure.reason)
                 await asyncio.sleep(RETRY_PAUSE_S * (1 + self.rng.random()))
 
-    def _handle_conflict(self, batch: list[SaveRecord], current: dict) -> None:
+    def _report_saved(self, save: SaveRecord | SaveSilence) -> None:
+        """Tell the planner that the store holds a record."""
+        match save:
+            case SaveRecord(job, version):
+                self.planner.put_nowait(RecordSaved(job, version))
+            case SaveSilence(version):
+                self.planner.put_nowait(SilenceSaved(version))
+
+    def _handle_conflict(self, batch: list[str], current: dict) -> None:
         """Take the store's revisions for the next attempt, or end an outdated term."""
         planner = current.get(batch_records.PLANNER)
         if planner is None or planner.mod_revision != self.term:
@@ -196,18 +213,19 @@
             self.waiting.clear()
             self.election.put_nowait(TermEnded())
             return
-        for save in batch:
-            value = current.get(batch_records.RECORDS + save.job)
-            self.revisions[save.job] = value.mod_revision if value else 0
+        for key in batch:
+            value = current.get(key)
+            self.revisions[key] = value.mod_revision if value else 0
 
-    def _handle_refusal(self, batch: list[SaveRecord], reason: str) -> None:
+    def _handle_refusal(self, batch: list[str], reason: str) -> None:
         """Write the records of a refused call one by one, and a refused one later."""
         due = asyncio.get_running_loop().time()
         if len(batch) == 1:
             due += REFUSED_RETRY_S
-            fields = {'term': self.term, 'job': batch[0].job, 'reason': reason}
+            job = batch[0].rpartition('/')[2]
+            fields = {'term': self.term, 'job': job, 'reason': reason}
             self.journal.write('record_refused', fields)
-        self.refused.update((save.job, due) for save in batch)
+        self.refused.update((key, due) for key in batch)
 
     def _set_failing(self, failing: bool, reason: str = '') -> None:
         if failing is not self.failing:
--- a/yuccarelay/tasks/batch/replica.py
+++ b/yuccarelay/tasks/batch/replica.py
@@ -14,6 +14,7 @@
     QueueTermsStored,
 )
 from yuccarelay.core.batch.models import Job, JobRecord
+from yuccarelay.core.batch.silence import KnownSilence, receive_silence
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.store import (
@@ -77,6 +78,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceChanged:
+    """The record of silent agents, with times of this process, and its revision."""
+
+    silence: KnownSilence
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class EntryAddressChanged:
     """The address of an entry, empty once it is removed."""
@@ -296,6 +305,12 @@
                 holder = value.value.decode(errors='replace') if value else ''
                 self.planning_node = holder.split(' ')[0]
                 self.election.put_nowait(PlannerKeyChanged(holder, event.revision))
+            case batch_records.ROOT if key == batch_records.SILENCE and value:
+                record = batch_records.decode_silence(value.value)
+                if self._is_readable(key, record):
+                    silence = receive_silence(record.ok_value, self.clock.now_ms())
+                    change = SilenceChanged(silence, value.mod_revision)
+                    self.election.put_nowait(change)
 
     def _handle_job(self, name: str, value: StoredValue | None) -> None:
         if value is None:
