--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A worker comes back as a new incarnation behind a cut: does a task run twice at once?"""
+"""A worker starts again behind a cut: does a task run twice at the same time?"""
 
 import asyncio
 import sys
@@ -12,6 +12,9 @@
 BOUNDS = {'maxHoldMs': 10_000, 'stopTimeoutMs': 400}
 # `node_cut`: 5.5 s with `on = "side"`, 8.0 and 12.0 s in others.
 FIRST_CUT_S = 5.5
+# The worker crashes so long after the cut began; its heartbeats follow every 1.5 s, and
+# the first that arrives comes 1.3 s after the end of the cut.
+CRASH_AFTER_S = 2.3
 SECOND_CUT_S = 8.0
 # The second cut begins so long after the start of the task.
 GAP_S = 1.5
@@ -23,11 +26,12 @@
     worker.is_cut = True
     stage.note('worker cut off', worker=worker.name)
     if reborn:
-        await asyncio.sleep(for_s / 2)
+        await asyncio.sleep(CRASH_AFTER_S)
         await worker.crash()
         worker.start()
         stage.note('worker started again', worker=worker.name, born=worker.born)
-    await asyncio.sleep(for_s / 2 if reborn else for_s)
+        for_s -= CRASH_AFTER_S
+    await asyncio.sleep(for_s)
     worker.is_cut = False
     stage.note('worker reached again', worker=worker.name)
 
--- a/review/parts-2/stage.py
+++ b/review/parts-2/stage.py
@@ -29,7 +29,8 @@
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 READY_LIMIT_S = 25
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# `run.sh` turns 10 into 1: Python itself ends with 1 after an error.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 HOST, PREFIX, KEY = 'nony24.example', '/lohu930/', 'key-1'
 SERVICE = 'huvo11a'
 ZONES = ('kano-a', 'gombe-a', 'funtua-b')
@@ -79,6 +80,7 @@
         self.work: dict[str, tuple[int, dict]] = {}
         self.orders: list[tuple[float, object]] = []
         self.hosts = 0
+        self.is_stopping = False
 
     # Record
 
@@ -212,6 +214,8 @@
 
     async def start_process(self, node):
         """Start the role of a machine with the command of the deploy file."""
+        if self.is_stopping:
+            return
         role, path = self.files[node]
         command = self.roles[role]['run'].split()
         if command[0] == 'python3':
@@ -225,9 +229,13 @@
             'YUCCARELAY_BOOT': str(path),
         }
         with open(self.folder / f'{node}.log', 'ab') as log:
-            self.processes[node] = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=env, stdout=log, stderr=log
             )
+        self.processes[node] = process
+        if self.is_stopping:
+            process.kill()
+            await process.wait()
 
     def signal(self, node, name):
         """Send a signal to a process that this case has started."""
@@ -240,7 +248,8 @@
 
     async def stop(self):
         """End all processes and stand-ins that this case has started."""
-        for process in self.processes.values():
+        self.is_stopping = True
+        for process in list(self.processes.values()):
             if process.returncode is None:
                 process.send_signal(signal.SIGKILL)
                 await process.wait()
@@ -351,7 +360,7 @@
 
 
 def play(folder, make_stage, case):
-    """Play a case and exit with 1 if the rule was broken, 0 if it held, else 2."""
+    """Play a case and exit with 10 if the rule was broken, 0 if it held, else 2."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run():
@@ -359,6 +368,10 @@
         while not free_ports_exist(stage.network):
             stage.network = f'127.{random.randint(64, 250)}.{random.randint(1, 250)}'
         stage.note('case', trouble=trouble)
+        # A signal ends the case like an error, so that its processes are ended.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, task.cancel)
         try:
             async with asyncio.timeout(110):
                 await stage.start()
@@ -366,7 +379,7 @@
             stage.note('result', broken=broken or 'no')
             print(f'broken: {broken}' if broken else 'held')
             return BROKEN if broken else HELD
-        except (CouldNotRunError, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             stage.note('result', could_not_run=repr(error))
             print(f'could not run: {error!r}')
             return NOT_RUN
