Let calls reach only the incarnation of the worker that they are for

A worker that had restarted behind a cut got a lease of 10 s, where the planner counts with 6 s, and after a second cut the task was started elsewhere while the first run went on.

Cause: a call names a worker by an id that it keeps when it restarts, and the agent took the answer under that name for the incarnation it knew. So values that belong to one incarnation reached another: the end of a lease on the earlier clock (by starts, polls, repeated and late calls), the number of the last end that was read, and the stop of a run.

Fix: a connection ends with its process, so calls that change a worker go out on a connection on which that incarnation has stated its birth; a new connection begins with a reading that changes nothing. A poll extends and acknowledges with one short call and waits with readings. A start that finds an idle restarted worker goes there with a lease on its clock. Calls without an answer count until they cannot be carried out any more: until then a restarted worker takes no work, and it is told to refuse the starts among them before it is used.

The stand-in of the worker closes its connections when it restarts, as a process does. The fake worker of test_batch_agent answers `read`, which replaces `hold` without a lease; its assertions are the same.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -141,6 +141,8 @@
     lose_answers: bool = False
     lose_stops: int = 0
     stops: int = 0
+    # It restarts, and its agent learns of it with the next start.
+    restarts_unnoticed: bool = False
     # The machine has no worker any more; the agent knows it from a late heartbeat.
     is_gone: bool = False
     # Names of the tasks that crash the worker when it starts them.
@@ -320,6 +322,7 @@
             is_whole=len(ended) < self.ends_limit,
             leases_expire_in_ms=max(0, self.guard.leases_expire_ms - now_ms),
             cold_ms=self.cold_ms,
+            is_settled=self.guard.is_settled(now_ms),
         )
 
     def percent(self, run: FakeRun, now_ms: int) -> float:
@@ -329,6 +332,11 @@
         return 100 * (now_ms - run.started_ms) / max(1, run.ends_ms - run.started_ms)
 
     def _start(self, order: Start, now_ms: int):
+        if order.worker == self.guard.worker_id() and self.restarts_unnoticed:
+            # The start shows that another incarnation is there.
+            self.restarts_unnoticed = False
+            self.crash(now_ms)
+            self.guard.take_other_birth(now_ms, now_ms, now_ms, is_idle=True)
         declined = self.guard.check_start(order.worker, order.start_by_ms, now_ms)
         if declined is not None:
             return declined
@@ -360,7 +368,7 @@
             self.crashes_at_ms = now_ms + CRASH_AFTER_MS
         if self.lose_answers:
             return Unanswered('no answer')
-        return Started()
+        return Started(born_ms=self.guard.find_called(order.worker).born_ms)
 
 
 class Fleet:
--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -147,7 +147,7 @@
         self.may_answer = asyncio.Event()
         self.may_answer.set()
 
-    async def hold(self, name, term, seen, wait_ms, until_ms):
+    async def read(self, name, term, wait_ms):
         self.waits.append(wait_ms)
         self.asked.set()
         await self.may_answer.wait()
@@ -377,7 +377,7 @@
             self.assertEqual(self.guard.closed_below_ms, born_ms)
 
     async def test_an_error_while_the_worker_is_asked_is_logged(self):
-        with mock.patch.object(self.worker, 'hold', side_effect=KeyError('odd')):
+        with mock.patch.object(self.worker, 'read', side_effect=KeyError('odd')):
             await self.send(1, name='i-2', born_ms=20)
         events = [event for event, _ in self.agent.journal.lines]
         self.assertIn('worker_not_identified', events)
--- a/yuccarelay/adapters/http_client.py
+++ b/yuccarelay/adapters/http_client.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Hashable, Mapping
+from dataclasses import dataclass, replace
+from typing import NamedTuple
 from urllib.parse import quote, urlencode
 
 from result import Err, Ok, Result
@@ -45,6 +46,32 @@
     refused: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class OtherServer:
+    """
+    Another process than the expected one answered; the request was not sent.
+
+    `response` is its answer to the request of the `ServerCheck`.
+    """
+
+    response: HttpResponse
+
+
+class ServerCheck(NamedTuple):
+    """
+    A request that shows which process is at the other end of a connection.
+
+    `identify` reads the process from the response, None if it does not say. The request
+    must change nothing, because it may reach any process.
+    """
+
+    method: str
+    path: str
+    body: bytes
+    identify: Callable[[HttpResponse], Hashable | None]
+    expected: Hashable
+
+
 class ConnectionPool:
     """Connections to one server; at most `CONNECTIONS_LIMIT` are in use."""
 
@@ -117,8 +144,14 @@
         body: bytes | None = None,
         query: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
-    ) -> Result[HttpResponse, HttpFailure]:
-        """Send a request and return its response; fail if it stays silent too long."""
+        check: ServerCheck | None = None,
+    ) -> Result[HttpResponse, HttpFailure | OtherServer]:
+        """
+        Send a request and return its response; fail if it stays silent too long.
+
+        With `check` it is only sent to the expected process. One more request shows
+        which process that is on each new connection.
+        """
         request = HttpRequest(
             method,
             path + encode_query(query),
@@ -129,26 +162,81 @@
                 **(headers or {}),
             },
         )
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s + len(request.body) / UPLOAD_BYTES_PER_S
+        while True:
+            found, was_idle = await self._call_once(request, check, deadline, timeout_s)
+            match found:
+                # The server may close an idle connection as it is used again.
+                case Err(HttpFailure(sent=False)) if was_idle and (
+                    loop.time() < deadline
+                ):
+                    continue
+            return found
+
+    async def _call_once(
+        self,
+        request: HttpRequest,
+        check: ServerCheck | None,
+        deadline: float,
+        timeout_s: float,
+    ) -> tuple[Result[HttpResponse, HttpFailure | OtherServer], bool]:
+        """Make a call on one connection; also return whether that was an idle one."""
         pool = self._open_pool()
         now = asyncio.get_running_loop().time()
-        deadline = now + timeout_s + len(request.body) / UPLOAD_BYTES_PER_S
         try:
             async with asyncio.timeout_at(min(deadline, now + CONNECT_LIMIT_S)):
                 connection = await pool.acquire()
         except (TimeoutError, OSError) as error:
             refused = isinstance(find_cause(error), ConnectionRefusedError)
-            return Err(HttpFailure(describe(error), sent=False, refused=refused))
-        return await self._exchange(pool, connection, request, deadline, timeout_s)
+            failure = HttpFailure(describe(error), sent=False, refused=refused)
+            return Err(failure), False
+        was_idle = connection.idle_deadline > 0
+        is_reusable = False
+        try:
+            other = None
+            if check is not None and connection.server != check.expected:
+                other = await self._verify(
+                    connection, request, check, deadline, timeout_s
+                )
+            found = other or await self._exchange(
+                connection, request, deadline, timeout_s
+            )
+            match found:
+                case Ok() | Err(OtherServer()):
+                    is_reusable = True
+            return found, was_idle
+        finally:
+            pool.release(connection, is_reusable=is_reusable)
+
+    async def _verify(
+        self,
+        connection: HttpConnection,
+        request: HttpRequest,
+        check: ServerCheck,
+        deadline: float,
+        timeout_s: float,
+    ) -> Err[HttpFailure | OtherServer] | None:
+        """Return why a request cannot reach the expected process, or None."""
+        probe = request._replace(
+            method=check.method, target=check.path, body=check.body
+        )
+        match await self._exchange(connection, probe, deadline, timeout_s):
+            case Ok(response):
+                connection.server = check.identify(response)
+                if connection.server != check.expected:
+                    return Err(OtherServer(response))
+            case Err(failure):
+                return Err(replace(failure, sent=False))
+        return None
 
     async def _exchange(
         self,
-        pool: ConnectionPool,
         connection: HttpConnection,
         request: HttpRequest,
         first_deadline: float,
         silence_limit_s: float,
     ) -> Result[HttpResponse, HttpFailure]:
-        is_reusable = False
         loop = asyncio.get_running_loop()
         last_deadline = loop.time() + max(TRANSFER_LIMIT_S, silence_limit_s)
         try:
@@ -158,7 +246,6 @@
                     limit.reschedule(min(last_deadline, loop.time() + silence_limit_s))
 
                 response = await connection.exchange(request, extend_limit)
-            is_reusable = True
             return Ok(response)
         except (IncompleteResponseError, OSError, ValueError) as error:
             reason = describe(error)
@@ -167,8 +254,6 @@
                 # The other open connections may be dead as well.
                 self.renew()
             return Err(HttpFailure(reason, sent=True))
-        finally:
-            pool.release(connection, is_reusable=is_reusable)
 
     def renew(self) -> None:
         """Use new connections from now on; open requests keep theirs."""
--- a/yuccarelay/adapters/http_connection.py
+++ b/yuccarelay/adapters/http_connection.py
@@ -2,7 +2,7 @@
 
 import socket
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Hashable, Mapping
 from typing import NamedTuple
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -94,12 +94,15 @@
     `idle_deadline` is the loop's time after which an idle connection is not used
     again. A connection whose request was cancelled must be closed, because the
     response may still arrive on it. `reader` has what arrived of the last response.
+    `server` identifies the process at the other end, None while it is not known: a
+    connection ends with that process, so it never leads to a later one.
     """
 
     def __init__(self):
         self.stream = ClientStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
         self.idle_deadline = 0.0
         self.reader = ResponseReader()
+        self.server: Hashable | None = None
         # With a callback the stream notices while it is idle that the server closes it.
         self.stream.set_close_callback(lambda: None)
 
--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -17,6 +17,8 @@
 # A worker has one incarnation at a time; further candidates are late heartbeats or
 # those of other writers.
 CANDIDATES_LIMIT = 8
+# The platform carries out a call without an answer up to 12 s later.
+LATE_CALL_MS = 12_000
 
 
 class Heartbeat(NamedTuple):
@@ -69,6 +71,61 @@
     at_ms: int
 
 
+class Successor(NamedTuple):
+    """
+    An incarnation that has answered in place of another of its name.
+
+    Its own heartbeat is still to come.
+    """
+
+    replaced: WorkerId
+    id: WorkerId
+
+
+class LateCalls:
+    """
+    Calls without an answer, which a later incarnation of the worker may carry out.
+
+    An incarnation refuses a call that is late for it: by the end of the lease on its
+    own clock, and by the runs that it has stopped. A later one knows of neither.
+    """
+
+    def __init__(self):
+        self.until_ms: dict[int, int] = {}
+        self.starts: dict[tuple[str, int], tuple[int, int]] = {}
+
+    def add(
+        self, born_ms: int, now_ms: int, start: tuple[str, int] | None = None
+    ) -> None:
+        """Note a call to the incarnation born at a time; `start` is a task and run."""
+        self._drop_old(now_ms)
+        self.until_ms[born_ms] = now_ms + LATE_CALL_MS
+        if start is not None:
+            self.starts[start] = (born_ms, now_ms + LATE_CALL_MS)
+
+    def may_reach(self, born_ms: int, now_ms: int) -> bool:
+        """Whether a call to another incarnation may still reach this one."""
+        self._drop_old(now_ms)
+        return any(called != born_ms for called in self.until_ms)
+
+    def list_starts(self, born_ms: int, now_ms: int) -> list[tuple[str, int]]:
+        """Return the tasks and runs that other incarnations were told to start."""
+        self._drop_old(now_ms)
+        return [start for start, (born, _) in self.starts.items() if born != born_ms]
+
+    def _drop_old(self, now_ms: int) -> None:
+        self.until_ms = {
+            born_ms: until_ms
+            for born_ms, until_ms in self.until_ms.items()
+            if until_ms > now_ms
+        }
+        self.starts = {
+            start: (born_ms, until_ms)
+            for start, (born_ms, until_ms) in self.starts.items()
+            if until_ms > now_ms
+        }
+
+
 class WorkerGuard:
     """
     One agent's state of its worker, and the checks that orders must pass.
@@ -79,7 +136,8 @@
     when all leases that the agent has ever given have expired, on its own clock.
     `is_service_known` is false while the planner has no such service as the worker's in
     its configuration. The heartbeat that named it may be of another writer, so one that
-    names another service is accepted.
+    names another service is accepted. `successor` is set from the moment at which the
+    worker is known to have restarted until its next heartbeat.
     """
 
     def __init__(
@@ -90,6 +148,8 @@
         self.leases = leases
         self.term = 0
         self.worker: WorkerInfo | None = None
+        self.successor: Successor | None = None
+        self.late_calls = LateCalls()
         self.candidates: dict[Incarnation, Candidate] = {}
         self.is_leaving = False
         self.departed: Incarnation | None = None
@@ -145,8 +205,7 @@
         if candidate is None:
             return False
         self.candidates.clear()
-        self.worker = None
-        self.sample = None
+        self.worker = self.successor = self.sample = None
         self.closed_below_ms = incarnation.born_ms
         self._apply(*candidate)
         return True
@@ -192,20 +251,44 @@
         self.closed_below_ms = self.worker.born_ms + 1
         self._forget_worker()
 
-    def take_other_birth(self) -> None:
+    def take_other_birth(
+        self, born_ms: int, clock_ms: int, now_ms: int, *, is_idle: bool
+    ) -> None:
         """
         Note that another incarnation has answered under the worker's name.
 
         The known one has ended. The next heartbeat of the one that answers makes it a
-        candidate; its birth may be earlier, if the time of day was set back.
+        candidate; its birth may be earlier, if the time of day was set back. Until then
+        it takes only starts that were ordered before the planner could learn of it:
+        under the same name it is of the same kind. It must be idle, because what runs
+        there already has a lease that is not known.
         """
+        before, known = self.worker_id(), self.worker
         self._forget_worker()
+        if is_idle and not known.draining:
+            self.successor = Successor(before, before._replace(born_ms=born_ms))
+            self.take_clock(clock_ms, now_ms)
 
     def _forget_worker(self) -> None:
         self.is_leaving = False
         self.changes += 1
-        self.worker = None
-        self.sample = None
+        self.worker = self.successor = self.sample = None
+
+    def find_called(self, worker: WorkerId) -> WorkerId:
+        """Return the incarnation that a start for `worker` is to reach."""
+        if self.successor is not None and worker == self.successor.replaced:
+            return self.successor.id
+        return worker
+
+    def is_settled(self, now_ms: int) -> bool:
+        """
+        Whether no call to an earlier incarnation may still reach the worker.
+
+        Such a call would extend the lease of runs beyond what the planner counts with,
+        or make the worker forget ended runs that were never read.
+        """
+        current = self.successor.id if self.successor else self.worker_id()
+        return current is None or not self.late_calls.may_reach(current.born_ms, now_ms)
 
     def take_clock(self, worker_ms: int, now_ms: int) -> None:
         """Note a reading of the worker's clock."""
@@ -248,10 +331,13 @@
 
         `start_by_ms` is when the order for it expires, None if it does not.
         """
-        if worker != self.worker_id():
+        is_replaced = self.find_called(worker) != worker
+        if worker != self.worker_id() and not is_replaced:
             return Declined('other_worker')
-        if self.worker.draining:
+        if self.worker is not None and self.worker.draining:
             return Declined('draining')
+        if not self.is_settled(now_ms):
+            return Declined('unsettled')
         if start_by_ms is not None and now_ms > start_by_ms:
             return Declined('overdue')
         return None
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -403,4 +403,5 @@
         and view.basis is not None
         and not info.draining
         and not view.has_orphans
+        and view.is_settled
     )
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -295,7 +295,7 @@
     its record that must be saved before they are acknowledged.
     `has_drained` is whether the incarnation before this one was draining when it ended.
     `has_orphans` means that it lists a run without a record, whose resources are not
-    known.
+    known. Until it `is_settled`, late calls to its earlier incarnations may reach it.
     `suspect_until_ms` follows a failed run, because the worker may be the cause, and
     `proven_until_ms` one that made progress or was done.
     `is_silent` means that its agent does not answer, since `silent_since_ms`, and
@@ -337,6 +337,7 @@
     failed_jobs: set[str] = field(default_factory=set)
     orphaned_runs: dict[tuple[str, int], int] = field(default_factory=dict)
     has_orphans: bool = False
+    is_settled: bool = True
 
     def used(self) -> Resources:
         """Return the resources held by all runs that may exist on the worker."""
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -413,7 +413,9 @@
             return
         plan = self.planner_state.plans[run.task.job]
         match event.answer:
-            case Started(repeated):
+            case Started(repeated, born_ms):
+                if born_ms:
+                    run.worker = run.worker._replace(born_ms=born_ms)
                 run.start_repeated = run.start_repeated or repeated
                 run.started_ms = self.planner_state.now.ms
                 run.saved_ms = run.percent_since_ms = self.planner_state.now.ms
--- a/yuccarelay/core/batch/protocol.py
+++ b/yuccarelay/core/batch/protocol.py
@@ -65,7 +65,8 @@
     the agent has learned of. Without `is_whole` the worker may have more ended runs
     than the report lists. `leases_expire_in_ms` counts from the report, because the
     agent's clock is its own: by then all leases that it has given have expired. So does
-    `cold_ms`, for which the worker remains slow.
+    `cold_ms`, for which the worker remains slow. Until it is settled, calls to earlier
+    incarnations may still reach the worker, and it takes no work.
     """
 
     basis: LeaseReference
@@ -78,6 +79,7 @@
     is_whole: bool = True
     leases_expire_in_ms: int | None = None
     cold_ms: int = 0
+    is_settled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,10 +129,12 @@
     The worker started the run.
 
     With `repeated` an earlier call was not answered, and may be carried out
-    later by another incarnation of the worker.
+    later by another incarnation of the worker. `born_ms` is the birth of the
+    incarnation that started it, 0 if an older agent does not say.
     """
 
     repeated: bool = False
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -71,7 +71,7 @@
         if report.lists_read:
             view.closed_below_ms = report.closed_below_ms
         view.closed_below_ms = max(view.closed_below_ms, report.closed_below_ms)
-        view.changes = report.changes
+        view.changes, view.is_settled = report.changes, report.is_settled
         self._learn_expiry(view, report)
         if not report.lists_read and is_outdated(view, report):
             # An agent that has restarted takes a late heartbeat for its worker's.
--- a/yuccarelay/platform/worker.py
+++ b/yuccarelay/platform/worker.py
@@ -12,10 +12,21 @@
     Integer,
     Positive,
 )
-from yuccarelay.adapters.http_client import HttpClient, HttpFailure
+from yuccarelay.adapters.http_client import (
+    HttpClient,
+    HttpFailure,
+    OtherServer,
+    ServerCheck,
+)
 from yuccarelay.adapters.http_connection import HttpResponse
 from yuccarelay.core.batch.agent import Heartbeat
-from yuccarelay.core.batch.models import EndedRun, Resources, RunningTask, WorkerInfo
+from yuccarelay.core.batch.models import (
+    EndedRun,
+    Resources,
+    RunningTask,
+    WorkerId,
+    WorkerInfo,
+)
 from yuccarelay.core.batch.protocol import Pace, Start, Stop
 from yuccarelay.ports.worker import (
     Accepted,
@@ -30,6 +41,7 @@
 )
 
 INSTANCE_HEADER = 'X-Yuccarelay-Expected-Instance'
+HOLD_PATH = '/api/hold'
 # A worker on the same machine answers in a few milliseconds; orders are retried.
 ORDER_LIMIT_S = 0.25
 HOLD_SLACK_S = 0.8
@@ -146,7 +158,12 @@
 
 
 class HttpWorker:
-    """The worker port over the worker's HTTP calls."""
+    """
+    The worker port over the worker's HTTP calls.
+
+    A call names the worker by an id that it keeps when it restarts. So a call for one
+    incarnation goes out on a connection on which that incarnation has stated its birth.
+    """
 
     def __init__(self, address: str):
         self.client = HttpClient(address)
@@ -164,12 +181,12 @@
             body['checkpoint'] = order.checkpoint
         if order.ticket:
             body['ticket'] = order.ticket
-        return await self._order('/api/run-start', order.worker.name, body)
+        return await self._order('/api/run-start', order.worker, body)
 
     async def stop(self, order: Stop) -> WorkerAnswer:
         """Stop a run; a start of it that arrives later is refused."""
         body = {'task': order.task, 'run': order.run, 'fencingToken': order.term}
-        return await self._order('/api/run-stop', order.worker.name, body)
+        return await self._order('/api/run-stop', order.worker, body)
 
     async def pace(self, order: Pace) -> WorkerAnswer:
         """Limit a run to a share of its speed, in percent."""
@@ -179,53 +196,62 @@
             'percent': order.percent,
             'fencingToken': order.term,
         }
-        return await self._order('/api/pace', order.worker.name, body)
+        return await self._order('/api/pace', order.worker, body)
+
+    async def read(self, name: str, term: int, wait_ms: int) -> HoldAnswer:
+        """Read the lists of runs, after `wait_ms` at most if no ended run is listed."""
+        body = make_reading(term)
+        if wait_ms:
+            body['waitMs'] = wait_ms
+        limit_s = wait_ms / 1000 + HOLD_SLACK_S
+        return take_lists(await self._call(HOLD_PATH, name, body, limit_s))
 
     async def hold(
-        self,
-        name: str,
-        term: int,
-        seen: int,
-        wait_ms: int,
-        until_ms: int | None,
+        self, worker: WorkerId, term: int, seen: int, until_ms: int | None
     ) -> HoldAnswer:
         """Extend the lease to `until_ms`, if given, and read the lists of runs."""
-        body = {'fencingToken': term, 'lastSeen': seen}
-        if wait_ms:
-            body['waitMs'] = wait_ms
+        body = make_reading(term) | {'lastSeen': seen}
         if until_ms is not None:
             body['untilMs'] = until_ms
         answer = await self._call(
-            '/api/hold', name, body, wait_ms / 1000 + HOLD_SLACK_S
+            HOLD_PATH, worker.name, body, HOLD_SLACK_S, worker.born_ms
         )
-        match answer:
-            case Ok(HttpResponse(status=200, body=data)):
-                return read_lists(data)
-            case Ok(HttpResponse(status=status)) if status == MISDIRECTED:
-                return OtherIncarnation()
-            case Ok(response):
-                return read_refusal(response)
-            case Err(HttpFailure(refused=True)):
-                return NotListening()
-            case Err(HttpFailure(reason, sent)):
-                return NoAnswer(reason) if sent else Refused(reason)
+        return take_lists(answer)
 
-    async def _order(self, path: str, name: str, body: dict) -> WorkerAnswer:
-        match await self._call(path, name, body, ORDER_LIMIT_S):
+    async def _order(self, path: str, worker: WorkerId, body: dict) -> WorkerAnswer:
+        answer = await self._call(
+            path, worker.name, body, ORDER_LIMIT_S, worker.born_ms
+        )
+        match answer:
             case Ok(HttpResponse(status=200, body=data)):
                 return Accepted(read_clock(data))
             case Ok(response):
                 return read_refusal(response)
+            case Err(OtherServer(response)):
+                return read_other_server(response)
             case Err(HttpFailure(reason, sent)):
                 return NoAnswer(reason) if sent else Refused(reason)
 
-    async def _call(self, path: str, name: str, body: dict, limit_s: float):
+    async def _call(
+        self,
+        path: str,
+        name: str,
+        body: dict,
+        limit_s: float,
+        born_ms: int | None = None,
+    ) -> Result[HttpResponse, HttpFailure | OtherServer]:
+        """Call the worker of a name, or only its incarnation that began at a time."""
+        check = None
+        if born_ms is not None:
+            reading = msgspec.json.encode(make_reading(body['fencingToken']))
+            check = ServerCheck('POST', HOLD_PATH, reading, read_birth, born_ms)
         return await self.client.call(
             'POST',
             path,
             body=msgspec.json.encode(body),
             headers={INSTANCE_HEADER: name},
             timeout_s=limit_s,
+            check=check,
         )
 
     async def close(self) -> None:
@@ -233,6 +259,51 @@
         await self.client.close()
 
 
+def make_reading(term: int) -> dict:
+    """Return the body of a hold that changes nothing."""
+    return {'fencingToken': term, 'lastSeen': 0}
+
+
+def read_birth(response: HttpResponse) -> int | None:
+    """Return the birth of the worker that has answered a hold, if it states one."""
+    if response.status != 200:
+        return None
+    match read_lists(response.body):
+        case WorkerRuns(born_ms=born_ms) if born_ms:
+            return born_ms
+    return None
+
+
+def read_other_server(response: HttpResponse) -> OtherIncarnation | Refused | Fenced:
+    """Return who has answered the check that precedes a call; nothing was done."""
+    match take_lists(Ok(response)):
+        case WorkerRuns(clock_ms, born_ms, running, ended) if born_ms:
+            return OtherIncarnation(born_ms, clock_ms, not (running or ended))
+        case WorkerRuns():
+            return Refused('the worker does not state its birth')
+        case NoAnswer(reason):
+            return Refused(f'check of the worker: {reason}')
+        case OtherIncarnation() | Refused() | Fenced() as found:
+            return found
+
+
+def take_lists(answer: Result[HttpResponse, HttpFailure | OtherServer]) -> HoldAnswer:
+    """Return what a worker has answered to a hold."""
+    match answer:
+        case Ok(HttpResponse(status=200, body=data)):
+            return read_lists(data)
+        case Ok(HttpResponse(status=status)) if status == MISDIRECTED:
+            return OtherIncarnation()
+        case Ok(response):
+            return read_refusal(response)
+        case Err(OtherServer(response)):
+            return read_other_server(response)
+        case Err(HttpFailure(refused=True)):
+            return NotListening()
+        case Err(HttpFailure(reason, sent)):
+            return NoAnswer(reason) if sent else Refused(reason)
+
+
 def read_clock(data: bytes) -> int | None:
     """Return the worker's clock in an answer, if it has one."""
     return decoding.decode(ANSWER_DECODER.decode, data).unwrap_or(WireAnswer()).clock_ms
--- a/yuccarelay/ports/worker.py
+++ b/yuccarelay/ports/worker.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from yuccarelay.core.batch.models import EndedRun, RunningTask
+from yuccarelay.core.batch.models import EndedRun, RunningTask, WorkerId
 from yuccarelay.core.batch.protocol import Pace, Start, Stop
 
 
@@ -35,7 +35,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OtherIncarnation:
-    """A worker of another name answered; it did nothing."""
+    """
+    Another incarnation than the called one answered; it did nothing.
+
+    `born_ms` is its birth if it has the same name, 0 otherwise. `clock_ms` is then its
+    own clock, and `is_idle` whether it lists neither running nor ended runs.
+    """
+
+    born_ms: int = 0
+    clock_ms: int = 0
+    is_idle: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,12 +67,19 @@
     is_whole: bool = True
 
 
-WorkerAnswer = Accepted | Refused | Fenced | NoAnswer
+WorkerAnswer = Accepted | Refused | Fenced | NoAnswer | OtherIncarnation
 HoldAnswer = WorkerRuns | Refused | Fenced | NoAnswer | OtherIncarnation | NotListening
 
 
 class Worker(Protocol):
-    """Calls to a worker; each has a time limit."""
+    """
+    Calls to a worker; each has a time limit.
+
+    All but `read` carry what is only true of one incarnation: a time on its clock, the
+    number of an end that it listed, a run that it has. They reach that incarnation, or
+    they change nothing. A call without an answer may still be carried out some seconds
+    later, then also by a later incarnation of the same name.
+    """
 
     async def start(self, order: Start, until_ms: int) -> WorkerAnswer:
         """Start a run with a lease that ends at `until_ms` of the worker's clock."""
@@ -77,13 +93,20 @@
         """Limit a run to a share of its speed, in percent."""
         ...
 
+    async def read(self, name: str, term: int, wait_ms: int) -> HoldAnswer:
+        """
+        Read the lists of runs, after `wait_ms` at most if no ended run is listed.
+
+        This changes nothing, so any incarnation of the name may answer it.
+        """
+        ...
+
     async def hold(
-        self,
-        name: str,
-        term: int,
-        seen: int,
-        wait_ms: int,
-        until_ms: int | None,
+        self, worker: WorkerId, term: int, seen: int, until_ms: int | None
     ) -> HoldAnswer:
-        """Extend the lease to `until_ms`, if given, and read the lists of runs."""
+        """
+        Extend the lease to `until_ms`, if given, and read the lists of runs.
+
+        The worker forgets its ended runs up to the number `seen`.
+        """
         ...
--- a/yuccarelay/standins/platform_worker.py
+++ b/yuccarelay/standins/platform_worker.py
@@ -154,6 +154,9 @@
         self.runs.clear()
         self.ended.clear()
         self.closed.clear()
+        # The connections of a process end with it.
+        for connection in list(self.server._connections):
+            connection.stream.close()
 
     def acknowledge(self, number: int) -> None:
         """Drop the ended runs up to a number, which the caller has received."""
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok
 
@@ -94,6 +94,7 @@
         self.inbox = Mailbox()
         self.changed = asyncio.Event()
         self.order_tasks: set[asyncio.Task] = set()
+        self.is_worker_silent = False
 
     async def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Pass a heartbeat on; return once the guard has handled it."""
@@ -190,9 +191,11 @@
         """
         found = None
         for candidate in self.guard.list_candidates():
-            found = await self.worker.hold(candidate.name, term, 0, 0, None)
+            found = await self.worker.read(candidate.name, term, 0)
             match found:
                 case WorkerRuns(born_ms=born_ms) if born_ms == candidate.born_ms:
+                    if not await self._refuse_late_starts(*candidate, term):
+                        return NoAnswer('late starts are not refused yet')
                     if self.guard.confirm(candidate):
                         self._report_change()
                     return found
@@ -206,6 +209,23 @@
                     return found
         return found
 
+    async def _refuse_late_starts(self, name: str, born_ms: int, term: int) -> bool:
+        """
+        Let an incarnation refuse the starts that earlier ones have not answered.
+
+        They may have been stopped and replaced since, which it cannot know.
+        """
+        worker = WorkerId(self.guard.node, name, born_ms)
+        starts = self.guard.late_calls.list_starts(born_ms, self.clock.now_ms())
+        for task, run in starts:
+            answer = await self.worker.stop(Stop(term, worker, task, run))
+            result = type(answer).__name__
+            fields = {'task': task, 'run': run, 'born_ms': born_ms, 'result': result}
+            self.journal.write('late_start_refused', fields)
+            if not isinstance(answer, Accepted):
+                return False
+        return True
+
     def _wake_polls(self) -> None:
         """End the polls that wait for a change."""
         self.changed.set()
@@ -262,19 +282,18 @@
         worker = self.guard.worker_id()
         if worker is None or not (order.call_worker or self.guard.is_leaving):
             return await self._report_from_heartbeats(order)
-        until_ms = None
-        seen = 0
-        if order.worker == worker:
-            until_ms = self.guard.extend_lease(order.basis, self.clock.now_ms())
-            seen = order.seen
-        found = await self._hold(worker.name, order, seen, until_ms)
+        found = await self._hold(worker, order)
         match found:
             case WorkerRuns(clock_ms, born_ms) if born_ms == worker.born_ms:
                 if worker == self.guard.worker_id():
                     self.guard.take_clock(clock_ms, self.clock.now_ms())
                     return self._make_report(found)
-            case WorkerRuns(born_ms=born_ms):
-                self._handle_other_birth(worker, born_ms)
+            case WorkerRuns(clock_ms, born_ms, running, ended):
+                is_idle = not (running or ended)
+                other = OtherIncarnation(born_ms, clock_ms, is_idle)
+                await self._handle_other_birth(worker, other, order.term)
+            case OtherIncarnation(born_ms=born_ms) if born_ms:
+                await self._handle_other_birth(worker, found, order.term)
             case Fenced():
                 return OldTerm(order.term + 1)
             case Refused(reason) | NoAnswer(reason):
@@ -302,39 +321,75 @@
         name = worker.name if worker else None
         self.journal.write('worker_silent', {'worker': name, 'reason': reason})
 
-    def _handle_other_birth(self, called: WorkerId, born_ms: int) -> None:
+    async def _handle_other_birth(
+        self, called: WorkerId, found: OtherIncarnation, term: int
+    ) -> None:
         """Handle the answer of another incarnation than the one that was called."""
-        if called != self.guard.worker_id() or not born_ms:
+        if called != self.guard.worker_id() or not found.born_ms:
             return
-        self.guard.take_other_birth()
+        self.guard.take_other_birth(
+            found.born_ms, found.clock_ms, self.clock.now_ms(), is_idle=found.is_idle
+        )
         self.journal.write(
             'worker_reborn',
-            {'worker': called.name, 'born_ms': born_ms, 'known': called.born_ms},
+            {
+                'worker': called.name,
+                'born_ms': found.born_ms,
+                'known': called.born_ms,
+                'is_idle': found.is_idle,
+                'is_settled': self.guard.is_settled(self.clock.now_ms()),
+            },
         )
+        self._wake_polls()
+        await self._refuse_late_starts(called.name, found.born_ms, term)
 
-    async def _hold(
-        self,
-        name: str,
-        order: Look,
-        seen: int,
-        until_ms: int | None,
-    ) -> HoldAnswer:
+    async def _hold(self, worker: WorkerId, order: Look) -> HoldAnswer:
         """
         Hold until a run ends, there is another change, or the wait is over.
 
         The wait is split into short calls: a stop of a run that the worker does
         not have ends no call, and the planner waits for lists that were read
-        after that stop.
+        after that stop. Only the first one changes anything, so that a worker that
+        ends during the wait leaves no call that its next incarnation must not see.
         """
         changed = self.changed
         remaining_ms = 0 if self._has_news(order) else order.wait_ms
-        while True:
+        found = await self._extend(worker, order)
+        while found is None or self._has_nothing_ended(found):
+            if found is not None and (changed.is_set() or remaining_ms <= 0):
+                break
             wait_ms = min(remaining_ms, HOLD_WAIT_MS)
-            found = await self.worker.hold(name, order.term, seen, wait_ms, until_ms)
+            found = await self.worker.read(worker.name, order.term, wait_ms)
             remaining_ms -= wait_ms
-            nothing_ended = isinstance(found, WorkerRuns) and not found.ended
-            if not nothing_ended or changed.is_set() or remaining_ms <= 0:
+        self.is_worker_silent = isinstance(found, NoAnswer)
+        return found
+
+    @staticmethod
+    def _has_nothing_ended(found: HoldAnswer) -> bool:
+        return isinstance(found, WorkerRuns) and not found.ended
+
+    async def _extend(self, worker: WorkerId, order: Look) -> HoldAnswer | None:
+        """
+        Extend the lease of a worker and acknowledge its ends, as a poll asks.
+
+        Returns None if the poll asks for neither.
+        """
+        until_ms = None
+        seen = 0
+        if order.worker == worker:
+            until_ms = self.guard.extend_lease(order.basis, self.clock.now_ms())
+            seen = order.seen
+        if until_ms is None and not seen:
+            return None
+        if self.is_worker_silent:
+            # Each call without an answer is one more that may be carried out late.
+            found = await self.worker.read(worker.name, order.term, 0)
+            if not isinstance(found, WorkerRuns) or found.born_ms != worker.born_ms:
                 return found
+        found = await self.worker.hold(worker, order.term, seen, until_ms)
+        if isinstance(found, NoAnswer):
+            self.guard.late_calls.add(worker.born_ms, self.clock.now_ms())
+        return found
 
     async def _report_from_heartbeats(self, order: Look) -> Report:
         """Report without a call to the worker, once it changed or after the wait."""
@@ -368,6 +423,7 @@
             is_whole=lists is None or lists.is_whole,
             leases_expire_in_ms=max(0, guard.leases_expire_ms - now_ms),
             cold_ms=max(0, guard.cold_until_ms - now_ms) if info else 0,
+            is_settled=guard.is_settled(now_ms),
         )
 
     async def _start(self, order: Start) -> Answer:
@@ -376,14 +432,44 @@
         )
         if declined is not None:
             return declined
+        called = order.worker
+
+        async def call() -> WorkerAnswer:
+            nonlocal called
+            called, answer = await self._call_start(order)
+            return answer
+
+        answer, tries = await retry_order(call)
+        self._wake_polls()
+        started = Started(repeated=tries > 1, born_ms=called.born_ms)
+        return self._conclude(order, answer, started)
+
+    async def _call_start(self, order: Start) -> tuple[WorkerId, WorkerAnswer]:
+        """
+        Start a run on the incarnation that it is for, or on its idle successor.
+
+        Returns the incarnation that was called, and its answer.
+        """
+        guard = self.guard
+        worker = guard.find_called(order.worker)
+        answer = await self._start_on(worker, order)
+        if isinstance(answer, OtherIncarnation):
+            await self._handle_other_birth(worker, answer, order.term)
+            successor = guard.find_called(worker)
+            if successor != worker and guard.is_settled(self.clock.now_ms()):
+                return successor, await self._start_on(successor, order)
+        return worker, answer
+
+    async def _start_on(self, worker: WorkerId, order: Start) -> WorkerAnswer:
+        """Start a run on one incarnation, with a lease on its clock."""
         until_ms = self.guard.extend_lease(order.basis, self.clock.now_ms())
         if until_ms is None:
-            return Declined('lease_over')
-        answer, tries = await retry_order(
-            lambda: self.worker.start(order, until_ms),
-        )
-        self._wake_polls()
-        return self._conclude(order, answer, Started(repeated=tries > 1))
+            return Refused('lease_over')
+        answer = await self.worker.start(replace(order, worker=worker), until_ms)
+        if isinstance(answer, NoAnswer):
+            start = (order.task, order.run)
+            self.guard.late_calls.add(worker.born_ms, self.clock.now_ms(), start)
+        return answer
 
     async def _stop(self, order: Stop) -> Answer:
         if order.worker != self.guard.worker_id():
@@ -404,6 +490,8 @@
                 result = done
             case Refused(reason):
                 result = Declined(reason)
+            case OtherIncarnation():
+                result = Declined('other_worker')
             case Fenced():
                 result = OldTerm(order.term + 1)
             case NoAnswer(reason):
@@ -439,6 +527,9 @@
         if not isinstance(answer, NoAnswer):
             return answer, tries - 1
         answer = await call()
-        if isinstance(answer, Refused):
-            return NoAnswer(f'repeated: {answer.reason}'), tries
+        match answer:
+            case Refused(reason):
+                return NoAnswer(f'repeated: {reason}'), tries
+            case OtherIncarnation():
+                return NoAnswer('repeated: other_worker'), tries
     return answer, ORDER_TRIES
