Do not run a job that was cancelled before its submission arrived

Its submission had got no answer, and the store carried the write out late.

Cause: a cancellation of a job that the store does not hold was answered after a read, and left nothing behind. The only condition of the submission's write, that the job is new, held on. The same applies to a submission that waits in a paused entry or is sent again, and to a cancellation at the entry that took the submission.

Fix: the cancellation writes a mark under a lease, on condition that the job does not exist, and a submission is stored on condition that there is no mark of a caller who may see the job. So the store decides which of the two comes first, also if one of them is late. A submission that finds the mark is stored together with its cancellation. Marks of another organisation or queue do not count.

--- a/yuccarelay/adapters/batch_records.py
+++ b/yuccarelay/adapters/batch_records.py
@@ -1,5 +1,6 @@
 """Store keys, and the encoding of jobs, their records and agent addresses."""
 
+import hashlib
 import re
 
 import msgspec
@@ -33,6 +34,11 @@
 PLANNER = ROOT + 'planner'
 SILENCE = ROOT + 'silence'
 RUN_TIMES = ROOT + 'run-times'
+# Cancellations of jobs that were not stored yet. They lie outside of the root, because
+# no process follows them: a submission finds the one that concerns it.
+EARLY_CANCELS = 'yuccarelay-cancelled/'
+# Names of queues and organisations may be longer than a key.
+SCOPE_BYTES = 12
 # Records that a planner writes about others than jobs.
 PLANNER_RECORDS = (SILENCE, RUN_TIMES)
 # Folders with a key for each job.
@@ -69,6 +75,19 @@
 UNKNOWN_ROUND_TRIP_MS = 999_999
 
 
+def name_early_cancel(job: str, queue: str, organisation: str) -> str:
+    """
+    Return the key of a cancellation of a job that is not stored yet.
+
+    It only concerns the job of this queue and organisation, because others may choose
+    the same id. `organisation` is empty for callers of a public queue.
+    """
+    scope = hashlib.blake2b(
+        msgspec.json.encode((queue, organisation)), digest_size=SCOPE_BYTES
+    )
+    return f'{EARLY_CANCELS}{job}/{scope.hexdigest()}'
+
+
 def encode(value: Job | JobRecord | SilenceRecord | RunTimesRecord) -> bytes:
     """Return a value as a JSON array of its fields."""
     return msgspec.json.encode(value)
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -48,6 +48,10 @@
     ConfigurationConfirmed,
     ConfirmationWanted,
 )
+from yuccarelay.tasks.batch.early_cancellations import (
+    EarlyCancellationStore,
+    make_cancel_guards,
+)
 from yuccarelay.tasks.batch.peers import PeerSockets
 from yuccarelay.tasks.batch.replica import (
     EntryAddressChanged,
@@ -125,6 +129,7 @@
         self.rng = rng
         self.journal = journal
         self.handler = RequestHandler(jobs_limit_bytes)
+        self.early_cancellations = EarlyCancellationStore(store, clock, journal)
         self.agents: dict[str, AgentAddress] = {}
         self.entries: dict[str, str] = {}
         self.store_reachable = False
@@ -387,20 +392,33 @@
         )
 
     async def _store_job(self, call: StoreJob, deadline_ms: int) -> Outcome:
-        """Store a job; a write with an unknown outcome is never reported as refused."""
+        """
+        Store a job; a write with an unknown outcome is never reported as refused.
+
+        A write that the store carries out late fails if the job was cancelled
+        meanwhile. One that finds the cancellation stores the job as cancelled: its
+        caller has cancelled it, and it remains one job.
+        """
         job = call.job
         key = batch_records.JOBS + job.id
         guards, puts = (Guard(key, 0),), (Put(key, batch_records.encode(job)),)
         if call.terms is not None:
             terms = batch_records.encode_terms(call.terms)
             puts = (Put(batch_records.TERMS + job.id, terms), *puts)
+        conditions = (*guards, *make_cancel_guards(job))
         undecided = False
-        for _ in range(STORE_TRIES):
-            match await self.store.transact(guards, puts):
+        failures = 0
+        while failures < STORE_TRIES:
+            match await self.store.transact(conditions, puts):
                 case Ok(TransactionResult(succeeded=True)):
                     return Accepted()
                 case Ok(TransactionResult(current=current)):
-                    return self._compare(job, current)
+                    if conditions == guards or any(v.key == key for v in current):
+                        return self._compare(job, current)
+                    self.journal.write('job_cancelled_before', {'job': job.id})
+                    cancel = Put(batch_records.CANCELS + job.id, b'1')
+                    conditions, puts = guards, (cancel, *puts)
+                    continue
                 case Err(failure):
                     undecided = undecided or failure.ambiguous
                     if not undecided:
@@ -408,6 +426,7 @@
                     self.set_store_reachable(False)
                     if self.clock.now_ms() >= deadline_ms:
                         break
+            failures += 1
             await asyncio.sleep(self._pause_s())
         return Undecided()
 
@@ -448,9 +467,11 @@
     async def _store_cancel(self, cancel: StoreCancel) -> Outcome:
         """Store a cancellation; the write is idempotent."""
         if not cancel.known:
-            found = await self._read_state(
-                ReadJob(cancel.job, cancel.queue, cancel.organisation)
-            )
+            reading = ReadJob(cancel.job, cancel.queue, cancel.organisation)
+            found = await self._read_state(reading)
+            if isinstance(found, NoSuchJob):
+                found = await self.early_cancellations.store(cancel)
+                found = found or await self._read_state(reading)
             if not isinstance(found, State):
                 return found
         key = batch_records.CANCELS + cancel.job
