Allow larger bursts of cancellations of unknown jobs

After an outage of the store the callers of an organisation may cancel many submissions without an answer at once.

--- a/yuccarelay/core/batch/early_cancellations.py
+++ b/yuccarelay/core/batch/early_cancellations.py
@@ -9,9 +9,9 @@
 
 # Callers of one organisation, and of all together, may cancel so many unknown jobs at
 # once, and one more in each interval.
-ORGANISATION_BURST = 20
+ORGANISATION_BURST = 100
 ORGANISATION_INTERVAL_MS = 200
-TOTAL_BURST = 100
+TOTAL_BURST = 300
 TOTAL_INTERVAL_MS = 50
 # Organisations whose burst is whole again are forgotten beyond this number.
 ORGANISATIONS_LIMIT = 1_000
