Move the orders of an agent's worker into a module of their own

WorkerOrders carries out starts, stops and paces, and finds which incarnation of the worker they reach; the task keeps polls, heartbeats and reports. No change of behaviour.

--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -25,12 +25,11 @@
     WorkerRuns,
 )
 from yuccarelay.tasks.batch.agent import (
-    ORDER_TRIES,
     HeartbeatReceived,
     WorkerAgentTask,
     WorkerDeregistered,
-    retry_order,
 )
+from yuccarelay.tasks.batch.worker_orders import ORDER_TRIES, retry_order
 
 LEASES = make_leases(6_000)
 
@@ -386,7 +385,9 @@
     async def test_an_agent_without_a_planner_asks_with_the_first_poll(self):
         # A call without a term would be refused, and one with a guess might not be.
         self.guard = WorkerGuard('agent-1', 8, LEASES)
-        self.agent.guard = self.guard
+        self.agent = WorkerAgentTask(
+            self.guard, self.worker, self, FakeClock(), FakeJournal()
+        )
         await self.send(1, name='i-9', born_ms=2**41)
         await self.send(1)
         self.assertEqual(self.worker.waits, [])
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -1,8 +1,8 @@
 """The agent's task: carries out a planner's orders on the co-located worker."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
-from dataclasses import dataclass, replace
+from collections.abc import Coroutine
+from dataclasses import dataclass
 
 from result import Err, Ok
 
@@ -17,19 +17,15 @@
     OldTerm,
     Order,
     Pace,
-    Paced,
     Report,
     Start,
-    Started,
     Stop,
-    Stopped,
     Unanswered,
 )
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
 from yuccarelay.ports.transport import Listener
 from yuccarelay.ports.worker import (
-    Accepted,
     Fenced,
     HoldAnswer,
     NoAnswer,
@@ -37,17 +33,15 @@
     OtherIncarnation,
     Refused,
     Worker,
-    WorkerAnswer,
     WorkerRuns,
 )
+from yuccarelay.tasks.batch.worker_orders import WorkerOrders
 from yuccarelay.tasks.failures import write_failure
 from yuccarelay.tasks.mailbox import Mailbox
 
 # The users' platform does not charge calls from the worker's own machine, so that
 # holds can be short.
 HOLD_WAIT_MS = 300
-# The planner waits 1.2 s for the answer to an order; a call takes up to 0.25 s.
-ORDER_TRIES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +70,11 @@
 
 
 class WorkerAgentTask:
-    """Owns the known state of the worker, and makes the calls to it."""
+    """
+    Owns the known state of the worker, and makes the calls to it.
+
+    It answers polls itself; `orders` carries out the orders to the worker.
+    """
 
     def __init__(
         self,
@@ -95,6 +93,7 @@
         self.changed = asyncio.Event()
         self.order_tasks: set[asyncio.Task] = set()
         self.is_worker_silent = False
+        self.orders = WorkerOrders(guard, worker, clock, journal, self._wake_polls)
 
     async def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Pass a heartbeat on; return once the guard has handled it."""
@@ -194,7 +193,7 @@
             found = await self.worker.read(candidate.name, term, 0)
             match found:
                 case WorkerRuns(born_ms=born_ms) if born_ms == candidate.born_ms:
-                    if not await self._refuse_late_starts(*candidate, term):
+                    if not await self.orders.refuse_late_starts(*candidate, term):
                         return NoAnswer('late starts are not refused yet')
                     if self.guard.confirm(candidate):
                         self._report_change()
@@ -209,23 +208,6 @@
                     return found
         return found
 
-    async def _refuse_late_starts(self, name: str, born_ms: int, term: int) -> bool:
-        """
-        Let an incarnation refuse the starts that earlier ones have not answered.
-
-        They may have been stopped and replaced since, which it cannot know.
-        """
-        worker = WorkerId(self.guard.node, name, born_ms)
-        starts = self.guard.late_calls.list_starts(born_ms, self.clock.now_ms())
-        for task, run in starts:
-            answer = await self.worker.stop(Stop(term, worker, task, run))
-            result = type(answer).__name__
-            fields = {'task': task, 'run': run, 'born_ms': born_ms, 'result': result}
-            self.journal.write('late_start_refused', fields)
-            if not isinstance(answer, Accepted):
-                return False
-        return True
-
     def _wake_polls(self) -> None:
         """End the polls that wait for a change."""
         self.changed.set()
@@ -258,12 +240,11 @@
             case Look():
                 return await self._poll(order)
             case Start():
-                return await self._start(order)
+                return await self.orders.start(order)
             case Stop():
-                return await self._stop(order)
+                return await self.orders.stop(order)
             case Pace():
-                answer = await self.worker.pace(order)
-                return self._conclude(order, answer, Paced())
+                return await self.orders.pace(order)
         return Declined('unknown_order')
 
     async def _poll(self, order: Look) -> Answer:
@@ -291,9 +272,9 @@
             case WorkerRuns(clock_ms, born_ms, running, ended):
                 is_idle = not (running or ended)
                 other = OtherIncarnation(born_ms, clock_ms, is_idle)
-                await self._handle_other_birth(worker, other, order.term)
+                await self.orders.take_other_birth(worker, other, order.term)
             case OtherIncarnation(born_ms=born_ms) if born_ms:
-                await self._handle_other_birth(worker, found, order.term)
+                await self.orders.take_other_birth(worker, found, order.term)
             case Fenced():
                 return OldTerm(order.term + 1)
             case Refused(reason) | NoAnswer(reason):
@@ -321,28 +302,6 @@
         name = worker.name if worker else None
         self.journal.write('worker_silent', {'worker': name, 'reason': reason})
 
-    async def _handle_other_birth(
-        self, called: WorkerId, found: OtherIncarnation, term: int
-    ) -> None:
-        """Handle the answer of another incarnation than the one that was called."""
-        if called != self.guard.worker_id() or not found.born_ms:
-            return
-        self.guard.take_other_birth(
-            found.born_ms, found.clock_ms, self.clock.now_ms(), is_idle=found.is_idle
-        )
-        self.journal.write(
-            'worker_reborn',
-            {
-                'worker': called.name,
-                'born_ms': found.born_ms,
-                'known': called.born_ms,
-                'is_idle': found.is_idle,
-                'is_settled': self.guard.is_settled(self.clock.now_ms()),
-            },
-        )
-        self._wake_polls()
-        await self._refuse_late_starts(called.name, found.born_ms, term)
-
     async def _hold(self, worker: WorkerId, order: Look) -> HoldAnswer:
         """
         Hold until a run ends, there is another change, or the wait is over.
@@ -425,111 +384,3 @@
             cold_ms=max(0, guard.cold_until_ms - now_ms) if info else 0,
             is_settled=guard.is_settled(now_ms),
         )
-
-    async def _start(self, order: Start) -> Answer:
-        declined = self.guard.check_start(
-            order.worker, order.start_by_ms, self.clock.now_ms()
-        )
-        if declined is not None:
-            return declined
-        called = order.worker
-
-        async def call() -> WorkerAnswer:
-            nonlocal called
-            called, answer = await self._call_start(order)
-            return answer
-
-        answer, tries = await retry_order(call)
-        self._wake_polls()
-        started = Started(repeated=tries > 1, born_ms=called.born_ms)
-        return self._conclude(order, answer, started)
-
-    async def _call_start(self, order: Start) -> tuple[WorkerId, WorkerAnswer]:
-        """
-        Start a run on the incarnation that it is for, or on its idle successor.
-
-        Returns the incarnation that was called, and its answer.
-        """
-        guard = self.guard
-        worker = guard.find_called(order.worker)
-        answer = await self._start_on(worker, order)
-        if isinstance(answer, OtherIncarnation):
-            await self._handle_other_birth(worker, answer, order.term)
-            successor = guard.find_called(worker)
-            if successor != worker and guard.is_settled(self.clock.now_ms()):
-                return successor, await self._start_on(successor, order)
-        return worker, answer
-
-    async def _start_on(self, worker: WorkerId, order: Start) -> WorkerAnswer:
-        """Start a run on one incarnation, with a lease on its clock."""
-        until_ms = self.guard.extend_lease(order.basis, self.clock.now_ms())
-        if until_ms is None:
-            return Refused('lease_over')
-        answer = await self.worker.start(replace(order, worker=worker), until_ms)
-        if isinstance(answer, NoAnswer):
-            start = (order.task, order.run)
-            self.guard.late_calls.add(worker.born_ms, self.clock.now_ms(), start)
-        return answer
-
-    async def _stop(self, order: Stop) -> Answer:
-        if order.worker != self.guard.worker_id():
-            return Declined('other_worker')
-        answer, _ = await retry_order(lambda: self.worker.stop(order))
-        self._wake_polls()
-        return self._conclude(order, answer, Stopped())
-
-    def _conclude(
-        self, order: Start | Stop | Pace, answer: WorkerAnswer, done
-    ) -> Answer:
-        """Return the answer to an order, and log it."""
-        result: Answer
-        match answer:
-            case Accepted(clock_ms):
-                if clock_ms is not None and order.worker == self.guard.worker_id():
-                    self.guard.take_clock(clock_ms, self.clock.now_ms())
-                result = done
-            case Refused(reason):
-                result = Declined(reason)
-            case OtherIncarnation():
-                result = Declined('other_worker')
-            case Fenced():
-                result = OldTerm(order.term + 1)
-            case NoAnswer(reason):
-                result = Unanswered(reason)
-        self.journal.write(
-            'order_done',
-            {
-                'order': type(order).__name__,
-                'task': order.task,
-                'run': order.run,
-                'term': order.term,
-                'result': type(result).__name__,
-                'reason': getattr(result, 'reason', ''),
-            },
-        )
-        return result
-
-
-async def retry_order(
-    call: Callable[[], Awaitable[WorkerAnswer]],
-) -> tuple[WorkerAnswer, int]:
-    """
-    Make a call to the worker, and retry while it is not answered.
-
-    Returns the last answer and the number of calls.
-
-    Starts and stops are idempotent on the worker. A refusal after a call without
-    an answer does not mean that nothing was done: the run may have begun and
-    ended in between.
-    """
-    answer = await call()
-    for tries in range(2, ORDER_TRIES + 1):
-        if not isinstance(answer, NoAnswer):
-            return answer, tries - 1
-        answer = await call()
-        match answer:
-            case Refused(reason):
-                return NoAnswer(f'repeated: {reason}'), tries
-            case OtherIncarnation():
-                return NoAnswer('repeated: other_worker'), tries
-    return answer, ORDER_TRIES
