Move the request handler's calls to the store into a module of their own

StoreCalls makes the calls that decide a request, for callers and for other entries; the task keeps messages, relays and answers. No change of behaviour.

--- a/tests/test_batch_early_cancellations.py
+++ b/tests/test_batch_early_cancellations.py
@@ -35,10 +35,10 @@
 from yuccarelay.tasks.batch.early_cancellations import LEASE_PERIOD_MS, LEASE_TTL_S
 from yuccarelay.tasks.batch.replica import ReplicaConfirmed, StoreReachability
 from yuccarelay.tasks.batch.request_handler import (
-    STORE_TRIES,
     RequestHandlerTask,
     RequestReceived,
 )
+from yuccarelay.tasks.batch.store_calls import STORE_TRIES
 from yuccarelay.tasks.mailbox import Mailbox
 
 ID = '5c0e7a21d94b36f8'
--- a/yuccarelay/core/batch/request_handler.py
+++ b/yuccarelay/core/batch/request_handler.py
@@ -25,6 +25,8 @@
 JOB_ID = re.compile(r'[0-9a-f]{16}')
 # Jobs end within seconds, and callers wait some 3 s in all.
 NO_ROOM_RETRY_AFTER_S = 1
+# Callers wait some 3 s in all, so that a later retry would come too late.
+RETRY_AFTER_S = 1
 
 
 class Draft(NamedTuple):
--- a/yuccarelay/tasks/batch/early_cancellations.py
+++ b/yuccarelay/tasks/batch/early_cancellations.py
@@ -9,6 +9,7 @@
 from yuccarelay.core.batch.models import Job
 from yuccarelay.core.batch.request_handler import (
     NO_ROOM_RETRY_AFTER_S,
+    RETRY_AFTER_S,
     NoRoom,
     NoSuchJob,
     NotAccepted,
@@ -24,7 +25,6 @@
     TransactionResult,
 )
 
-RETRY_AFTER_S = 1
 # Cancellations share a lease for this time, so that each costs one call.
 LEASE_PERIOD_MS = 30_000
 # A cancellation is kept for 300 s at least, like a job that has ended: longer than a
--- a/yuccarelay/tasks/batch/relay.py
+++ b/yuccarelay/tasks/batch/relay.py
@@ -12,6 +12,7 @@
 from yuccarelay.adapters import batch_codec
 from yuccarelay.core.batch.configuration_feed import ConfigurationQuery
 from yuccarelay.core.batch.request_handler import (
+    RETRY_AFTER_S,
     NotAccepted,
     Outcome,
     ReadJob,
@@ -24,7 +25,6 @@
 from yuccarelay.tasks.batch.entry_watches import PeerAsked
 from yuccarelay.tasks.batch.request_handler import (
     RELAY_LIMIT_MS,
-    RETRY_AFTER_S,
     RequestHandlerTask,
 )
 from yuccarelay.tasks.failures import write_failure
--- a/yuccarelay/tasks/batch/request_handler.py
+++ b/yuccarelay/tasks/batch/request_handler.py
@@ -4,10 +4,11 @@
 import contextlib
 import random
 from dataclasses import dataclass
+from functools import partial
 
 from result import Err, Ok
 
-from yuccarelay.adapters import batch_codec, batch_records
+from yuccarelay.adapters import batch_codec
 from yuccarelay.core.batch.events import (
     AgentAddressChanged,
     Configured,
@@ -15,15 +16,13 @@
     JobCancelled,
     QueueTermsStored,
 )
-from yuccarelay.core.batch.models import ENDED, Job
+from yuccarelay.core.batch.models import ENDED
 from yuccarelay.core.batch.protocol import AgentAddress
 from yuccarelay.core.batch.request_handler import (
-    Accepted,
+    RETRY_AFTER_S,
     Call,
-    Cancelled,
     Decision,
     Failed,
-    NoSuchJob,
     NotAccepted,
     NotReady,
     Outcome,
@@ -33,25 +32,17 @@
     StoreCall,
     StoreCancel,
     StoreJob,
-    Taken,
     Undecided,
-    derive_state,
-    is_same_job,
-    is_visible,
 )
 from yuccarelay.core.request_budget import Limits
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
-from yuccarelay.ports.store import Guard, Put, Store, TransactionResult
+from yuccarelay.ports.store import Store
 from yuccarelay.ports.transport import TransportFailure
 from yuccarelay.tasks.batch.configuration import (
     ConfigurationConfirmed,
     ConfirmationWanted,
 )
-from yuccarelay.tasks.batch.early_cancellations import (
-    EarlyCancellationStore,
-    make_cancel_guards,
-)
 from yuccarelay.tasks.batch.peers import PeerSockets
 from yuccarelay.tasks.batch.replica import (
     EntryAddressChanged,
@@ -61,25 +52,20 @@
     ReplicaConfirmed,
     StoreReachability,
 )
+from yuccarelay.tasks.batch.store_calls import StoreCalls
 from yuccarelay.tasks.failures import write_failure
 from yuccarelay.tasks.mailbox import Mailbox
 
-# After a lost answer the next call shows whether the write took effect. More calls
-# than these fail only while the store is down, and then the caller should retry.
-STORE_TRIES = 3
 # Another entry's call to the store takes up to 0.3 s when the store is slow.
 RELAY_LIMIT_MS = 600
 RELAYS_LIMIT = 2
 # After no other entry reached the store either, requests are refused for this time
 # without another relay; the watch detects the end of an outage.
 RELAY_PAUSE_MS = 300
-RETRY_PAUSE_MS = 25
 # With no more time left than this, a request waits for a store that is away. It waits
 # for a share of that time, so that a refusal leaves its caller time to ask elsewhere.
 STORE_WAIT_MS = 1_000
 STORE_WAIT_SHARE = 0.5
-# Callers wait some 3 s in all, so that a later retry would come too late.
-RETRY_AFTER_S = 1
 # A request waits at most this long for the confirmation of an overdue configuration.
 CONFIRMATION_WAIT_MS = 600
 # A configuration is overdue 1.5 s after its last confirmation. The users allow 3 s from
@@ -129,7 +115,6 @@
         self.rng = rng
         self.journal = journal
         self.handler = RequestHandler(jobs_limit_bytes)
-        self.early_cancellations = EarlyCancellationStore(store, clock, journal)
         self.agents: dict[str, AgentAddress] = {}
         self.entries: dict[str, str] = {}
         self.store_reachable = False
@@ -140,6 +125,15 @@
         self.relay_retry_ms = 0
         self.last_failure_ms: dict[str, int] = {}
         self.calls: set[asyncio.Task] = set()
+        self.store_calls = StoreCalls(
+            store,
+            self.handler,
+            self.is_replica_fresh,
+            partial(self.set_store_reachable, False),
+            clock,
+            rng,
+            journal,
+        )
 
     def is_ready(self) -> bool:
         """Whether requests can be answered."""
@@ -314,13 +308,7 @@
 
     async def call_store(self, call: StoreCall, deadline_ms: int) -> Outcome:
         """Make the call to the store that decides a request."""
-        match call:
-            case StoreJob():
-                return await self._store_job(call, deadline_ms)
-            case ReadJob():
-                return await self._read_state(call)
-            case StoreCancel():
-                return await self._store_cancel(call)
+        return await self.store_calls.make(call, deadline_ms)
 
     async def _relay(self, call: StoreCall) -> Outcome:
         """Relay a call to other entries; one that does not answer may have made it."""
@@ -390,93 +378,3 @@
                 'configuration_overdue_ms': overdue_ms,
             },
         )
-
-    async def _store_job(self, call: StoreJob, deadline_ms: int) -> Outcome:
-        """
-        Store a job; a write with an unknown outcome is never reported as refused.
-
-        A write that the store carries out late fails if the job was cancelled
-        meanwhile. One that finds the cancellation stores the job as cancelled: its
-        caller has cancelled it, and it remains one job.
-        """
-        job = call.job
-        key = batch_records.JOBS + job.id
-        guards, puts = (Guard(key, 0),), (Put(key, batch_records.encode(job)),)
-        if call.terms is not None:
-            terms = batch_records.encode_terms(call.terms)
-            puts = (Put(batch_records.TERMS + job.id, terms), *puts)
-        conditions = (*guards, *make_cancel_guards(job))
-        undecided = False
-        failures = 0
-        while failures < STORE_TRIES:
-            match await self.store.transact(conditions, puts):
-                case Ok(TransactionResult(succeeded=True)):
-                    return Accepted()
-                case Ok(TransactionResult(current=current)):
-                    if conditions == guards or any(v.key == key for v in current):
-                        return self._compare(job, current)
-                    self.journal.write('job_cancelled_before', {'job': job.id})
-                    cancel = Put(batch_records.CANCELS + job.id, b'1')
-                    conditions, puts = guards, (cancel, *puts)
-                    continue
-                case Err(failure):
-                    undecided = undecided or failure.ambiguous
-                    if not undecided:
-                        return NotAccepted(RETRY_AFTER_S)
-                    self.set_store_reachable(False)
-                    if self.clock.now_ms() >= deadline_ms:
-                        break
-            failures += 1
-            await asyncio.sleep(self._pause_s())
-        return Undecided()
-
-    def _pause_s(self) -> float:
-        return RETRY_PAUSE_MS * (1 + self.rng.random()) / 1000
-
-    def _compare(self, job: Job, current: tuple) -> Outcome:
-        """Distinguish a repeated submission from another job with the same id."""
-        for value in current:
-            match batch_records.decode_job(value.value):
-                case Ok(stored) if is_same_job(stored, job):
-                    return Accepted()
-        return Taken()
-
-    async def _read_state(self, call: ReadJob) -> Outcome:
-        """Return the state of a job that the replica does not have."""
-        match await self.store.read(batch_records.JOBS + call.job):
-            case Ok(None):
-                return NoSuchJob()
-            case Ok(value):
-                match batch_records.decode_job(value.value):
-                    case Ok(job) if is_visible(job, call.queue, call.organisation):
-                        return await self._read_record(job.id)
-                return NoSuchJob()
-        return NotAccepted(RETRY_AFTER_S)
-
-    async def _read_record(self, job: str) -> Outcome:
-        """Return a job's state from the replica, or from the store if it is stale."""
-        record = self.handler.records.get(job)
-        if not self.is_replica_fresh():
-            match await self.store.read(batch_records.RECORDS + job):
-                case Ok(value) if value is not None:
-                    record = batch_records.decode_record(value.value).unwrap_or(record)
-                case Err():
-                    return NotAccepted(RETRY_AFTER_S)
-        return State(derive_state(record, job in self.handler.cancelled))
-
-    async def _store_cancel(self, cancel: StoreCancel) -> Outcome:
-        """Store a cancellation; the write is idempotent."""
-        if not cancel.known:
-            reading = ReadJob(cancel.job, cancel.queue, cancel.organisation)
-            found = await self._read_state(reading)
-            if isinstance(found, NoSuchJob):
-                found = await self.early_cancellations.store(cancel)
-                found = found or await self._read_state(reading)
-            if not isinstance(found, State):
-                return found
-        key = batch_records.CANCELS + cancel.job
-        match await self.store.transact((Guard(key, 0),), (Put(key, b'1'),)):
-            case Ok():
-                self.handler.cancelled.add(cancel.job)
-                return Cancelled()
-        return NotAccepted(RETRY_AFTER_S)
