Count with leases by late calls instead of withholding work

A restarted worker took no work while any call to its earlier incarnation might still be carried out.

What a late call can do differs: a lease can be counted with, a start can be refused beforehand, and only an acknowledgement can make a worker forget ends that nobody has read. So a report says when leases by late calls have expired, and the planner waits for that before it starts work of a lost worker elsewhere; only a late acknowledgement withholds work. Ends are acknowledged once, so that such calls are few.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -323,6 +323,7 @@
             leases_expire_in_ms=max(0, self.guard.leases_expire_ms - now_ms),
             cold_ms=self.cold_ms,
             is_settled=self.guard.is_settled(now_ms),
+            late_leases_expire_in_ms=max(0, self.guard.late_lease_expiry_ms() - now_ms),
         )
 
     def percent(self, run: FakeRun, now_ms: int) -> float:
--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from yuccarelay.core.batch.late_calls import LateCall, LateCalls
 from yuccarelay.core.batch.leases import Leases
 from yuccarelay.core.batch.models import WorkerId, WorkerInfo
 from yuccarelay.core.batch.protocol import Declined, LeaseReference, OldTerm
@@ -17,8 +18,6 @@
 # A worker has one incarnation at a time; further candidates are late heartbeats or
 # those of other writers.
 CANDIDATES_LIMIT = 8
-# The platform carries out a call without an answer up to 12 s later.
-LATE_CALL_MS = 12_000
 
 
 class Heartbeat(NamedTuple):
@@ -82,50 +81,6 @@
     id: WorkerId
 
 
-class LateCalls:
-    """
-    Calls without an answer, which a later incarnation of the worker may carry out.
-
-    An incarnation refuses a call that is late for it: by the end of the lease on its
-    own clock, and by the runs that it has stopped. A later one knows of neither.
-    """
-
-    def __init__(self):
-        self.until_ms: dict[int, int] = {}
-        self.starts: dict[tuple[str, int], tuple[int, int]] = {}
-
-    def add(
-        self, born_ms: int, now_ms: int, start: tuple[str, int] | None = None
-    ) -> None:
-        """Note a call to the incarnation born at a time; `start` is a task and run."""
-        self._drop_old(now_ms)
-        self.until_ms[born_ms] = now_ms + LATE_CALL_MS
-        if start is not None:
-            self.starts[start] = (born_ms, now_ms + LATE_CALL_MS)
-
-    def may_reach(self, born_ms: int, now_ms: int) -> bool:
-        """Whether a call to another incarnation may still reach this one."""
-        self._drop_old(now_ms)
-        return any(called != born_ms for called in self.until_ms)
-
-    def list_starts(self, born_ms: int, now_ms: int) -> list[tuple[str, int]]:
-        """Return the tasks and runs that other incarnations were told to start."""
-        self._drop_old(now_ms)
-        return [start for start, (born, _) in self.starts.items() if born != born_ms]
-
-    def _drop_old(self, now_ms: int) -> None:
-        self.until_ms = {
-            born_ms: until_ms
-            for born_ms, until_ms in self.until_ms.items()
-            if until_ms > now_ms
-        }
-        self.starts = {
-            start: (born_ms, until_ms)
-            for start, (born_ms, until_ms) in self.starts.items()
-            if until_ms > now_ms
-        }
-
-
 class WorkerGuard:
     """
     One agent's state of its worker, and the checks that orders must pass.
@@ -149,7 +104,8 @@
         self.term = 0
         self.worker: WorkerInfo | None = None
         self.successor: Successor | None = None
-        self.late_calls = LateCalls()
+        self.late_calls = LateCalls(leases)
+        self.acknowledged = 0
         self.candidates: dict[Incarnation, Candidate] = {}
         self.is_leaving = False
         self.departed: Incarnation | None = None
@@ -205,7 +161,7 @@
         if candidate is None:
             return False
         self.candidates.clear()
-        self.worker = self.successor = self.sample = None
+        self._forget_incarnation()
         self.closed_below_ms = incarnation.born_ms
         self._apply(*candidate)
         return True
@@ -272,7 +228,11 @@
     def _forget_worker(self) -> None:
         self.is_leaving = False
         self.changes += 1
+        self._forget_incarnation()
+
+    def _forget_incarnation(self) -> None:
         self.worker = self.successor = self.sample = None
+        self.acknowledged = 0
 
     def find_called(self, worker: WorkerId) -> WorkerId:
         """Return the incarnation that a start for `worker` is to reach."""
@@ -280,15 +240,43 @@
             return self.successor.id
         return worker
 
+    def note_unanswered(
+        self,
+        worker: WorkerId,
+        now_ms: int,
+        *,
+        start: tuple[str, int] | None = None,
+        acknowledges: bool = False,
+    ) -> None:
+        """Note a call to an incarnation that got no answer."""
+        self.late_calls.add(LateCall(worker.born_ms, start, acknowledges), now_ms)
+
     def is_settled(self, now_ms: int) -> bool:
         """
-        Whether no call to an earlier incarnation may still reach the worker.
+        Whether the worker's ended runs remain listed until they are acknowledged.
 
-        Such a call would extend the lease of runs beyond what the planner counts with,
-        or make the worker forget ended runs that were never read.
+        Otherwise a call to an earlier incarnation may still make it forget them. A run
+        that was done would then be started again.
         """
-        current = self.successor.id if self.successor else self.worker_id()
-        return current is None or not self.late_calls.may_reach(current.born_ms, now_ms)
+        return self.worker is None or not self.late_calls.may_forget_ends(
+            self.worker.born_ms, now_ms
+        )
+
+    def late_lease_expiry_ms(self) -> int:
+        """
+        Return when leases have expired that late calls may have given the worker.
+
+        0 if it has none but those that `leases_expire_ms` counts.
+        """
+        if self.worker is None:
+            return 0
+        return self.late_calls.lease_expiry_ms(self.worker.born_ms)
+
+    def may_start_on_successor(self, now_ms: int) -> bool:
+        """Whether the successor has no lease but the one that a start gives it."""
+        return self.successor is not None and (
+            self.late_calls.lease_expiry_ms(self.successor.id.born_ms) <= now_ms
+        )
 
     def take_clock(self, worker_ms: int, now_ms: int) -> None:
         """Note a reading of the worker's clock."""
@@ -331,8 +319,10 @@
 
         `start_by_ms` is when the order for it expires, None if it does not.
         """
-        is_replaced = self.find_called(worker) != worker
-        if worker != self.worker_id() and not is_replaced:
+        if worker != self.worker_id() and (
+            self.find_called(worker) == worker
+            or not self.may_start_on_successor(now_ms)
+        ):
             return Declined('other_worker')
         if self.worker is not None and self.worker.draining:
             return Declined('draining')
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -295,7 +295,7 @@
     its record that must be saved before they are acknowledged.
     `has_drained` is whether the incarnation before this one was draining when it ended.
     `has_orphans` means that it lists a run without a record, whose resources are not
-    known. Until it `is_settled`, late calls to its earlier incarnations may reach it.
+    known. Until it `is_settled`, late calls may make it forget ended runs.
     `suspect_until_ms` follows a failed run, because the worker may be the cause, and
     `proven_until_ms` one that made progress or was done.
     `is_silent` means that its agent does not answer, since `silent_since_ms`, and
--- a/yuccarelay/core/batch/leases.py
+++ b/yuccarelay/core/batch/leases.py
@@ -30,9 +30,14 @@
 
 
 class Leases(NamedTuple):
-    """Duration of a run's lease, and how long leases are extended without the store."""
+    """
+    Duration of a run's lease, and how long leases are extended without the store.
+
+    `longest_hold_ms` is the platform's limit of a lease.
+    """
 
     lease_ms: int
+    longest_hold_ms: int
     abandon_ms: int = ABANDON_MS
 
     def lease_expiry_ms(self, basis_received_ms: int) -> int:
@@ -40,6 +45,11 @@
         duration_ms = int(self.lease_ms * SLOW_CLOCK_FACTOR)
         return basis_received_ms + duration_ms + EXPIRY_SLACK_MS
 
+    def longest_expiry_ms(self, given_ms: int) -> int:
+        """Return when a lease has expired that only the platform limits."""
+        duration_ms = int(self.longest_hold_ms * SLOW_CLOCK_FACTOR)
+        return given_ms + duration_ms + EXPIRY_SLACK_MS
+
     def inherited_expiry_ms(self, elected_ms: int) -> int:
         """
         Return when the leases of earlier planners have expired at the latest.
@@ -51,4 +61,4 @@
 
 def make_leases(longest_hold_ms: int) -> Leases:
     """Return the leases for a platform that limits holds to `longest_hold_ms`."""
-    return Leases(min(longest_hold_ms, LEASE_LIMIT_MS))
+    return Leases(min(longest_hold_ms, LEASE_LIMIT_MS), longest_hold_ms)
--- a/yuccarelay/core/batch/protocol.py
+++ b/yuccarelay/core/batch/protocol.py
@@ -65,8 +65,9 @@
     the agent has learned of. Without `is_whole` the worker may have more ended runs
     than the report lists. `leases_expire_in_ms` counts from the report, because the
     agent's clock is its own: by then all leases that it has given have expired. So does
-    `cold_ms`, for which the worker remains slow. Until it is settled, calls to earlier
-    incarnations may still reach the worker, and it takes no work.
+    `cold_ms`, for which the worker remains slow, and `late_leases_expire_in_ms`: calls
+    to earlier incarnations may give the worker leases that last until then. Until it is
+    settled, such calls may make it forget ended runs, and it takes no work.
     """
 
     basis: LeaseReference
@@ -80,6 +81,7 @@
     leases_expire_in_ms: int | None = None
     cold_ms: int = 0
     is_settled: bool = True
+    late_leases_expire_in_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -110,6 +110,10 @@
             return
         expiry_ms = self.planner_state.now.ms + report.leases_expire_in_ms
         view.inherited_expiry_ms = min(view.inherited_expiry_ms, expiry_ms)
+        if report.late_leases_expire_in_ms:
+            view.extend_lease(
+                self.planner_state.now.ms + report.late_leases_expire_in_ms
+            )
 
     def _note_incarnation(self, view: WorkerView, report: Report) -> None:
         """Note a new incarnation of the worker, or that there is no worker."""
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -337,7 +337,7 @@
         seen = 0
         if order.worker == worker:
             until_ms = self.guard.extend_lease(order.basis, self.clock.now_ms())
-            seen = order.seen
+            seen = order.seen if order.seen > self.guard.acknowledged else 0
         if until_ms is None and not seen:
             return None
         if self.is_worker_silent:
@@ -346,8 +346,13 @@
             if not isinstance(found, WorkerRuns) or found.born_ms != worker.born_ms:
                 return found
         found = await self.worker.hold(worker, order.term, seen, until_ms)
-        if isinstance(found, NoAnswer):
-            self.guard.late_calls.add(worker.born_ms, self.clock.now_ms())
+        match found:
+            case NoAnswer():
+                self.guard.note_unanswered(
+                    worker, self.clock.now_ms(), acknowledges=seen > 0
+                )
+            case WorkerRuns() if worker == self.guard.worker_id():
+                self.guard.acknowledged = max(self.guard.acknowledged, seen)
         return found
 
     async def _report_from_heartbeats(self, order: Look) -> Report:
@@ -383,4 +388,5 @@
             leases_expire_in_ms=max(0, guard.leases_expire_ms - now_ms),
             cold_ms=max(0, guard.cold_until_ms - now_ms) if info else 0,
             is_settled=guard.is_settled(now_ms),
+            late_leases_expire_in_ms=max(0, guard.late_lease_expiry_ms() - now_ms),
         )
--- a/yuccarelay/tasks/batch/worker_orders.py
+++ b/yuccarelay/tasks/batch/worker_orders.py
@@ -86,7 +86,7 @@
         if isinstance(answer, OtherIncarnation):
             await self.take_other_birth(worker, answer, order.term)
             successor = guard.find_called(worker)
-            if successor != worker and guard.is_settled(self.clock.now_ms()):
+            if guard.may_start_on_successor(self.clock.now_ms()):
                 return successor, await self._start_on(successor, order)
         return worker, answer
 
@@ -98,7 +98,7 @@
         answer = await self.worker.start(replace(order, worker=worker), until_ms)
         if isinstance(answer, NoAnswer):
             start = (order.task, order.run)
-            self.guard.late_calls.add(worker.born_ms, self.clock.now_ms(), start)
+            self.guard.note_unanswered(worker, self.clock.now_ms(), start=start)
         return answer
 
     async def stop(self, order: Stop) -> Answer:
@@ -119,8 +119,9 @@
         """Handle the answer of another incarnation than the one that was called."""
         if called != self.guard.worker_id() or not found.born_ms:
             return
+        now_ms = self.clock.now_ms()
         self.guard.take_other_birth(
-            found.born_ms, found.clock_ms, self.clock.now_ms(), is_idle=found.is_idle
+            found.born_ms, found.clock_ms, now_ms, is_idle=found.is_idle
         )
         self.journal.write(
             'worker_reborn',
@@ -128,8 +129,7 @@
                 'worker': called.name,
                 'born_ms': found.born_ms,
                 'known': called.born_ms,
-                'is_idle': found.is_idle,
-                'is_settled': self.guard.is_settled(self.clock.now_ms()),
+                'takes_starts': self.guard.may_start_on_successor(now_ms),
             },
         )
         self.wake_polls()
