Try again when a worker does not answer the check of its connection

A check that gets no answer counted as a refusal, so a start was declined where it was tried again before: nothing had been sent.

Such calls are tried again like those without an answer, and do not count as sent. Readings identify their connection as well, so that fewer checks are needed.

--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -20,6 +20,7 @@
     Accepted,
     NoAnswer,
     NotListening,
+    NotSent,
     OtherIncarnation,
     Refused,
     WorkerRuns,
@@ -451,6 +452,17 @@
         self.assertEqual(answer, NoAnswer('repeated: old'))
         self.assertEqual(await self.retry(Refused('room')), Refused('room'))
 
+    async def test_a_call_that_was_not_sent_is_retried(self):
+        # The check of the connection got no answer; nothing was done.
+        unsent = NotSent('silent')
+        answer = await self.retry(unsent, Accepted(5))
+        self.assertEqual((answer, self.tries), (Accepted(5), 1))
+        answer = await self.retry(NoAnswer('silent'), unsent, Accepted(5))
+        self.assertEqual((answer, self.tries), (Accepted(5), 2))
+        self.assertEqual(await self.retry(*[unsent] * ORDER_TRIES), unsent)
+        answer = await self.retry(unsent, NoAnswer('silent'), unsent)
+        self.assertEqual(answer, NoAnswer('silent'))
+
     async def test_the_number_of_calls_is_limited(self):
         answer = await self.retry(*[NoAnswer('silent')] * 9)
         self.assertIsInstance(answer, NoAnswer)
--- a/yuccarelay/adapters/http_client.py
+++ b/yuccarelay/adapters/http_client.py
@@ -38,12 +38,14 @@
     """
     No complete response; `sent` is false if the request was definitely not sent.
 
-    `refused` means that nothing listens at the address.
+    `refused` means that nothing listens at the address, and `unchecked` that the server
+    did not answer the request of the `ServerCheck`.
     """
 
     reason: str
     sent: bool
     refused: bool = False
+    unchecked: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,18 +59,21 @@
     response: HttpResponse
 
 
+# Reads from a response which process has sent it, None if it does not say.
+Identify = Callable[[HttpResponse], Hashable | None]
+
+
 class ServerCheck(NamedTuple):
     """
     A request that shows which process is at the other end of a connection.
 
-    `identify` reads the process from the response, None if it does not say. The request
-    must change nothing, because it may reach any process.
+    It must change nothing, because it may reach any process.
     """
 
     method: str
     path: str
     body: bytes
-    identify: Callable[[HttpResponse], Hashable | None]
+    identify: Identify
     expected: Hashable
 
 
@@ -145,12 +150,14 @@
         query: Mapping[str, str] | None = None,
         headers: Mapping[str, str] | None = None,
         check: ServerCheck | None = None,
+        identify: Identify | None = None,
     ) -> Result[HttpResponse, HttpFailure | OtherServer]:
         """
         Send a request and return its response; fail if it stays silent too long.
 
         With `check` it is only sent to the expected process. One more request shows
-        which process that is on each new connection.
+        which process that is on a connection where it is not known. With `identify` the
+        response shows it as well.
         """
         request = HttpRequest(
             method,
@@ -165,7 +172,9 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s + len(request.body) / UPLOAD_BYTES_PER_S
         while True:
-            found, was_idle = await self._call_once(request, check, deadline, timeout_s)
+            found, was_idle = await self._call_once(
+                request, check, identify, deadline, timeout_s
+            )
             match found:
                 # The server may close an idle connection as it is used again.
                 case Err(HttpFailure(sent=False)) if was_idle and (
@@ -178,6 +187,7 @@
         self,
         request: HttpRequest,
         check: ServerCheck | None,
+        identify: Identify | None,
         deadline: float,
         timeout_s: float,
     ) -> tuple[Result[HttpResponse, HttpFailure | OtherServer], bool]:
@@ -203,7 +213,11 @@
                 connection, request, deadline, timeout_s
             )
             match found:
-                case Ok() | Err(OtherServer()):
+                case Ok(response):
+                    is_reusable = True
+                    if identify is not None:
+                        connection.server = identify(response)
+                case Err(OtherServer()):
                     is_reusable = True
             return found, was_idle
         finally:
@@ -227,7 +241,7 @@
                 if connection.server != check.expected:
                     return Err(OtherServer(response))
             case Err(failure):
-                return Err(replace(failure, sent=False))
+                return Err(replace(failure, sent=False, unchecked=True))
         return None
 
     async def _exchange(
--- a/yuccarelay/platform/worker.py
+++ b/yuccarelay/platform/worker.py
@@ -34,6 +34,7 @@
     HoldAnswer,
     NoAnswer,
     NotListening,
+    NotSent,
     OtherIncarnation,
     Refused,
     WorkerAnswer,
@@ -229,6 +230,8 @@
                 return read_refusal(response)
             case Err(OtherServer(response)):
                 return read_other_server(response)
+            case Err(HttpFailure(reason, unchecked=True)):
+                return NotSent(reason)
             case Err(HttpFailure(reason, sent)):
                 return NoAnswer(reason) if sent else Refused(reason)
 
@@ -241,7 +244,9 @@
         born_ms: int | None = None,
     ) -> Result[HttpResponse, HttpFailure | OtherServer]:
         """Call the worker of a name, or only its incarnation that began at a time."""
-        check = None
+        check, identify = None, None
+        if path == HOLD_PATH:
+            identify = read_birth
         if born_ms is not None:
             reading = msgspec.json.encode(make_reading(body['fencingToken']))
             check = ServerCheck('POST', HOLD_PATH, reading, read_birth, born_ms)
@@ -252,6 +257,7 @@
             headers={INSTANCE_HEADER: name},
             timeout_s=limit_s,
             check=check,
+            identify=identify,
         )
 
     async def close(self) -> None:
--- a/yuccarelay/ports/worker.py
+++ b/yuccarelay/ports/worker.py
@@ -21,6 +21,17 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """
+    It is not known which incarnation is there, so the call was not made.
+
+    Another try may succeed.
+    """
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Fenced:
     """The worker has seen a newer term and did nothing."""
@@ -67,7 +78,7 @@
     is_whole: bool = True
 
 
-WorkerAnswer = Accepted | Refused | Fenced | NoAnswer | OtherIncarnation
+WorkerAnswer = Accepted | Refused | NotSent | Fenced | NoAnswer | OtherIncarnation
 HoldAnswer = WorkerRuns | Refused | Fenced | NoAnswer | OtherIncarnation | NotListening
 
 
--- a/yuccarelay/tasks/batch/worker_orders.py
+++ b/yuccarelay/tasks/batch/worker_orders.py
@@ -23,6 +23,7 @@
     Accepted,
     Fenced,
     NoAnswer,
+    NotSent,
     OtherIncarnation,
     Refused,
     Worker,
@@ -69,9 +70,9 @@
             called, answer = await self._call_start(order)
             return answer
 
-        answer, tries = await retry_order(call)
+        answer, sent = await retry_order(call)
         self.wake_polls()
-        started = Started(repeated=tries > 1, born_ms=called.born_ms)
+        started = Started(repeated=sent > 1, born_ms=called.born_ms)
         return self._conclude(order, answer, started)
 
     async def _call_start(self, order: Start) -> tuple[WorkerId, WorkerAnswer]:
@@ -162,7 +163,7 @@
                 if clock_ms is not None and order.worker == self.guard.worker_id():
                     self.guard.take_clock(clock_ms, self.clock.now_ms())
                 result = done
-            case Refused(reason):
+            case Refused(reason) | NotSent(reason):
                 result = Declined(reason)
             case OtherIncarnation():
                 result = Declined('other_worker')
@@ -190,20 +191,27 @@
     """
     Make a call to the worker, and retry while it is not answered.
 
-    Returns the last answer and the number of calls.
+    Returns the last answer and the number of calls that were sent.
 
     Starts and stops are idempotent on the worker. A refusal after a call without
     an answer does not mean that nothing was done: the run may have begun and
     ended in between.
     """
-    answer = await call()
-    for tries in range(2, ORDER_TRIES + 1):
-        if not isinstance(answer, NoAnswer):
-            return answer, tries - 1
+    answer: WorkerAnswer = NotSent('no call')
+    unanswered: NoAnswer | None = None
+    sent = 0
+    for _ in range(ORDER_TRIES):
         answer = await call()
+        sent += not isinstance(answer, NotSent)
         match answer:
-            case Refused(reason):
-                return NoAnswer(f'repeated: {reason}'), tries
-            case OtherIncarnation():
-                return NoAnswer('repeated: other_worker'), tries
-    return answer, ORDER_TRIES
+            case NotSent():
+                continue
+            case NoAnswer():
+                unanswered = answer
+            case Refused(reason) if unanswered is not None:
+                return NoAnswer(f'repeated: {reason}'), sent
+            case OtherIncarnation() if unanswered is not None:
+                return NoAnswer('repeated: other_worker'), sent
+            case _:
+                return answer, sent
+    return unanswered or answer, sent
