Show a cancelled job as cancelled where the replica lacks it

It reads the cancellation as well, and so does an entry whose replica is stale. The extended test failed before with State('queued') for State('cancelled').

The cancellation of a job that the replica lacks reads only the job now, not its state.

--- a/tests/test_batch_early_cancellations.py
+++ b/tests/test_batch_early_cancellations.py
@@ -144,6 +144,10 @@
         self.assertEqual(await self.call('DELETE'), NoSuchJob())
         for entry in (0, 1):
             self.assertEqual(await self.call('POST', entry), Accepted())
+        for entry in (0, 1):
+            # Neither has it in its replica yet.
+            found = await self.call('GET', entry)
+            self.assertEqual(found, State(JobState.CANCELLED))
         self.assertEqual(self.list_keys(batch_records.JOBS), [ID])
         self.assertEqual(self.list_keys(batch_records.CANCELS), [ID])
 
--- a/yuccarelay/tasks/batch/early_cancellations.py
+++ b/yuccarelay/tasks/batch/early_cancellations.py
@@ -45,7 +45,7 @@
     """
 
     def __init__(self, store: Store, clock: Clock, journal: Journal):
-        self.client = store
+        self.store = store
         self.clock = clock
         self.journal = journal
         self.early_cancellations = EarlyCancellations()
@@ -53,7 +53,7 @@
         self.lease_due_ms = 0
         self.granting = asyncio.Lock()
 
-    async def store(
+    async def mark(
         self, cancel: StoreCancel
     ) -> NoSuchJob | NoRoom | NotAccepted | None:
         """Mark a job; return the answer, or None if a job of this id is stored now."""
@@ -84,7 +84,7 @@
                     put = Put(key, b'1', lease)
                 case Err() as failed:
                     return failed
-            written = await self.client.transact((guard,), (put,))
+            written = await self.store.transact((guard,), (put,))
             match written:
                 case Err(StoreFailure(refused=True)):
                     # Another call may have found a new lease meanwhile.
@@ -99,7 +99,7 @@
             now_ms = self.clock.now_ms()
             if self.lease and now_ms < self.lease_due_ms:
                 return Ok(self.lease)
-            granted = await self.client.grant_lease(LEASE_TTL_S)
+            granted = await self.store.grant_lease(LEASE_TTL_S)
             if isinstance(granted, Ok):
                 self.lease = granted.ok_value
                 self.lease_due_ms = now_ms + LEASE_PERIOD_MS
--- a/yuccarelay/tasks/batch/store_calls.py
+++ b/yuccarelay/tasks/batch/store_calls.py
@@ -128,39 +128,63 @@
                     return Accepted()
         return Taken()
 
-    async def _read_state(self, call: ReadJob) -> Outcome:
-        """Return the state of a job that the replica does not have."""
+    async def _find_job(self, call: ReadJob | StoreCancel) -> Job | NoSuchJob | None:
+        """Read a job that the caller may see from the store; None if that fails."""
         match await self.store.read(batch_records.JOBS + call.job):
             case Ok(None):
                 return NoSuchJob()
             case Ok(value):
                 match batch_records.decode_job(value.value):
                     case Ok(job) if is_visible(job, call.queue, call.organisation):
-                        return await self._read_record(job.id)
+                        return job
                 return NoSuchJob()
+        return None
+
+    async def _read_state(self, call: ReadJob) -> Outcome:
+        """Return the state of a job that the replica does not have."""
+        match await self._find_job(call):
+            case Job() as job:
+                return await self._read_record(job.id)
+            case NoSuchJob() as found:
+                return found
         return NotAccepted(RETRY_AFTER_S)
 
     async def _read_record(self, job: str) -> Outcome:
-        """Return a job's state from the replica, or from the store if it is stale."""
+        """
+        Return a job's state from the replica, or from the store if it is stale.
+
+        A replica that does not have the job yet may also lack its cancellation.
+        """
         record = self.handler.records.get(job)
-        if not self.is_replica_fresh():
+        is_cancelled = job in self.handler.cancelled
+        is_fresh = self.is_replica_fresh()
+        if not is_fresh:
             match await self.store.read(batch_records.RECORDS + job):
                 case Ok(value) if value is not None:
                     record = batch_records.decode_record(value.value).unwrap_or(record)
                 case Err():
                     return NotAccepted(RETRY_AFTER_S)
-        return State(derive_state(record, job in self.handler.cancelled))
+        if not is_cancelled and not (is_fresh and job in self.handler.jobs):
+            match await self.store.read(batch_records.CANCELS + job):
+                case Ok(value):
+                    is_cancelled = value is not None
+                case Err():
+                    return NotAccepted(RETRY_AFTER_S)
+        return State(derive_state(record, is_cancelled))
 
     async def _store_cancel(self, cancel: StoreCancel) -> Outcome:
         """Store a cancellation; the write is idempotent."""
         if not cancel.known:
-            reading = ReadJob(cancel.job, cancel.queue, cancel.organisation)
-            found = await self._read_state(reading)
+            found = await self._find_job(cancel)
+            if isinstance(found, NoSuchJob):
+                answer = await self.early_cancellations.mark(cancel)
+                if answer is not None:
+                    return answer
+                found = await self._find_job(cancel)
             if isinstance(found, NoSuchJob):
-                found = await self.early_cancellations.store(cancel)
-                found = found or await self._read_state(reading)
-            if not isinstance(found, State):
                 return found
+            if found is None:
+                return NotAccepted(RETRY_AFTER_S)
         key = batch_records.CANCELS + cancel.job
         match await self.store.transact((Guard(key, 0),), (Put(key, b'1'),)):
             case Ok():
