Carry late writes out when the test chooses

The test carries the writes out itself now, after the cancellation, and checks that there are three. The product is unchanged.

--- a/tests/test_batch_early_cancellations.py
+++ b/tests/test_batch_early_cancellations.py
@@ -29,7 +29,6 @@
     Undecided,
 )
 from yuccarelay.platform.store import PlatformStore
-from yuccarelay.standins import platform_store
 from yuccarelay.standins.platform_store import PlatformStoreStandin
 from yuccarelay.tasks.batch.configuration import ConfigurationConfirmed
 from yuccarelay.tasks.batch.early_cancellations import LEASE_PERIOD_MS, LEASE_TTL_S
@@ -44,7 +43,6 @@
 ID = '5c0e7a21d94b36f8'
 DRAFT = Draft('s', (make_step(),))
 LIMIT_MS = 60_000
-LATE_WRITE_S = 0.2
 # For what comes at once from the entry under test.
 WAIT_LIMIT_S = 10
 
@@ -64,11 +62,12 @@
     CONFIGURATION = CONFIGURATION
 
     async def asyncSetUp(self):
-        delay = mock.patch.object(platform_store, 'WRITE_DELAY_S', LATE_WRITE_S)
-        self.enterContext(delay)
         self.clock = OffsetClock()
         self.standin = PlatformStoreStandin(self.clock)
         self.standin.start()
+        # Writes without an answer, which a test carries out when it chooses.
+        self.late_writes = []
+        self.standin.delay_write = self.late_writes.append
         self.stores = []
         self.entries = [self.make_entry(), self.make_entry()]
 
@@ -109,6 +108,12 @@
         async with asyncio.timeout(WAIT_LIMIT_S):
             return await reply_to
 
+    def carry_out_late_writes(self) -> None:
+        self.assertEqual(len(self.late_writes), STORE_TRIES)
+        for carry_out in self.late_writes:
+            carry_out()
+        self.late_writes.clear()
+
     def list_keys(self, folder: str) -> list[str]:
         found = self.standin.list_under(folder)
         return [version.key.decode().removeprefix(folder) for version in found]
@@ -133,7 +138,7 @@
                 self.assertEqual(await self.call('POST', job=job), Undecided())
                 found = await self.call('DELETE', entry, job)
                 self.assertEqual(found, NoSuchJob())
-                await asyncio.sleep(2 * LATE_WRITE_S)
+                self.carry_out_late_writes()
                 self.assertEqual(self.list_keys(batch_records.JOBS), [])
                 for asked in (0, 1):
                     found = await self.call('GET', asked, job)
@@ -164,7 +169,7 @@
         await self.call('DELETE')
         self.standin.delayed_writes = STORE_TRIES
         self.assertIsInstance(await self.call('POST'), Undecided | Accepted)
-        await asyncio.sleep(2 * LATE_WRITE_S)
+        self.carry_out_late_writes()
         self.assertEqual(
             self.list_keys(batch_records.JOBS), self.list_keys(batch_records.CANCELS)
         )
--- a/yuccarelay/standins/platform_store.py
+++ b/yuccarelay/standins/platform_store.py
@@ -11,6 +11,8 @@
 import base64
 import collections
 import json
+from collections.abc import Callable
+from functools import partial
 
 import tornado.web
 from tornado.httpserver import HTTPServer
@@ -61,6 +63,10 @@
         self.server.stop()
         await self.server.close_all_connections()
 
+    def delay_write(self, carry_out: Callable[[], object]) -> None:
+        """Carry a write out late; a test may choose another time."""
+        asyncio.get_running_loop().call_later(WRITE_DELAY_S, carry_out)
+
     def write(self, key: str, value: bytes) -> None:
         """Write a key without conditions, as the operator does."""
         self.memory.revision += 1
@@ -172,8 +178,7 @@
         body = self.read_body()
         if self.standin.delayed_writes:
             self.standin.delayed_writes -= 1
-            loop = asyncio.get_running_loop()
-            loop.call_later(WRITE_DELAY_S, self.transact, body)
+            self.standin.delay_write(partial(self.transact, body))
             self.drop()
             return
         status, answer = self.transact(body)
