--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from yuccarelay.adapters.clock import MonotonicClock
+
 
 class FakeClock:
     """Clock whose time the test sets."""
@@ -14,6 +16,15 @@
         return self.time_ms
 
 
+class OffsetClock(MonotonicClock):
+    """The clock of this process, set forward by a test."""
+
+    offset_ms = 0
+
+    def now_ms(self) -> int:
+        return super().now_ms() + self.offset_ms
+
+
 class FakeJournal:
     """Records the events that were written."""
 
--- a/tests/test_batch_agent_restart.py
+++ b/tests/test_batch_agent_restart.py
@@ -9,9 +9,8 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPError
 
 from tests.batch_fleet import make_fleet, make_job, make_step
-from tests.fakes import FakeJournal
+from tests.fakes import FakeJournal, OffsetClock
 from yuccarelay.adapters import batch_codec
-from yuccarelay.adapters.clock import MonotonicClock
 from yuccarelay.core.batch.agent import (
     Heartbeat,
     Reception,
@@ -45,15 +44,6 @@
 RUN_MS = 60_000
 
 
-class OffsetClock(MonotonicClock):
-    """The clock of this process, set forward by a test."""
-
-    offset_ms = 0
-
-    def now_ms(self) -> int:
-        return super().now_ms() + self.offset_ms
-
-
 class LossyWorker(HttpWorker):
     """Calls to a worker; the next one that changes it is lost after `before_loss`."""
 
--- a/tests/test_batch_early_cancellations.py
+++ b/tests/test_batch_early_cancellations.py
@@ -6,10 +6,9 @@
 from unittest import mock
 
 from tests.batch_fleet import CONFIGURATION, ORDINARY, make_step
-from tests.fakes import FakeJournal
+from tests.fakes import FakeJournal, OffsetClock
 from tests.host_system import HostCase
 from yuccarelay.adapters import batch_records
-from yuccarelay.adapters.clock import MonotonicClock
 from yuccarelay.core.batch.early_cancellations import (
     ORGANISATION_BURST,
     ORGANISATION_INTERVAL_MS,
@@ -47,15 +46,6 @@
 WAIT_LIMIT_S = 10
 
 
-class OffsetClock(MonotonicClock):
-    """The clock of this process, set forward by a test."""
-
-    offset_ms = 0
-
-    def now_ms(self) -> int:
-        return super().now_ms() + self.offset_ms
-
-
 class EntriesCase(unittest.IsolatedAsyncioTestCase):
     """Two entries on one store, which follow no changes unless a test passes them."""
 
