Log reservations that are lost, and how fast the chosen workers are

The incident in huon has two hypotheses that the logs could not tell apart: that urgent work loses the workers reserved for it, and that it runs on slow ones. reservation_lost names the workers that take no work any more, and run_assigned has least_speed, what the planner knows of the slowest worker. No change of a decision.

--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -312,7 +312,8 @@
         plan.waits.pop(unit.tasks[0][1:], None)
         self.changed.add(plan.job.id)
         step = plan.job.steps[unit.step]
-        racks = {self.workers[agent].rack() for agent in placement}
+        views = [self.workers[agent] for agent in placement]
+        speeds = [self.run_times.find_speed(view.machine()) for view in views]
         self.note(
             'run_assigned',
             job=plan.job.id,
@@ -322,7 +323,8 @@
             tasks=len(unit.tasks),
             run=number,
             workers=','.join(placement),
-            racks=len(racks),
+            racks=len({view.rack() for view in views}),
+            least_speed=round(min(speeds), 2),
             image=step.image,
             submitted_ms=step.estimated_ms,
             estimate_ms=int(
--- a/yuccarelay/core/batch/run_times.py
+++ b/yuccarelay/core/batch/run_times.py
@@ -154,7 +154,7 @@
                 times.predictions.clear()
             found = self.learned_ms(queue, step, quantile)
             times.predictions[key] = found
-        return found / self._find_speed(machine)
+        return found / self.find_speed(machine)
 
     def remaining_ms(
         self,
@@ -168,7 +168,7 @@
         times = self.queues.get(queue)
         if times is None or not times.is_learned or ran_ms <= 0:
             return max(self.total_ms(queue, step, quantile, machine) - ran_ms, 0)
-        speed = self._find_speed(machine)
+        speed = self.find_speed(machine)
         done_ms = ran_ms * speed
         line = self._find_line(queue, times)
         submitted = log_or_none(step.estimated_ms)
@@ -180,7 +180,8 @@
         )
         return (math.exp(end) - done_ms) / speed
 
-    def _find_speed(self, machine: Machine | None) -> float:
+    def find_speed(self, machine: Machine | None) -> float:
+        """Return a worker's speed relative to normal, 1.0 if nothing is known."""
         return 1.0 if machine is None else math.exp(self.speeds.find(machine))
 
     def learned_ms(self, queue: str, step: Step, quantile: Quantile) -> float:
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -115,6 +115,7 @@
     candidates = list_usable(planner_state, snapshot, entry)
     reservation = planner_state.reserved.get(key)
     if reservation is not None and not is_reservation_usable(reservation, candidates):
+        note_reservation_lost(planner_state, entry, reservation, candidates)
         del planner_state.reserved[key]
         snapshot.refresh(reservation.placement)
         candidates = list_usable(planner_state, snapshot, entry)
@@ -255,8 +256,32 @@
     One that has become slow or drains meanwhile would hold up the unit until the
     reservation expires, which is longer than guaranteed work may wait.
     """
+    return not list_closed(reservation, candidates)
+
+
+def list_closed(reservation: Reservation, candidates: list[Candidate]) -> list[str]:
+    """Return the workers of a reservation that take no work of its unit any more."""
     open_agents = {candidate.agent for candidate in candidates if not candidate.avoided}
-    return open_agents.issuperset(reservation.placement)
+    return sorted(set(reservation.placement) - open_agents)
+
+
+def note_reservation_lost(
+    planner_state: PlannerState,
+    entry: WaitingUnit,
+    reservation: Reservation,
+    candidates: list[Candidate],
+) -> None:
+    """Log that a unit loses its reserved workers, and which of them takes no work."""
+    planner_state.note(
+        'reservation_lost',
+        job=entry.unit.job,
+        step=entry.unit.step,
+        occurrence=entry.unit.occurrence,
+        index=entry.unit.tasks[0].index,
+        tasks=len(entry.unit.tasks),
+        workers=len(set(reservation.placement)),
+        closed=','.join(list_closed(reservation, candidates)),
+    )
 
 
 def waits_for_release(
