Take a worker for ended that is gone after its notice

Zones with few jobs fall below their floor when such a job is theirs.

Cause: a worker that is taken away at short notice ends without a deregistration. Its agent saw for 4 s that nothing listens, and took that for a possible crash, because only a deregistration counted as a word that the worker leaves. So its runs waited for the end of their lease, and the other members of a gang with them.

Fix: the notice is the worker's own word that it leaves. Once the announced time is over and the connection is refused, it has ended: the process that held the runs is not there. Before that time, or without a notice, it may have crashed and come back, and nothing changes. A worker that is silent or answers is still there, whatever it has announced.

--- a/tests/test_batch_agent.py
+++ b/tests/test_batch_agent.py
@@ -35,7 +35,14 @@
 LEASES = make_leases(6_000)
 
 
-def make_heartbeat(sequence=1, born_ms=10, name='i-1', draining=False, clock_ms=500):
+def make_heartbeat(
+    sequence=1,
+    born_ms=10,
+    name='i-1',
+    draining=False,
+    clock_ms=500,
+    leaves_in_ms=0,
+):
     info = WorkerInfo(
         name,
         born_ms,
@@ -45,6 +52,7 @@
         (),
         '',
         draining,
+        leaves_in_ms,
     )
     return Heartbeat(info, sequence, clock_ms)
 
@@ -308,6 +316,51 @@
             self.assertEqual((report.worker.name, report.closed_below_ms), ('i-1', 10))
 
 
+class ExpiredNoticeTest(AgentCase):
+    """
+    Guards against work that waits for the lease of a worker which has left.
+
+    A worker that is taken away at short notice ends without a deregistration. On
+    paddockproof-yr-grown an urgent gang waited 5.2 s for one of its members.
+    """
+
+    NOTICE_MS = 1_500
+
+    async def poll_at(self, now_ms):
+        """Return the report of a poll at a time on the agent's clock."""
+        self.agent.clock.time_ms = now_ms
+        return await self.poll(call_worker=True)
+
+    async def announce(self, sequence=2):
+        """Let the worker say at 1,100 that it leaves."""
+        notice = make_heartbeat(sequence, draining=True, leaves_in_ms=self.NOTICE_MS)
+        self.guard.take_heartbeat(notice, 1_100)
+
+    async def test_a_worker_that_is_gone_after_its_notice_has_ended(self):
+        await self.announce()
+        self.worker.ended = True
+        report = await self.poll_at(1_100 + self.NOTICE_MS)
+        self.assertIsNone(report.worker)
+        self.assertEqual(report.closed_below_ms, 11)
+
+    async def test_before_the_end_of_its_notice_it_may_have_crashed(self):
+        await self.announce()
+        self.worker.ended = True
+        report = await self.poll_at(1_099 + self.NOTICE_MS)
+        self.assertEqual((report.worker.name, report.closed_below_ms), ('i-1', 10))
+
+    async def test_a_silent_worker_has_not_ended(self):
+        await self.announce()
+        self.worker.silent = True
+        report = await self.poll_at(60_000)
+        self.assertEqual((report.worker.name, report.closed_below_ms), ('i-1', 10))
+
+    async def test_a_worker_that_still_answers_stays(self):
+        await self.announce()
+        report = await self.poll_at(60_000)
+        self.assertEqual((report.worker.name, report.lists_read), ('i-1', True))
+
+
 class ForeignHeartbeatTest(AgentCase):
     """
     Guards against work that runs twice after a heartbeat of another writer.
--- a/yuccarelay/core/batch/agent.py
+++ b/yuccarelay/core/batch/agent.py
@@ -197,9 +197,21 @@
         self.is_leaving = True
         return True
 
+    def has_ended(self, now_ms: int) -> bool:
+        """
+        Whether the worker has ended, given that nothing listens at its address.
+
+        One that has not said that it leaves may have crashed. One that has may end
+        without a deregistration, but not before its notice is over.
+        """
+        if self.worker is None:
+            return False
+        is_overdue = self.worker.draining and now_ms >= self.drain_deadline_ms
+        return self.is_leaving or is_overdue
+
     def take_departure(self) -> None:
         """
-        Note that the deregistered worker has ended.
+        Note that a worker which has said that it leaves has ended.
 
         Its heartbeats that are still on their way are not accepted any more.
         """
--- a/yuccarelay/tasks/batch/agent.py
+++ b/yuccarelay/tasks/batch/agent.py
@@ -289,7 +289,7 @@
         """Handle that nothing listens any more where the worker did."""
         if called != self.guard.worker_id():
             return
-        if not self.guard.is_leaving:
+        if not self.guard.has_ended(self.clock.now_ms()):
             self._log_silence('nothing listens')
             return
         self.guard.take_departure()
