Keep what becomes free for the urgent work that waits for it

Cause: one of the workers reserved for it was taken away, and with that the whole reservation was dropped. Runs that are being stopped count as ending now, so waiting looked as fast as a new eviction, and the gang waited without a reservation. What a scheduling pass sets aside binds only work that comes later in the same pass: a smaller urgent job that was accepted later but had to start earlier took a worker that had been freed for the gang, and work of lower rank took others.

Evidence: LostReservationTest.test_urgent_work_starts_on_what_was_freed_for_it failed before ('0 != 3': the gang had not started after 3 s). Its bound is the time of the stops and of one poll, record and start.

Fix: if resources become free as soon as by a stop, they are reserved for the urgent work instead of only waited for. This covers the lost reservation as well: the workers that are left are planned again at no cost, and only what is missing is stopped.

The stand-in of a worker can take time to stop a run.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -124,6 +124,8 @@
     checkpoint: str = ''
     started_ms: int = 0
     percent: float | None = None
+    # How it ends, if not as all runs of its worker do.
+    how: str = ''
 
 
 @dataclass
@@ -141,6 +143,8 @@
     lose_answers: bool = False
     lose_stops: int = 0
     stops: int = 0
+    # Stopped runs end one after the other, each after this time.
+    stop_ms: int = 0
     # It restarts, and its agent learns of it with the next start.
     restarts_unnoticed: bool = False
     # The machine has no worker any more; the agent knows it from a late heartbeat.
@@ -225,6 +229,15 @@
         self.all_ended.append((task, how))
         self.refused.add((task, run.run))
 
+    def _stop(self, task: str, now_ms: int) -> None:
+        if not self.stop_ms:
+            self.end(task, 'stopped')
+            return
+        run = self.runs[task]
+        if run.how != 'stopped':
+            earlier = sum(other.how == 'stopped' for other in self.runs.values())
+            run.how, run.ends_ms = 'stopped', now_ms + (earlier + 1) * self.stop_ms
+
     def count_done(self, job: str) -> int:
         """Return how many tasks of a job were done on this worker."""
         return sum(
@@ -245,7 +258,7 @@
             if now_ms >= self.lease_end_ms:
                 self.end(task, 'lapsed')
             elif now_ms >= run.ends_ms:
-                self.end(task, self.how)
+                self.end(task, run.how or self.how)
 
     def order(self, order, now_ms: int):
         """Carry out an order as the agent and the worker would; return the answer."""
@@ -271,7 +284,7 @@
                     return Unanswered('no answer')
                 self.refused.add((task, run))
                 if task in self.runs and self.runs[task].run == run:
-                    self.end(task, 'stopped')
+                    self._stop(task, now_ms)
                 return Stopped()
             case Pace(_, _, task, _, percent):
                 self.paces[task] = percent
--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -12,7 +12,8 @@
     make_job,
     make_step,
 )
-from yuccarelay.core.batch.models import CORES_PER_ACCELERATOR, Job
+from yuccarelay.core.batch.models import CORES_PER_ACCELERATOR, Job, Resources
+from yuccarelay.core.batch.planner import UNSAVED_PAUSE_MS
 from yuccarelay.core.batch.polling import POLL_WAIT_MS
 
 # The users' platform announces that a worker leaves at least this long before.
@@ -231,5 +232,63 @@
         self.assertLess(fleet.starts(urgent)[0][0] - submitted_ms, 500)
 
 
+class LostReservationTest(unittest.TestCase):
+    """
+    Guards against resources that are freed for urgent work and go to other work.
+
+    On paddockproof-yr-grown a gang of 9 lost the workers reserved for it, because one
+    of them was taken away. A smaller urgent job that came later started on another one,
+    and more work was stopped: the gang started 2.9 s after it was accepted.
+    """
+
+    # Three tasks fill a worker, with three of its eight accelerators.
+    NEED = Resources(40_000, 1_000, 1)
+    STOP_MS = 200
+    # The stops on a worker, the pause before its next poll, a record and a start.
+    START_MS = 3 * STOP_MS + UNSAVED_PAUSE_MS + 300
+
+    def setUp(self):
+        self.fleet = make_fleet(5, run_ms=LONG_MS, stop_ms=self.STOP_MS)
+        step = make_step(3, estimated_ms=LONG_MS)._replace(need=self.NEED)
+        cancelled = self.fleet.submit(make_job(step, queue=DEFERRABLE))
+        self.fleet.run(100)
+        step = step._replace(count=12)
+        self.fleet.submit(make_job(step, queue=DEFERRABLE))
+        self.fleet.run(2_500)
+        self.submitted_ms = self.fleet.now_ms
+        step = make_step(3, 8, gang=True, estimated_ms=5_000)
+        self.gang = self.submit(step)
+        (reservation,) = self.fleet.planner.planner_state.reserved.values()
+        self.lost = reservation.placement[0]
+        self.fleet.run(50)
+        # What the cancelled job had becomes free as soon as by a stop.
+        self.fleet.cancel(cancelled)
+        worker = self.fleet.workers[self.lost]
+        worker.draining, worker.leaves_in_ms = True, NOTICE_MS
+        self.fleet.run(200)
+        # It has to start before the gang, and fits where some of the stops are over.
+        self.later_ms = self.fleet.now_ms
+        self.later = self.submit(make_step(1, 6, estimated_ms=500))
+        self.fleet.run(3_000)
+
+    def submit(self, step) -> Job:
+        """Submit an urgent job outside its guarantee."""
+        return self.fleet.submit(make_job(step, queue=URGENT, organisation='nobody'))
+
+    def test_urgent_work_starts_on_what_was_freed_for_it(self):
+        starts = self.fleet.starts(self.gang)
+        self.assertEqual(len(starts), 3)
+        self.assertLess(starts[-1][0] - self.submitted_ms, self.START_MS)
+
+    def test_the_later_job_starts_as_soon(self):
+        starts = self.fleet.starts(self.later)
+        self.assertEqual(len(starts), 1)
+        self.assertLess(starts[0][0] - self.later_ms, self.START_MS)
+
+    def test_the_log_names_the_worker_that_was_lost(self):
+        lost = list_notes(self.fleet, 'reservation_lost')
+        self.assertEqual([note['closed'] for note in lost], [self.lost])
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -45,6 +45,9 @@
 # Within this time a run ends by itself about as soon as a stop frees its resources, and
 # its own caller would wait longer for a restart than for its end.
 ENDING_MS = STOP_MS + RESTART_MS
+# What is expected to be free within `LONGEST_STOP_MS` is listed as free by then; later
+# the expectation was wrong, and the unit is placed as any other.
+HOLD_MS = LONGEST_STOP_MS + 1_000
 # Weight of lost work by the priority of its queue: preemption costs the callers of
 # urgent and ordinary work more than those of deferrable work.
 VICTIM_WEIGHTS = {0: 3.0, 1: 1.5}
@@ -62,12 +65,13 @@
     candidates: list[Candidate],
 ) -> bool:
     """
-    Stop work of lower rank so that urgent work fits; false if none was stopped.
+    Stop work of lower rank so that urgent work fits; false if it got no reservation.
 
     Resources are freed for all waiting units of the step at once, because a job is of
     no use in part. Work within its guarantee always gets its resources. Other urgent
     work gets them if it can then meet its objective, would not meet it by waiting,
-    and the lost work is within the limit.
+    and the lost work is within the limit. What becomes free as soon as by a stop is
+    reserved instead.
     """
     step = entry.plan.job.steps[entry.unit.step]
     units = [
@@ -77,10 +81,15 @@
         and not is_held(entry.plan, unit, planner_state.now.ms)
     ]
     count = sum(len(unit.tasks) for unit in units)
-    if not entry.entitled and not is_eviction_worthwhile(
-        snapshot, entry, candidates, count
-    ):
-        return False
+    if not entry.entitled:
+        if planner_state.now.ms + STOP_MS > entry.rank.start_by_ms:
+            return False
+        soonest = find_soonest(snapshot, entry, candidates, count)
+        if soonest is not None and is_as_soon_as_stop(planner_state, soonest):
+            hold(planner_state, snapshot, units, soonest)
+            return True
+        if soonest is not None and soonest.cost <= entry.rank.start_by_ms:
+            return False
     victims = group_victims(list_victims(planner_state, snapshot.entitled, entry))
     eviction = plan_eviction(step, count, candidates, victims)
     if eviction is None and entry.entitled and len(units) > 1:
@@ -124,10 +133,15 @@
     ]
 
 
-def reserve(planner_state: PlannerState, units: list[Unit], eviction: Eviction) -> None:
-    """Reserve the resources freed by an eviction for its units."""
+def reserve(
+    planner_state: PlannerState,
+    units: list[Unit],
+    eviction: Eviction,
+    for_ms: int = RESERVATION_MS,
+) -> None:
+    """Reserve the resources that become free for some units."""
     need = resources_held(planner_state.plans[units[0].job].job.steps[units[0].step])
-    until_ms = planner_state.now.ms + RESERVATION_MS
+    until_ms = planner_state.now.ms + for_ms
     placement = list(eviction.placement)
     for unit in units:
         agents = tuple(placement[: len(unit.tasks)])
@@ -135,22 +149,44 @@
         planner_state.reserved[tuple(unit)] = Reservation(agents, need, until_ms)
 
 
-def is_eviction_worthwhile(
+def find_soonest(
     snapshot: CapacitySnapshot,
     entry: WaitingUnit,
     candidates: list[Candidate],
     count: int,
-) -> bool:
-    """Whether a step can meet its objective by an eviction but not by waiting."""
-    start_by_ms = entry.rank.start_by_ms
-    if snapshot.planner_state.now.ms + STOP_MS > start_by_ms:
-        return False
+) -> Eviction | None:
+    """Return where a step fits first if no work is stopped; the cost is the time."""
     step = entry.plan.job.steps[entry.unit.step]
     ends = snapshot.list_expected_ends(Quantile.MEDIAN)
-    soonest = plan_eviction(step, count, candidates, ends, latest_end)
-    # Waiting that long is no slower than a stop.
-    stopped_by_ms = snapshot.planner_state.now.ms + LONGEST_STOP_MS
-    return soonest is None or soonest.cost > max(start_by_ms, stopped_by_ms)
+    return plan_eviction(step, count, candidates, ends, latest_end)
+
+
+def is_as_soon_as_stop(planner_state: PlannerState, soonest: Eviction) -> bool:
+    """Whether resources become free by themselves no later than by a stop."""
+    return soonest.cost <= planner_state.now.ms + LONGEST_STOP_MS
+
+
+def hold(
+    planner_state: PlannerState,
+    snapshot: CapacitySnapshot,
+    units: list[Unit],
+    soonest: Eviction,
+) -> None:
+    """
+    Reserve what becomes free soon for the units of a step.
+
+    Without this, work of lower rank starts on whichever part is free first, and is
+    stopped again for the same step.
+    """
+    reserve(planner_state, units, soonest, HOLD_MS)
+    planner_state.note(
+        'room_held',
+        job=units[0].job,
+        tasks=len(soonest.placement),
+        free_in_ms=max(0, int(soonest.cost - planner_state.now.ms)),
+        workers=','.join(soonest.placement),
+    )
+    snapshot.refresh(soonest.placement)
 
 
 def find_waste_limit(planner_state: PlannerState, entry: WaitingUnit) -> float:
