Poll a worker again as soon as the ends that it listed are saved

What callers saw: urgent work for which other work is stopped starts late.

Cause: after a report with ended runs the planner pauses for 0.3 s, so that it does not read the same list again and again until the ends are saved. The pause went on when they were saved, and the other runs on that worker, which end within the same 0.4 s, were noticed after it.

Evidence: FreedResourcesTest failed before with five of six stop times, among them '1306 not less than 1060'.

Fix: once the ends are saved and can be acknowledged, the worker is polled at once. The pause still holds while they are not. The bound of LostReservationTest no longer includes the pause.

--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -13,7 +13,6 @@
     make_step,
 )
 from yuccarelay.core.batch.models import CORES_PER_ACCELERATOR, Job, Resources
-from yuccarelay.core.batch.planner import UNSAVED_PAUSE_MS
 from yuccarelay.core.batch.polling import POLL_WAIT_MS
 
 # The users' platform announces that a worker leaves at least this long before.
@@ -232,6 +231,32 @@
         self.assertLess(fleet.starts(urgent)[0][0] - submitted_ms, 500)
 
 
+class FreedResourcesTest(unittest.TestCase):
+    """Guards against resources that are free for a while before they are used."""
+
+    TASKS = 8
+    # A poll waits for up to 50 ms in the simulation, then a record and a start follow.
+    SLACK_MS = 100
+
+    def find_delay_ms(self, stop_ms: int) -> int:
+        """Return after which time urgent work starts on a worker that was full."""
+        fleet = make_fleet(1, run_ms=LONG_MS, stop_ms=stop_ms)
+        step = make_step(self.TASKS, estimated_ms=LONG_MS)
+        fleet.submit(make_job(step, queue=DEFERRABLE))
+        fleet.run(2_000)
+        submitted_ms = fleet.now_ms
+        urgent = fleet.submit(make_job(make_step(1, 8), queue=URGENT))
+        fleet.run(3_000)
+        return fleet.starts(urgent)[0][0] - submitted_ms
+
+    def test_ends_that_follow_each_other_are_noticed_without_a_pause(self):
+        # A worker was polled again only 0.3 s after one of its runs had ended.
+        for stop_ms in range(20, 121, 20):
+            with self.subTest(stop_ms=stop_ms):
+                limit_ms = self.TASKS * stop_ms + self.SLACK_MS
+                self.assertLess(self.find_delay_ms(stop_ms), limit_ms)
+
+
 class LostReservationTest(unittest.TestCase):
     """
     Guards against resources that are freed for urgent work and go to other work.
@@ -244,8 +269,8 @@
     # Three tasks fill a worker, with three of its eight accelerators.
     NEED = Resources(40_000, 1_000, 1)
     STOP_MS = 200
-    # The stops on a worker, the pause before its next poll, a record and a start.
-    START_MS = 3 * STOP_MS + UNSAVED_PAUSE_MS + 300
+    # The stops on a worker, the poll that lists the last of them, and a start.
+    START_MS = 3 * STOP_MS + 300
 
     def setUp(self):
         self.fleet = make_fleet(5, run_ms=LONG_MS, stop_ms=self.STOP_MS)
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -467,8 +467,12 @@
         plan.saved = max(plan.saved, version)
         self._start_saved(plan)
         for view in self.planner_state.workers.values():
-            if view.ends:
-                self.reports.acknowledge(view)
+            if not view.ends:
+                continue
+            self.reports.acknowledge(view)
+            if not view.ends and not view.is_polling and view.read_ms:
+                # Further runs may have ended there during the pause.
+                poll(self.planner_state, view)
 
 
 def is_assignment_saved(plan: JobPlan, run: Run) -> bool:
