Reserve for urgent work only what is free or being freed

The reservation that replaced waiting also covered runs which are expected to end soon. Submitted estimates are wrong by a factor of two at the median, and a run that has outlasted its estimate counts as ending now, so the other workers of a gang would have been kept idle for nothing. The test failed before (a reservation of both workers). What is being stopped ends for certain.

--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -310,6 +310,16 @@
         self.assertEqual(len(starts), 1)
         self.assertLess(starts[0][0] - self.later_ms, self.START_MS)
 
+    def test_what_is_only_expected_to_be_free_is_not_reserved(self):
+        # Submitted estimates may be far too short.
+        fleet = make_fleet(2, run_ms=LONG_MS)
+        fleet.submit(make_job(make_step(2, 8, estimated_ms=500), queue=DEFERRABLE))
+        fleet.run(100)
+        step = make_step(2, 8, gang=True, estimated_ms=5_000)
+        fleet.submit(make_job(step, queue=URGENT, organisation='nobody'))
+        fleet.run(50)
+        self.assertEqual(fleet.planner.planner_state.reserved, {})
+
     def test_the_log_names_the_worker_that_was_lost(self):
         lost = list_notes(self.fleet, 'reservation_lost')
         self.assertEqual([note['closed'] for note in lost], [self.lost])
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Iterable
 
-from yuccarelay.core.batch.entities import JobPlan, Reservation, Unit, WorkerView
+from yuccarelay.core.batch.entities import (
+    STOP_STAGES,
+    JobPlan,
+    Reservation,
+    Unit,
+    WorkerView,
+)
 from yuccarelay.core.batch.models import Queue, Resources, Step
 from yuccarelay.core.batch.neighbours import (
     find_kind,
@@ -73,6 +79,7 @@
         for reservation in planner_state.reserved.values():
             self._subtract(reservation)
         self.ends: dict[Quantile, VictimsByAgent] = {}
+        self.stopping: VictimsByAgent | None = None
         self.shares_in_use: dict[str, float] = {}
         self.cutoffs_ms = {
             service: planner_state.releases.find_cutoff_ms(
@@ -340,6 +347,17 @@
             return used.accelerators / total.accelerators
         return used.millicores / total.millicores if total.millicores else 1.0
 
+    def list_stopping(self) -> VictimsByAgent:
+        """Return the runs on each worker that are being stopped, at no cost."""
+        if self.stopping is None:
+            self.stopping = group_victims(
+                Victim(tuple(run.task), ((run.worker.agent, run.need),), 0.0)
+                for view in self.planner_state.workers.values()
+                for run in view.runs.values()
+                if run.stage in STOP_STAGES
+            )
+        return self.stopping
+
     def list_expected_ends(self, quantile: Quantile) -> VictimsByAgent:
         """Return the runs on each worker that will end, with these ends as costs."""
         planner_state = self.planner_state
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -45,8 +45,7 @@
 # Within this time a run ends by itself about as soon as a stop frees its resources, and
 # its own caller would wait longer for a restart than for its end.
 ENDING_MS = STOP_MS + RESTART_MS
-# What is expected to be free within `LONGEST_STOP_MS` is listed as free by then; later
-# the expectation was wrong, and the unit is placed as any other.
+# Runs that are being stopped are listed as ended by then.
 HOLD_MS = LONGEST_STOP_MS + 1_000
 # Weight of lost work by the priority of its queue: preemption costs the callers of
 # urgent and ordinary work more than those of deferrable work.
@@ -70,8 +69,8 @@
     Resources are freed for all waiting units of the step at once, because a job is of
     no use in part. Work within its guarantee always gets its resources. Other urgent
     work gets them if it can then meet its objective, would not meet it by waiting,
-    and the lost work is within the limit. What becomes free as soon as by a stop is
-    reserved instead.
+    and the lost work is within the limit. What other stops free is reserved instead if
+    it is enough.
     """
     step = entry.plan.job.steps[entry.unit.step]
     units = [
@@ -84,11 +83,11 @@
     if not entry.entitled:
         if planner_state.now.ms + STOP_MS > entry.rank.start_by_ms:
             return False
-        soonest = find_soonest(snapshot, entry, candidates, count)
-        if soonest is not None and is_as_soon_as_stop(planner_state, soonest):
-            hold(planner_state, snapshot, units, soonest)
+        freed = plan_eviction(step, count, candidates, snapshot.list_stopping())
+        if freed is not None:
+            hold(planner_state, snapshot, units, freed)
             return True
-        if soonest is not None and soonest.cost <= entry.rank.start_by_ms:
+        if not is_eviction_worthwhile(snapshot, entry, candidates, count):
             return False
     victims = group_victims(list_victims(planner_state, snapshot.entitled, entry))
     eviction = plan_eviction(step, count, candidates, victims)
@@ -149,44 +148,41 @@
         planner_state.reserved[tuple(unit)] = Reservation(agents, need, until_ms)
 
 
-def find_soonest(
+def is_eviction_worthwhile(
     snapshot: CapacitySnapshot,
     entry: WaitingUnit,
     candidates: list[Candidate],
     count: int,
-) -> Eviction | None:
-    """Return where a step fits first if no work is stopped; the cost is the time."""
+) -> bool:
+    """Whether a step meets its objective by an eviction but not by waiting."""
     step = entry.plan.job.steps[entry.unit.step]
     ends = snapshot.list_expected_ends(Quantile.MEDIAN)
-    return plan_eviction(step, count, candidates, ends, latest_end)
-
-
-def is_as_soon_as_stop(planner_state: PlannerState, soonest: Eviction) -> bool:
-    """Whether resources become free by themselves no later than by a stop."""
-    return soonest.cost <= planner_state.now.ms + LONGEST_STOP_MS
+    soonest = plan_eviction(step, count, candidates, ends, latest_end)
+    # Waiting that long is no slower than a stop.
+    stopped_by_ms = snapshot.planner_state.now.ms + LONGEST_STOP_MS
+    return soonest is None or soonest.cost > max(entry.rank.start_by_ms, stopped_by_ms)
 
 
 def hold(
     planner_state: PlannerState,
     snapshot: CapacitySnapshot,
     units: list[Unit],
-    soonest: Eviction,
+    freed: Eviction,
 ) -> None:
     """
-    Reserve what becomes free soon for the units of a step.
+    Reserve what is free, or is being freed, for the units of a step.
 
-    Without this, work of lower rank starts on whichever part is free first, and is
-    stopped again for the same step.
+    Without this, other work starts on whichever part is free first, and more work is
+    stopped for the same step.
     """
-    reserve(planner_state, units, soonest, HOLD_MS)
+    reserve(planner_state, units, freed, HOLD_MS)
     planner_state.note(
         'room_held',
         job=units[0].job,
-        tasks=len(soonest.placement),
-        free_in_ms=max(0, int(soonest.cost - planner_state.now.ms)),
-        workers=','.join(soonest.placement),
+        tasks=len(freed.placement),
+        workers=','.join(freed.placement),
     )
-    snapshot.refresh(soonest.placement)
+    snapshot.refresh(freed.placement)
 
 
 def find_waste_limit(planner_state: PlannerState, entry: WaitingUnit) -> float:
