Place work that has little time on fast workers

Cause: the planner knew the speeds of workers and used them for predictions only. Equally full workers were taken by name.

Evidence: UseTest.test_urgent_work_does_not_wait_for_a_member_on_a_slow_worker failed before (a member on the slow worker although three others were free).

Fix: a unit whose start can be put off by less than what remains of its job takes the fastest among equally full workers, and a gang the rack whose slowest worker is the fastest. Speeds are learned from the progress of gangs as well.

--- a/tests/test_batch_ranking.py
+++ b/tests/test_batch_ranking.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from yuccarelay.core.batch.models import Job, Resources, Step
-from yuccarelay.core.batch.ranking import remaining_chains_ms
+from yuccarelay.core.batch.ranking import Rank, is_tight, remaining_chains_ms
 from yuccarelay.core.batch.run_times import RunTimes
 
 
@@ -51,5 +51,25 @@
         self.assertEqual(run_times.total_ms.call_count, 9_000)
 
 
+class TightTest(unittest.TestCase):
+    """Guards against work that does not get fast workers, and against all that does."""
+
+    NOW_MS = 50_000
+    RUN_MS = 4_000
+
+    def is_tight(self, spare_ms: int, **fields) -> bool:
+        rank = Rank(True, False, 0, False, self.NOW_MS + spare_ms)._replace(**fields)
+        return is_tight(rank, self.RUN_MS, self.NOW_MS)
+
+    def test_work_that_may_wait_for_its_own_run_time_is_not_tight(self):
+        self.assertTrue(self.is_tight(self.RUN_MS - 1))
+        self.assertFalse(self.is_tight(self.RUN_MS))
+
+    def test_late_work_is_tight_shortly_before_it_is_of_no_use(self):
+        self.assertTrue(self.is_tight(1_000, late=True))
+        self.assertFalse(self.is_tight(9_000, late=True))
+        self.assertFalse(self.is_tight(-1_000, late=True, useless=True))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_batch_unit_placement.py
+++ b/tests/test_batch_unit_placement.py
@@ -6,9 +6,11 @@
 from yuccarelay.core.batch.unit_placement import (
     Avoidance,
     Candidate,
+    Suspicion,
     Victim,
     group_victims,
     latest_end,
+    place_tasks,
     plan_eviction,
 )
 
@@ -40,6 +42,52 @@
     return plan_eviction(step, count, candidates, group_victims(victims), *combine)
 
 
+class SpeedTest(unittest.TestCase):
+    """Guards against work that is late because it runs on slow workers."""
+
+    SLOW, FAST = -2, 2
+
+    def place(self, step, count, levels, rack_size=9, **fields):
+        """Return the workers for tasks, of some with these free accelerators."""
+        candidates = [
+            make_candidate(
+                f'w{number}', free, f'r{number // rack_size}', speed_level=level
+            )._replace(**fields)
+            for number, (level, free) in enumerate(levels)
+        ]
+        return place_tasks(step, count, candidates)
+
+    def test_among_equally_full_workers_the_fastest_is_taken(self):
+        levels = [(self.SLOW, 4), (0, 4), (self.FAST, 4), (0, 8)]
+        self.assertEqual(self.place(make_step(1), 1, levels, needs_speed=True), ('w2',))
+
+    def test_empty_workers_are_left_empty_for_large_tasks(self):
+        # Otherwise gangs that need whole workers find fewer of them.
+        levels = [(self.FAST, 8), (0, 2)]
+        self.assertEqual(self.place(make_step(1), 1, levels, needs_speed=True), ('w1',))
+
+    def test_other_work_goes_to_the_fullest_worker_whatever_its_speed(self):
+        levels = [(self.SLOW, 2), (0, 4), (self.FAST, 8)]
+        self.assertEqual(self.place(make_step(1), 1, levels), ('w0',))
+
+    def test_a_gang_goes_to_the_rack_whose_slowest_worker_is_fastest(self):
+        levels = [(self.FAST, 8), (self.SLOW, 8), (0, 8), (0, 8)]
+        step = make_step(8, gang=True, same_rack=True)
+        self.assertEqual(self.place(step, 2, levels, 2, needs_speed=True), ('w2', 'w3'))
+        self.assertEqual(self.place(step, 2, levels, 2), ('w0', 'w1'))
+
+    def test_a_slow_worker_is_used_if_no_other_is_free(self):
+        levels = [(self.SLOW, 8), (self.FAST, 0)]
+        self.assertEqual(self.place(make_step(8), 1, levels, needs_speed=True), ('w0',))
+
+    def test_a_worker_that_fails_its_work_comes_after_a_slow_one(self):
+        failing = make_candidate(
+            'a', 8, speed_level=self.FAST, suspicion=Suspicion.FAILED, needs_speed=True
+        )
+        slow = make_candidate('b', 8, speed_level=self.SLOW, needs_speed=True)
+        self.assertEqual(place_tasks(make_step(1), 1, [failing, slow]), ('b',))
+
+
 class EvictionTest(unittest.TestCase):
     """Guards against evictions that lose more work than necessary."""
 
--- a/tests/test_batch_worker_speeds.py
+++ b/tests/test_batch_worker_speeds.py
@@ -4,7 +4,14 @@
 import random
 import unittest
 
-from tests.batch_fleet import ORDINARY, FakeWorker, Fleet, make_job, make_step
+from tests.batch_fleet import (
+    ORDINARY,
+    URGENT,
+    FakeWorker,
+    Fleet,
+    make_job,
+    make_step,
+)
 from tests.run_time_truth import STRAGGLER_FACTOR, STRAGGLER_SHARE
 from yuccarelay.core.batch.models import Resources, Step
 from yuccarelay.core.batch.run_times import GroupKey, Quantile, RunTimes
@@ -144,13 +151,56 @@
             )
             self.assertEqual(found_ms, 8_000)
 
-    def test_the_planner_learns_the_speed_of_its_workers(self):
+    def start_fleet(self, slow: str) -> Fleet:
+        """Return a fleet of four workers that knows which of them is slow."""
         workers = [FakeWorker(f'w{n}', 'r0', run_ms=1_000) for n in range(4)]
-        workers[3].run_ms = 1_250
         fleet = Fleet(*workers).run(200)
+        fleet.workers[slow].run_ms = 1_250
         for _ in range(15):
             fleet.submit(make_job(make_step(8, 4, per_worker=2, estimated_ms=900)))
             fleet.run(2_000)
+        return fleet
+
+    def test_urgent_work_does_not_wait_for_a_member_on_a_slow_worker(self):
+        # paddockproof-yr-grown: members of an urgent gang were at 51 and 90 % at the
+        # same time; it took as long as its slowest worker.
+        slow = 'agent-w0'
+        fleet = self.start_fleet(slow)
+        step = make_step(3, 8, gang=True, estimated_ms=4_000)
+        urgent = fleet.submit(make_job(step, queue=URGENT))
+        fleet.run(200)
+        self.assertEqual(len(fleet.starts(urgent)), 3)
+        self.assertEqual(fleet.workers[slow].runs, {})
+
+    def test_work_that_can_wait_leaves_the_fast_workers_as_they_are(self):
+        fleet = self.start_fleet('agent-w0')
+        step = make_step(3, 8, gang=True, estimated_ms=4_000)
+        fleet.submit(make_job(step))
+        fleet.run(200)
+        self.assertEqual(len(fleet.workers['agent-w0'].runs), 1)
+
+    def test_the_progress_of_a_gang_tells_its_slow_members(self):
+        # Its times do not, since all members end with the slowest; early on a day most
+        # work of the users is gangs.
+        workers = [FakeWorker(f'w{n}', 'r0', run_ms=4_000) for n in range(4)]
+        workers[3].run_ms = 5_000
+        fleet = Fleet(*workers).run(200)
+        for _ in range(4):
+            step = make_step(4, 8, gang=True, estimated_ms=4_000)
+            fleet.submit(make_job(step))
+            fleet.run(6_000)
+        speeds = fleet.planner.planner_state.run_times.speeds
+        found = [speeds.find(Machine(f'agent-w{n}', 'a')) for n in range(4)]
+        self.assertLess(found[3], min(found[:3]) - 0.1)
+
+    def test_a_gang_of_two_says_nothing(self):
+        # Nothing tells which of the two is not normal.
+        run_times = RunTimes()
+        run_times.learn_side_by_side([(Machine('a'), 4_000), (Machine('b'), 5_000)])
+        self.assertEqual(run_times.speeds.workers, {})
+
+    def test_the_planner_learns_the_speed_of_its_workers(self):
+        fleet = self.start_fleet('agent-w3')
         speeds = fleet.planner.planner_state.run_times.speeds
         view = fleet.planner.planner_state.workers['agent-w3']
         self.assertEqual(view.machine(), Machine('agent-w3', 'a'))
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -88,7 +88,9 @@
             for service in self.open
         }
 
-    def list_candidates(self, unit: Unit, queue: Queue) -> list[Candidate]:
+    def list_candidates(
+        self, unit: Unit, queue: Queue, *, needs_speed: bool = False
+    ) -> list[Candidate]:
         """Return the workers that may take a unit, with their free resources."""
         planner_state = self.planner_state
         plan = planner_state.plans[unit.job]
@@ -97,8 +99,9 @@
         failures = max(plan.task(task).failures for task in unit.tasks)
         # One more failure would end the job.
         is_last_attempt = 0 < queue.max_attempts - 1 <= failures
-        if self.listed_step != (*unit[:3], failures):
-            self.listed_step, self.listed = (*unit[:3], failures), {}
+        key = (*unit[:3], failures, needs_speed)
+        if self.listed_step != key:
+            self.listed_step, self.listed = key, {}
         for view in self.open.get(queue.service, ()):
             if view.agent not in self.listed or view.agent in self.changed:
                 avoidance = self._find_avoidance(plan, unit, view, is_last_attempt)
@@ -108,6 +111,7 @@
                     view,
                     avoidance,
                     self._find_suspicion(view, failures),
+                    needs_speed,
                 )
         self.changed.clear()
         candidates = list(self.listed.values())
@@ -195,6 +199,7 @@
         view: WorkerView,
         avoidance: Avoidance | None,
         suspicion: Suspicion,
+        needs_speed: bool,
     ) -> Candidate:
         planner_state = self.planner_state
         plan = planner_state.plans[unit.job]
@@ -223,6 +228,8 @@
             self._is_cold(view),
             interference,
             self_interference,
+            planner_state.run_times.speeds.find_level(view.machine()),
+            needs_speed,
         )
 
     def _is_cold(self, view: WorkerView) -> bool:
--- a/yuccarelay/core/batch/ranking.py
+++ b/yuccarelay/core/batch/ranking.py
@@ -74,6 +74,16 @@
     return Rank(not entitled, True, 0, True, due_ms)
 
 
+def is_tight(rank: Rank, remaining_ms: float, now_ms: int) -> bool:
+    """
+    Whether a unit's start may be put off by less than what remains of its job takes.
+
+    Such a unit misses its objective on a slow worker. One that is of no use any more
+    has nothing to miss.
+    """
+    return not rank.useless and rank.start_by_ms - now_ms < remaining_ms
+
+
 def rank_long_running(queue: Queue, entitled: bool, since_ms: int) -> Rank:
     """Return the rank of a long-running task that could start since `since_ms`."""
     start_by_ms = since_ms + queue.objective_ms
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -28,7 +28,7 @@
 from yuccarelay.core.batch.neighbours import watch_neighbours
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.protocol import Report, Stop
-from yuccarelay.core.batch.run_observations import learn_done
+from yuccarelay.core.batch.run_observations import learn_done, learn_members
 
 ORPHAN_RETRY_MS = 1_000
 # A stop takes up to 0.9 s. A run that is still listed this long after its stop was
@@ -286,6 +286,7 @@
     def _learn_duration(self, view: WorkerView, plan: JobPlan, run: Run) -> None:
         """Learn from a run, and log whether its queue changes its predictor."""
         planner_state = self.planner_state
+        learn_members(planner_state.run_times, plan, run, planner_state.find_machine)
         switch = learn_done(
             planner_state.run_times, plan, run, view.machine(), planner_state.now.ms
         )
--- a/yuccarelay/core/batch/run_observations.py
+++ b/yuccarelay/core/batch/run_observations.py
@@ -1,10 +1,15 @@
 """What the planner learns about run times from runs that end or are stopped."""
 
+from collections.abc import Callable
+
 from yuccarelay.core.batch.entities import JobPlan, Run
 from yuccarelay.core.batch.models import TaskStage
 from yuccarelay.core.batch.run_times import GroupKey, RunTimes, Switch
 from yuccarelay.core.batch.worker_speeds import Machine
 
+# A percentage is a whole number, so smaller progress says little about the speed.
+LEAST_PERCENT = 20
+
 
 def learn_done(
     run_times: RunTimes, plan: JobPlan, run: Run, machine: Machine, now_ms: int
@@ -50,3 +55,32 @@
             run.seen_running_ms - run.started_ms,
             machine,
         )
+
+
+def learn_members(
+    run_times: RunTimes,
+    plan: JobPlan,
+    run: Run,
+    find_machine: Callable[[Run], Machine],
+) -> None:
+    """
+    Learn the speeds of the workers of a gang once its first member is done.
+
+    All members end with the slowest, so only their progress tells the others apart.
+    """
+    if not plan.step(run.task).gang or plan.task(run.task).stage is TaskStage.DONE:
+        return
+    projected_ms = [
+        (find_machine(member), project_ms(member))
+        for member in plan.runs.values()
+        if member.task[1:3] == run.task[1:3]
+        and member.is_from_start
+        and member.percent >= LEAST_PERCENT
+        and member.started_ms < member.percent_since_ms
+    ]
+    run_times.learn_side_by_side(projected_ms)
+
+
+def project_ms(run: Run) -> float:
+    """Return how long a run takes by its progress when that was reported."""
+    return (run.percent_since_ms - run.started_ms) * 100 / run.percent
--- a/yuccarelay/core/batch/run_times.py
+++ b/yuccarelay/core/batch/run_times.py
@@ -48,6 +48,8 @@
 # A group with as many tasks that are done says better than the regression how long its
 # others take.
 KNOWN_TASKS = 3
+# Spread of the work of a gang's members, as a logarithm.
+MEMBERS_SPREAD = 0.2
 
 
 class Quantile(enum.Enum):
@@ -227,7 +229,7 @@
         """
         Learn the speed of a worker from a task, against the others of its step.
 
-        All members of a gang take as long as the slowest, so they say nothing.
+        All members of a gang take as long as the slowest, so their times say nothing.
         """
         if group.is_gang:
             return
@@ -238,6 +240,16 @@
             noise = sums.spread if sums is not None else SPREAD
             self.speeds.learn(machine, group.learned_guess, ran, noise)
 
+    def learn_side_by_side(self, projected_ms: list[tuple[Machine, float]]) -> None:
+        """Learn speeds from runs of equal work, by the times that they would take."""
+        if len(projected_ms) < KNOWN_TASKS:
+            return
+        times = [math.log(ran_ms) for _, ran_ms in projected_ms]
+        centre = statistics.median(times)
+        for (machine, _), ran in zip(projected_ms, times, strict=True):
+            self.speeds.learn(machine, centre, ran, MEMBERS_SPREAD)
+        self.has_changed = True
+
     def learn_stopped(
         self,
         queue: str,
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -240,7 +240,9 @@
         planner_state,
         entry.unit,
         entry.entitled,
-        snapshot.list_candidates(entry.unit, entry.queue),
+        snapshot.list_candidates(
+            entry.unit, entry.queue, needs_speed=entry.needs_speed
+        ),
     )
     if entry.queue.advice is None:
         return candidates
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -53,7 +53,9 @@
     that a release will probably drain soon, `is_cold` one that is slow because it has
     started lately. `interference` is what the tasks on it and one of the unit are known
     to lose through each other, and `self_interference` what each further task of the
-    unit there adds; see `InterferenceTable`.
+    unit there adds; see `InterferenceTable`. `speed_level` is the worker's speed in
+    steps of a tenth, 0 if it is normal or not known; it counts if the unit
+    `needs_speed`.
     """
 
     agent: str
@@ -69,6 +71,8 @@
     is_cold: bool = False
     interference: float = 0
     self_interference: float = 0
+    speed_level: int = 0
+    needs_speed: bool = False
 
     @property
     def avoided(self) -> bool:
@@ -91,6 +95,7 @@
     A step with a `data_rack` is placed on that rack, and a gang with `same_rack` on
     any single rack. Work without a rack that could hold it, even if empty, goes
     anywhere, and so does work with `spread` that does not fit on a suitable rack now.
+    A gang takes as long as its slowest member.
     """
     if spread:
         healthy = [
@@ -107,11 +112,13 @@
         if candidate.outdated or candidate.suspicion or candidate.is_cold
     }
     costs = {candidate.agent: candidate.interference for candidate in candidates}
+    slowness = {candidate.agent: rank_speed(candidate) for candidate in candidates}
     placed = [
         (
             sum(agent in last_choices for agent in placement),
             sum(costs[agent] for agent in placement),
             free_accelerators_after(step, count, members),
+            max(slowness[agent] for agent in placement),
             placement,
         )
         for members in group_candidates(step, count, candidates)
@@ -201,7 +208,7 @@
 
 def candidate_order(candidate: Candidate) -> tuple:
     """
-    Return a sort key: fullest workers first.
+    Return a sort key: fullest workers first, then the fastest for work that needs it.
 
     Workers where tasks are known to slow each other down come after the others, then
     cold ones, then those that a release will probably drain soon, then those that are
@@ -214,11 +221,17 @@
         candidate.is_cold,
         candidate.interference,
         candidate.free.accelerators,
+        rank_speed(candidate),
         candidate.free.millicores,
         candidate.agent,
     )
 
 
+def rank_speed(candidate: Candidate) -> int:
+    """Return a sort key: faster workers first, equal if the unit does not need it."""
+    return -candidate.speed_level if candidate.needs_speed else 0
+
+
 def free_accelerators_after(step: Step, count: int, members: list[Candidate]) -> int:
     """Return the accelerators of a rack that are left free by the tasks."""
     free = sum(candidate.free.accelerators for candidate in members)
--- a/yuccarelay/core/batch/waiting_units.py
+++ b/yuccarelay/core/batch/waiting_units.py
@@ -6,6 +6,7 @@
 from yuccarelay.core.batch.models import Queue, Step, TaskStage
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.ranking import (
+    is_tight,
     rank_long_running,
     rank_unit,
     remaining_chains_ms,
@@ -17,7 +18,12 @@
 
 
 class WaitingUnit(NamedTuple):
-    """A unit that may start, with its rank."""
+    """
+    A unit that may start, with its rank.
+
+    With `spread` it may go to several racks although that is slower. One that
+    `needs_speed` would be late if it ran for much longer than is usual.
+    """
 
     rank: tuple
     unit: Unit
@@ -25,6 +31,7 @@
     queue: Queue
     entitled: bool
     spread: bool
+    needs_speed: bool = False
 
 
 def list_waiting(
@@ -61,7 +68,12 @@
                     rank = rank_long_running(queue, entitled, wait.since_ms)
                     spread_ms = wait.since_ms + SPREAD_AFTER_MS
                 spread = rank.late or now.ms > spread_ms
-                found.append(WaitingUnit(rank, unit, plan, queue, entitled, spread))
+                needs_speed = not step.is_long_running and is_tight(
+                    rank, chains_ms[number], now.ms
+                )
+                found.append(
+                    WaitingUnit(rank, unit, plan, queue, entitled, spread, needs_speed)
+                )
     return found
 
 
--- a/yuccarelay/core/batch/worker_speeds.py
+++ b/yuccarelay/core/batch/worker_speeds.py
@@ -24,6 +24,8 @@
 KIND_FORGETTING = 0.99
 MEAN_FORGETTING = 0.998
 SPEED_LIMIT = math.log(1.5)
+# Differences below the error of a few observations should not decide a placement.
+SPEED_STEP = 0.1
 # Workers and kinds that are kept; the one observed least recently is dropped.
 WORKERS_LIMIT = 2_000
 KINDS_LIMIT = 100
@@ -71,6 +73,10 @@
             speed = worker.mean(speed, WORKER_SPREAD)
         return max(-SPEED_LIMIT, min(SPEED_LIMIT, speed))
 
+    def find_level(self, machine: Machine) -> int:
+        """Return a worker's speed in steps of `SPEED_STEP`, 0 if it is normal."""
+        return round(self.find(machine) / SPEED_STEP)
+
     def learn(self, machine: Machine, expected: float, ran: float, noise: float):
         """
         Learn from a run: the logarithms of its expected and of its actual time.
