Test that a gang starts again once its worker has left

The tests of the agent show that it takes the worker for ended. This one plays the planner with it: without the agent's conclusion the gang had not started again after a second ('0 != 2').

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -305,6 +305,8 @@
         return self.tail_alone + self.tail_by_best_effort * best_effort_percent / 100
 
     def _poll(self, order: Look, now_ms: int) -> Report:
+        if self.is_gone and self.guard.has_ended(now_ms):
+            self.guard.take_departure()
         worker = self.guard.worker_id()
         is_reached = not self.is_gone and self.back_at_ms is None
         if worker is not None and order.call_worker and is_reached:
--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -147,6 +147,31 @@
         self.assertEqual(fleet.state(job), 'completed')
 
 
+class LeftWorkerTest(unittest.TestCase):
+    """Guards against gangs that wait for the lease of a worker which has left."""
+
+    NOTICE_MS = 1_500
+
+    def test_a_gang_starts_again_once_its_worker_has_left(self):
+        # An urgent gang waited for 5.2 s for the run of its member there to lapse.
+        fleet = make_fleet(3, run_ms=LONG_MS)
+        step = make_step(2, 8, gang=True, estimated_ms=1_000)
+        gang = fleet.submit(make_job(step, queue=URGENT))
+        fleet.run(500)
+        worker = find_worker(fleet, gang)
+        worker.draining, worker.leaves_in_ms = True, self.NOTICE_MS
+        fleet.run(TICK_MS)
+        left_ms = fleet.now_ms + self.NOTICE_MS
+        while fleet.now_ms < left_ms:
+            worker.leaves_in_ms = left_ms - fleet.now_ms
+            fleet.run(TICK_MS)
+        worker.runs.clear()
+        worker.is_gone, worker.leaves_in_ms = True, 0
+        fleet.run(1_000)
+        again = [start for start in fleet.starts(gang) if start[2] > 1]
+        self.assertEqual(len(again), 2)
+
+
 class VictimTest(unittest.TestCase):
     """Guards against a choice of victims that loses more work than it must."""
 
