Log and measure a process that goes on without waiting

The report says that a process did not wait for anything. Neither the log nor the metrics could show that, or tell an event loop that goes round from one long computation and from a busy thread of a library.

The event loop of the platform's roles now counts its turns and waits. Each 5 s they are set as gauges, with the processor time of the other threads, and an interval without waits is logged as process_busy. While a turn does not end no task can log, so a thread does it, with the stack of the event loop.

--- a/yuccarelay/host.py
+++ b/yuccarelay/host.py
@@ -75,6 +75,7 @@
 
 def run_host_role(build, settings: str, metrics: str, env: Env) -> ExitStatus:
     """Read the platform's settings and run a role until a signal stops it."""
+    from yuccarelay.adapters.event_loop import LoopMeter
     from yuccarelay.runtime import run_until_signal
 
     ignore_hangups([HOST_COMMAND])
@@ -88,7 +89,10 @@
     found = read_settings(path).and_then(partial(add_metrics, metrics))
     match found:
         case Ok(found):
-            return asyncio.run(run_until_signal(build(found, path, env), env))
+            meter = LoopMeter()
+            with asyncio.Runner(loop_factory=meter.make_loop) as runner:
+                role = build(found, path, env, meter)
+                return runner.run(run_until_signal(role, env))
         case Err(reason):
             print(f'yuccarelay: {reason}', file=env.stderr)
             return ExitStatus.INVALID
--- a/yuccarelay/host_agent.py
+++ b/yuccarelay/host_agent.py
@@ -20,6 +20,7 @@
 from yuccarelay.platform.settings import HostSettings
 from yuccarelay.platform.store import PlatformStore
 from yuccarelay.platform.worker import HttpWorker
+from yuccarelay.ports.activity import ActivityMeter
 from yuccarelay.runtime import Role, call_on_hangup, open_listener, running
 from yuccarelay.tasks.batch.agent import WorkerAgentTask
 from yuccarelay.tasks.batch.register import RegisterTask
@@ -29,9 +30,10 @@
     settings: HostSettings,
     path: str,
     env: Environment,
+    meter: ActivityMeter,
 ) -> Role:
     """Return the agent of a worker, which runs on the same instance."""
-    journal, request_guard, server_tasks = open_journal(settings, env)
+    journal, request_guard, server_tasks = open_journal(settings, env, meter)
     clock = BootClock()
     rng = random.Random(os.urandom(16))
     store = PlatformStore(settings.store)
--- a/yuccarelay/host_entry.py
+++ b/yuccarelay/host_entry.py
@@ -17,6 +17,7 @@
 from yuccarelay.platform.advice import HttpAdvisor
 from yuccarelay.platform.settings import HostSettings
 from yuccarelay.platform.store import PlatformStore
+from yuccarelay.ports.activity import ActivityMeter
 from yuccarelay.runtime import Role, call_on_hangup, open_listener, running
 from yuccarelay.tasks.batch.advice import AdviceTask
 from yuccarelay.tasks.batch.configuration import ConfigurationTask
@@ -65,9 +66,10 @@
     settings: HostSettings,
     path: str,
     env: Environment,
+    meter: ActivityMeter,
 ) -> Role:
     """Return an entry: it serves callers, and plans jobs if it is elected."""
-    journal, guard, server_tasks = open_journal(settings, env)
+    journal, guard, server_tasks = open_journal(settings, env, meter)
     clock = BootClock()
     rng = random.Random(os.urandom(16))
     store = PlatformStore(settings.store)
--- a/yuccarelay/host_process.py
+++ b/yuccarelay/host_process.py
@@ -11,7 +11,9 @@
 from yuccarelay.core.request_budget import RequestTerms
 from yuccarelay.environment import Environment
 from yuccarelay.platform.settings import HostSettings, read_settings
+from yuccarelay.ports.activity import ActivityMeter
 from yuccarelay.ports.journal import Journal
+from yuccarelay.tasks.activity import ActivityTask
 from yuccarelay.tasks.metrics import MetricsTask, QueuedMetrics
 
 
@@ -54,10 +56,11 @@
 def open_journal(
     settings: HostSettings,
     env: Environment,
+    meter: ActivityMeter,
     terms: Callable[[], RequestTerms] = RequestTerms,
 ) -> tuple[EliotJournal | MeteredJournal, RequestGuard, list]:
     """
-    Return the journal, the guard of all HTTP servers, and their tasks.
+    Return the journal, the guard of all HTTP servers, and the tasks of each role.
 
     There is a metrics task if metrics have an address. `terms` returns the limits of a
     request.
@@ -65,7 +68,7 @@
     journal = EliotJournal(env.stdout)
     if not settings.metrics_address:
         guard = RequestGuard(settings.limits, journal, terms)
-        return journal, guard, [guard]
+        return journal, guard, [guard, ActivityTask(meter, journal, None, journal)]
     queued_metrics = QueuedMetrics()
     metered = MeteredJournal(journal, queued_metrics)
     guard = RequestGuard(settings.limits, metered, terms)
@@ -76,4 +79,5 @@
         journal,
         guard,
     )
-    return metered, guard, [guard, task]
+    activity = ActivityTask(meter, metered, queued_metrics, thread_journal=journal)
+    return metered, guard, [guard, activity, task]
