--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,7 +8,9 @@
 import traceback
 from collections import defaultdict
 
+from tests.fakes import stop_task
 from tests.host_system import CONFIGURATION, HostSystem, is_hangup_handled
+from tests.processor_time import ProcessorTimes
 from tests.soak import checks
 from tests.soak.callers import Caller, Submission
 from tests.soak.faults import (
@@ -76,10 +78,12 @@
         # ends as soon as it resumes.
         self.disturbed: list[tuple[str, float]] = []
         self.restarts: dict[str, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self.processor_times = ProcessorTimes(self._list_processes)
 
     async def run(self) -> list[str]:
         """Run the soak and return the violated invariants, empty if there are none."""
         callers: list[Caller] = []
+        sampling = asyncio.create_task(self.processor_times.run())
         try:
             await self.system.start()
             for worker in self.system.workers:
@@ -97,11 +101,20 @@
                 f'the soak run raised an exception: {traceback.format_exc()}'
             )
         finally:
+            await stop_task(sampling)
             for caller in callers:
                 await caller.session.close()
             await self.system.stop()
         return self.found
 
+    def _list_processes(self) -> list[tuple[str, int]]:
+        """Return the name and the id of each process that runs."""
+        return [
+            (node, process.pid)
+            for node, process in self.system.processes.items()
+            if process.returncode is None
+        ]
+
     async def _run_load_and_faults(self, callers: list[Caller]) -> None:
         """Run the callers and inject the faults at the same time."""
         loop = asyncio.get_running_loop()
@@ -220,6 +233,7 @@
             for node, process in self.system.processes.items()
             if process.returncode is not None
         ]
+        self.found += self.processor_times.list_spinning()
         if not any(job.accepted_s for job in jobs):
             self.found.append('no job was accepted')
 
