Pause after an error of accepting a connection

A process whose listening socket cannot accept used a whole core and wrote 8 MB of log a second, for as long as it was out of file descriptors.

Tornado's handler raises the error. The exception leaves the callback of a descriptor that stays readable, so the event loop calls it again at once. This holds for all HTTP servers of the entries and agents, the metrics included.

An acceptor of our own takes the place of that handler. After an error it does not watch the socket for 0.1 s; it logs the first error and the recovery. A client that has left meanwhile costs no pause.

Whether the users' report has this cause is not shown.

--- a/tests/test_host_processes.py
+++ b/tests/test_host_processes.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import json
+import os
+import resource
 import signal
 import time
 import unittest
 
 from tests.host_system import CONFIGURATION, HostCase, is_hangup_handled
+from tests.processor_time import read_processor_s
 from yuccarelay.adapters import batch_records
 
 JOB = '5c0e7a21d94b36f8'
@@ -198,5 +201,39 @@
         self.assertEqual(len(self.starts(JOB)), 2)
 
 
+class DescriptorsTest(HostCase):
+    """Guards against processes that use a core while they cannot accept connections."""
+
+    async def test_processes_without_free_descriptors_wait(self):
+        for node, name in (('agent-0', 'control'), ('entry-0', 'front')):
+            with self.subTest(node=node):
+                await self.check_waits(node, self.listen[node][name])
+        # They serve again.
+        self.assertEqual(await self.submit(JOB, {'count': 1, 'gpu': 1}), 200)
+        await self.await_state(JOB, 'completed')
+
+    async def check_waits(self, node: str, address: str) -> None:
+        """Check a process that has clients and no descriptor for them."""
+        pid = self.processes[node].pid
+        limits = resource.prlimit(pid, resource.RLIMIT_NOFILE)
+        used = len(os.listdir(f'/proc/{pid}/fd'))
+        host, port = address.split(':')
+        resource.prlimit(pid, resource.RLIMIT_NOFILE, (used, limits[1]))
+        writers = []
+        try:
+            for _ in range(8):
+                writers.append((await asyncio.open_connection(host, int(port)))[1])
+            before_s = read_processor_s(pid)
+            await asyncio.sleep(3)
+            used_s = read_processor_s(pid) - before_s
+        finally:
+            resource.prlimit(pid, resource.RLIMIT_NOFILE, limits)
+            for writer in writers:
+                writer.close()
+        # One that goes round uses 3 s.
+        self.assertLess(used_s, 1.5)
+        self.assertIn('event=accept_failed', self.read_log(node))
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server that keeps to the budget of its process."""
 
 import asyncio
+import errno
 import socket
 import struct
 import unittest
@@ -50,10 +51,10 @@
         app = tornado.web.Application(
             [('/', EchoHandler, parts)], log_function=lambda _: None
         )
-        server = GuardedServer(app, self.guard)
+        self.server = GuardedServer(app, self.guard)
         self.port = find_port()
-        server.listen(self.port, address='127.0.0.1')
-        self.addCleanup(server.stop)
+        self.server.listen(self.port, address='127.0.0.1')
+        self.addCleanup(self.server.stop)
 
     async def connect(self):
         reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
@@ -82,6 +83,63 @@
 CHUNKED = b'POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
+class FailingSocket(socket.socket):
+    """Listening socket that has no descriptor for a new connection."""
+
+    calls = 0
+    error: OSError | None = None
+
+    def accept(self):
+        self.calls += 1
+        if self.error is not None:
+            raise self.error
+        return super().accept()
+
+
+class AcceptTest(ServerCase):
+    """Guards against an event loop that goes round because accepting fails."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.listening = FailingSocket()
+        self.listening.setblocking(False)
+        self.listening.bind(('127.0.0.1', 0))
+        self.listening.listen()
+        self.port = self.listening.getsockname()[1]
+        self.server.add_socket(self.listening)
+
+    async def test_a_socket_that_cannot_accept_does_not_spin(self):
+        self.listening.error = OSError(errno.EMFILE, 'Too many open files')
+        reader, writer = await self.connect()
+        writer.write(announce(3) + b'abc')
+        await asyncio.sleep(0.3)
+        # Without a pause each turn of the loop calls, here over a hundred times.
+        self.assertLess(self.listening.calls, 20)
+        self.listening.error = None
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+        self.assertEqual(
+            [event for event, _ in self.journal.lines],
+            ['accept_failed', 'accept_resumed'],
+        )
+
+    async def test_a_client_that_has_left_holds_up_no_other(self):
+        self.listening.error = ConnectionAbortedError(errno.ECONNABORTED, 'aborted')
+        reader, writer = await self.connect()
+        writer.write(announce(3) + b'abc')
+        await self.settle(lambda: self.listening.calls)
+        self.listening.error = None
+        self.assertEqual((await self.read_answer(reader))[0], 200)
+
+    async def test_a_stopped_server_does_not_accept_again(self):
+        self.listening.error = OSError(errno.EMFILE, 'Too many open files')
+        await self.connect()
+        await self.settle(lambda: self.listening.calls)
+        self.server.stop()
+        calls = self.listening.calls
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.listening.calls, calls)
+
+
 class LegalRequestsTest(ServerCase):
     """Guards against limits that a legal request meets."""
 
--- a/yuccarelay/adapters/http_server.py
+++ b/yuccarelay/adapters/http_server.py
@@ -7,8 +7,9 @@
 
 import asyncio
 import logging
+import socket
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import tornado.web
 from tornado.http1connection import HTTP1ServerConnection
@@ -22,6 +23,7 @@
 )
 from tornado.iostream import IOStream
 
+from yuccarelay.adapters.acceptor import Acceptor
 from yuccarelay.core.request_budget import (
     Close,
     Limits,
@@ -233,6 +235,17 @@
             **settings,
         )
 
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """
+        Start to accept connections on sockets.
+
+        Tornado has no public place to choose what handles an error of accepting.
+        """
+        for listening in sockets:
+            acceptor = Acceptor(listening, self._handle_connection, self.guard.journal)
+            self._sockets[listening.fileno()] = listening
+            self._handlers[listening.fileno()] = acceptor.stop
+
     def _handle_connection(self, connection, address) -> None:
         """
         Serve a connection, or close it at once if there is no room.
