Keep the limit of a reply on the event loop

An operation of nng that times out costs up to 1 ms of processor time: the thread for time-outs wakes up in the millisecond in which the operation ends, counts it as over only after that millisecond, and goes round until then. Agents and entries had such a limit for each reply that a peer does not read.

The event loop checks the replies that are being sent anyway; it now has their deadlines and cancels those that are overdue. nng gets no time limit.

test_replies_that_are_not_read_let_no_thread_spin failed before: the threads used 56 ms in 0.43 s, 13 % of a core, where control may use 2.2 %. The test of a peer that does not read sets the limit for its whole length, since it is read later now; its checks are unchanged.

nng still has such timers of its own: for a handshake (10 s) and between attempts to reconnect.

--- a/tests/processor_time.py
+++ b/tests/processor_time.py
@@ -35,6 +35,15 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
+def read_threads_s(name: str) -> float:
+    """Return the processor time of the threads of a name in this process."""
+    used_ns = 0
+    for thread in pathlib.Path('/proc/self/task').iterdir():
+        if (thread / 'comm').read_text().strip() == name:
+            used_ns += int((thread / 'schedstat').read_text().split()[0])
+    return used_ns / 1e9
+
+
 class ProcessorTimes:
     """
     Samples processes until cancelled.
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,10 +1,12 @@
 """Tests of the sockets and of the tasks that own them."""
 
 import asyncio
+import time
 import unittest
 import unittest.mock
 
 from tests.fakes import FakeClock, FakeJournal, FakeMetrics, stop_task
+from tests.processor_time import read_threads_s
 from yuccarelay.adapters import codec, nng
 from yuccarelay.adapters.clock import MonotonicClock
 from yuccarelay.core.effects import Reply, Request
@@ -17,6 +19,8 @@
 HEARTBEAT = Heartbeat(worker_id='w', incarnation=1, version=2)
 LONG_MS = 20_000
 SHORT_MS = 50
+# What control may use of a core of each node, by the size to design for.
+CONTROL_SHARE = 0.022
 
 
 class SocketCase(unittest.IsolatedAsyncioTestCase):
@@ -115,10 +119,12 @@
         self.listener.reply(request_id, b'y' * 1_000_000)
         await self.wait_for_free_contexts()
 
-    async def test_peer_that_does_not_read_holds_no_context(self):
+    async def start_with_a_peer_that_does_not_read(self):
+        """Let a peer that never reads send a request for each context."""
         limit = unittest.mock.patch.object(nng, 'SEND_LIMIT_MS', SHORT_MS)
-        with limit:
-            self.listener = self.transport.listen('127.0.0.1:0').unwrap()
+        limit.start()
+        self.addCleanup(limit.stop)
+        self.listener = self.transport.listen('127.0.0.1:0').unwrap()
         self.addCleanup(self.listener.close)
         self.start()
         host, port = self.listener.address.split(':')
@@ -129,6 +135,22 @@
         for number in range(nng.LISTENER_CONTEXTS):
             request = (0x80000000 + number).to_bytes(4, 'big') + b'x'
             writer.write(len(request).to_bytes(8, 'big') + request)
+
+    async def test_replies_that_are_not_read_let_no_thread_spin(self):
+        await self.start_with_a_peer_that_does_not_read()
+        started_s, used_s = time.monotonic(), read_threads_s('nng:aio:expire')
+        for _ in range(nng.LISTENER_CONTEXTS):
+            request_id, _ = await self.requests.get()
+            self.listener.reply(request_id, b'y' * 1_000_000)
+            # The limits of the replies end in different milliseconds.
+            await asyncio.sleep(0.005)
+        await self.wait_for_free_contexts()
+        used_s = read_threads_s('nng:aio:expire') - used_s
+        elapsed_s = time.monotonic() - started_s
+        self.assertLess(used_s, CONTROL_SHARE * elapsed_s)
+
+    async def test_peer_that_does_not_read_holds_no_context(self):
+        await self.start_with_a_peer_that_does_not_read()
         for _ in range(nng.LISTENER_CONTEXTS):
             request_id, _ = await self.requests.get()
             self.listener.reply(request_id, b'y' * 1_000_000)
--- a/yuccarelay/adapters/nng.py
+++ b/yuccarelay/adapters/nng.py
@@ -23,11 +23,14 @@
 # Polled, because nng could report that a slow connection has accepted a reply only
 # by a call into Python from one of its threads.
 SENDING_CHECK_S = 0.01
-# A peer that does not read must not occupy the contexts that others need.
+# A peer that does not read must not occupy the contexts that others need. The event
+# loop keeps this limit, because a time-out of nng lets one of its threads spin until
+# the next millisecond begins.
 SEND_LIMIT_MS = 10_000
 RECONNECT_FIRST_MS = 100
 RECONNECT_LONGEST_MS = 2_000
 NO_RESEND = -1
+NO_LIMIT_MS = -1
 
 
 class NngListener:
@@ -119,18 +122,24 @@
 
     def _await_sending(self, context: '_ReplyContext') -> None:
         """Check later whether a slow connection has accepted a reply."""
+        context.send_deadline_s = self.loop.time() + SEND_LIMIT_MS / 1_000
+        self._check_later(context)
+
+    def _check_later(self, context: '_ReplyContext') -> None:
         if not self.sending:
             self.loop.call_later(SENDING_CHECK_S, self._collect_sent)
         self.sending.append(context)
 
     def _collect_sent(self) -> None:
-        """Free the contexts whose reply was sent or has failed."""
+        """Free the contexts whose reply was sent, has failed or is overdue."""
         if self.closed:
             return
         sending, self.sending = self.sending, []
         for context in sending:
+            if context.is_sending() and self.loop.time() >= context.send_deadline_s:
+                context.cancel()
             if context.is_sending():
-                self._await_sending(context)
+                self._check_later(context)
             else:
                 self._free_context(context)
 
@@ -154,7 +163,8 @@
         operation = ffi.new('nng_aio **')
         check_err(lib.nng_aio_alloc(operation, ffi.NULL, ffi.NULL))
         self.operation = operation[0]
-        lib.nng_aio_set_timeout(self.operation, SEND_LIMIT_MS)
+        lib.nng_aio_set_timeout(self.operation, NO_LIMIT_MS)
+        self.send_deadline_s = 0.0
 
     def receive(self) -> bytes | None:
         """Return a waiting request, or None."""
@@ -178,6 +188,10 @@
         check_err(lib.nng_ctx_send(self.context.context, self.operation))
         return not self.is_sending()
 
+    def cancel(self) -> None:
+        """Give up the reply that is being sent."""
+        lib.nng_aio_cancel(self.operation)
+
     def is_sending(self) -> bool:
         """Whether the reply is still being sent; frees the message of a failed one."""
         if lib.nng_aio_busy(self.operation):
