Ignore further signals once a role has ended

A process that got a second SIGTERM, or a SIGHUP, during its exit ended with the signal in place of its status 0, or left a traceback from the exit of the interpreter.

The handlers call the event loop, which is closed by then; and at its very end the interpreter sets the default action for handlers written in Python. A role that has ended now ignores the signals, which stays so until the process is gone.

StopTest failed before: -15 for a series of SIGTERM, -1 for one of SIGHUP.

--- a/tests/test_host_processes.py
+++ b/tests/test_host_processes.py
@@ -1,6 +1,7 @@
 """Tests of the platform's roles as processes, with a stand-in store and workers."""
 
 import asyncio
+import contextlib
 import json
 import os
 import resource
@@ -201,6 +202,35 @@
         self.assertEqual(len(self.starts(JOB)), 2)
 
 
+class StopTest(HostCase):
+    """Guards against a stop that further signals turn into a failure."""
+
+    async def test_signals_until_its_end_leave_an_agent_its_exit_status(self):
+        for name in (signal.SIGTERM, signal.SIGHUP):
+            with self.subTest(name=name):
+                process = await self.restart_agent()
+                process.send_signal(signal.SIGTERM)
+                while process.returncode is None:
+                    await asyncio.sleep(0.001)
+                    with contextlib.suppress(ProcessLookupError):
+                        process.send_signal(name)
+                self.assertEqual(process.returncode, 0)
+                self.assertNotIn('Traceback', self.read_log('agent-0'))
+
+    async def restart_agent(self) -> asyncio.subprocess.Process:
+        """Return a new process of an agent that handles its signals."""
+        if self.processes['agent-0'].returncode is None:
+            await self.kill('agent-0')
+        starts = self.read_log('agent-0').count('address_stored')
+        await self.start_process('agent-0')
+
+        async def has_started():
+            return self.read_log('agent-0').count('address_stored') > starts
+
+        await self.poll(has_started, 'the agent has started')
+        return self.processes['agent-0']
+
+
 class DescriptorsTest(HostCase):
     """Guards against processes that use a core while they cannot accept connections."""
 
--- a/yuccarelay/runtime.py
+++ b/yuccarelay/runtime.py
@@ -58,9 +58,22 @@
     except* Exception:
         # `run_task` has logged the failure with its traceback.
         status = ExitStatus.FAULT
+    finally:
+        ignore_signals()
     return status
 
 
+def ignore_signals() -> None:
+    """
+    Ignore the signals that stop or inform a role, because it has ended.
+
+    One that arrives during the exit would call the closed event loop, or end the
+    process with the signal in place of its exit status.
+    """
+    for name in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(name, signal.SIG_IGN)
+
+
 def stop_on_signals(stop: asyncio.Event) -> None:
     """
     Set an event on SIGTERM and SIGINT.
