--- a/tests/test_activity.py
+++ b/tests/test_activity.py
@@ -110,7 +110,7 @@
         self.task.report(compare_totals(START, IDLE._replace(waited_ms=510)))
         event, fields = self.journal.lines[0]
         self.assertEqual((event, fields['waited_ms']), ('process_busy', 10))
-        self.assertEqual(self.metrics.states['loop_turns'], 50)
+        self.assertEqual(self.metrics.states['activity_turns'], 50)
 
     async def test_a_loop_that_does_not_turn_is_logged_with_its_stack(self):
         running = asyncio.create_task(self.task.run())
--- a/yuccarelay/tasks/activity.py
+++ b/yuccarelay/tasks/activity.py
@@ -56,7 +56,7 @@
         """Set the gauges, and log the interval if the process was busy."""
         if self.metrics is not None:
             for name, value in activity._asdict().items():
-                self.metrics.gauge(f'loop_{name}', value)
+                self.metrics.gauge(f'activity_{name}', value)
         if activity.is_busy():
             self.journal.write('process_busy', activity._asdict())
 
