Send the signals of a test through a file descriptor of the process

The test now sends the signals through a descriptor, which takes no status; its checks are the same.

--- a/tests/test_host_processes.py
+++ b/tests/test_host_processes.py
@@ -209,11 +209,14 @@
         for name in (signal.SIGTERM, signal.SIGHUP):
             with self.subTest(name=name):
                 process = await self.restart_agent()
-                process.send_signal(signal.SIGTERM)
+                # `process.send_signal` could take the exit status before asyncio does.
+                agent = os.pidfd_open(process.pid)
+                self.addCleanup(os.close, agent)
+                signal.pidfd_send_signal(agent, signal.SIGTERM)
                 while process.returncode is None:
                     await asyncio.sleep(0.001)
                     with contextlib.suppress(ProcessLookupError):
-                        process.send_signal(name)
+                        signal.pidfd_send_signal(agent, name)
                 self.assertEqual(process.returncode, 0)
                 self.assertNotIn('Traceback', self.read_log('agent-0'))
 
