--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -911,6 +911,25 @@
         self.assertEqual(fleet.state(busy), 'completed')
         self.assertEqual(fleet.state(job), 'completed')
 
+    def test_the_log_says_what_is_known_of_the_workers_of_an_attempt(self):
+        # Nothing told whether a last attempt went to workers that had failed.
+        fleet = make_fleet(2, run_ms=400)
+        fleet.workers['agent-w0'].how = 'failed'
+        fleet.submit(make_job(make_step(1, 8)))
+        fleet.run(3_000)
+        fleet.submit(make_job(make_step(2, 8, gang=True)))
+        fleet.run(200)
+        known = [
+            (fields['tasks'], fields['suspect'], fields['unproven'])
+            for event, fields in fleet.notes
+            if event == 'run_assigned'
+        ]
+        self.assertEqual(known, [(1, 0, 1), (1, 0, 1), (2, 1, 1)])
+        agents = [
+            fields['agent'] for event, fields in fleet.notes if event == 'run_ended'
+        ]
+        self.assertEqual(agents[:2], ['agent-w0', 'agent-w1'])
+
     def test_the_last_attempt_starts_when_all_workers_have_failed(self):
         # The job may be the cause, so it must not wait for a worker forever.
         fleet = make_fleet(3, how='failed', run_ms=100)
--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -350,5 +350,40 @@
         self.assertEqual([note['closed'] for note in lost], [self.lost])
 
 
+class DeclineTest(unittest.TestCase):
+    """Guards against urgent work that waits, and no line that says why."""
+
+    def list_reasons(self, fleet: Fleet, step) -> list[str]:
+        """Submit an urgent job outside its guarantee; return why nothing is stopped."""
+        fleet.submit(make_job(step, queue=URGENT, organisation='nobody'))
+        fleet.run(6_000)
+        return [note['reason'] for note in list_notes(fleet, 'room_not_reclaimed')]
+
+    def make_full_fleet(self, queue, after_ms: int) -> Fleet:
+        """Return a fleet whose only worker has been full for some time."""
+        fleet = make_fleet(1, run_ms=3 * LONG_MS)
+        step = make_step(1, 8, estimated_ms=LONG_MS)
+        fleet.submit(make_job(step, queue=queue))
+        fleet.run(after_ms)
+        return fleet
+
+    def test_the_log_says_that_the_lost_work_exceeds_the_limit(self):
+        fleet = self.make_full_fleet(DEFERRABLE, LONG_MS // 2)
+        reasons = self.list_reasons(fleet, make_step(1, 8))
+        self.assertEqual(reasons, ['too_costly', 'too_late', 'late'])
+
+    def test_the_log_says_that_no_work_may_be_stopped(self):
+        fleet = self.make_full_fleet(URGENT, 2_000)
+        reasons = self.list_reasons(fleet, make_step(1, 8))
+        self.assertEqual(reasons, ['not_enough', 'too_late', 'late'])
+
+    def test_the_log_says_that_other_work_ends_in_time(self):
+        fleet = make_fleet(1, run_ms=1_000)
+        fleet.submit(make_job(make_step(1, 8), queue=DEFERRABLE))
+        fleet.run(200)
+        reasons = self.list_reasons(fleet, make_step(1, 8, estimated_ms=9_000))
+        self.assertEqual(reasons, ['waiting_is_enough'])
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -163,12 +163,14 @@
     The wait of a unit that may start, and how often it was passed over.
 
     A unit on probation that had workers reserved starts at `settled_by_ms` even if
-    other runs there are still new; 0 if it had none.
+    other runs there are still new; 0 if it had none. `declined` is why no other work
+    was last stopped for it, empty if that was not asked.
     """
 
     since_ms: int
     passes: int = 0
     settled_by_ms: int = 0
+    declined: str = ''
 
 
 @dataclass(slots=True)
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -1,5 +1,7 @@
 """Chooses the runs to stop for urgent units, and reserves what they free."""
 
+import enum
+
 from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
 from yuccarelay.core.batch.draining import likely_end_ms
 from yuccarelay.core.batch.entities import (
@@ -57,6 +59,23 @@
 REPEAT_WEIGHT = 0.5
 
 
+class Decline(enum.Enum):
+    """
+    Why no work is stopped for an urgent unit.
+
+    LATE: its job cannot meet its objective any more, and it is outside its guarantee.
+    TOO_LATE: likewise, once the stops have ended. WAITING_IS_ENOUGH: enough other work
+    ends by itself in time. NOT_ENOUGH: all work that may be stopped is too little.
+    TOO_COSTLY: the lost work exceeds the limit.
+    """
+
+    LATE = 'late'
+    TOO_LATE = 'too_late'
+    WAITING_IS_ENOUGH = 'waiting_is_enough'
+    NOT_ENOUGH = 'not_enough'
+    TOO_COSTLY = 'too_costly'
+
+
 def evict_for(
     planner_state: PlannerState,
     snapshot: CapacitySnapshot,
@@ -82,12 +101,14 @@
     count = sum(len(unit.tasks) for unit in units)
     if not entry.entitled:
         if planner_state.now.ms + STOP_MS > entry.rank.start_by_ms:
+            note_declined(planner_state, entry, Decline.TOO_LATE)
             return False
         freed = plan_eviction(step, count, candidates, snapshot.list_stopping())
         if freed is not None:
             reserve_freed(planner_state, snapshot, units, freed)
             return True
         if not is_eviction_worthwhile(snapshot, entry, candidates, count):
+            note_declined(planner_state, entry, Decline.WAITING_IS_ENOUGH)
             return False
     victims = group_victims(list_victims(planner_state, snapshot.entitled, entry))
     eviction = plan_eviction(step, count, candidates, victims)
@@ -95,12 +116,15 @@
         units, count = [entry.unit], len(entry.unit.tasks)
         eviction = plan_eviction(step, count, candidates, victims)
     if eviction is None:
+        note_declined(planner_state, entry, Decline.NOT_ENOUGH)
         return False
     waste = sum(
         weigh_loss(planner_state, list_victim_runs(planner_state, key))
         for key in eviction.victims
     )
-    if not entry.entitled and waste > find_waste_limit(planner_state, entry):
+    limit = find_waste_limit(planner_state, entry)
+    if not entry.entitled and waste > limit:
+        note_declined(planner_state, entry, Decline.TOO_COSTLY, waste, limit)
         return False
     entry.plan.displaced_core_s += waste
     reserve(planner_state, units, eviction)
@@ -122,6 +146,34 @@
     return True
 
 
+def note_declined(
+    planner_state: PlannerState,
+    entry: WaitingUnit,
+    reason: Decline,
+    waste_core_s: float = 0,
+    limit_core_s: float = 0,
+) -> None:
+    """Log why nothing is stopped for an urgent unit, whenever the reason changes."""
+    wait = entry.plan.waits[entry.unit.tasks[0][1:]]
+    if wait.declined == reason.value:
+        return
+    wait.declined = reason.value
+    planner_state.note(
+        'room_not_reclaimed',
+        job=entry.unit.job,
+        step=entry.unit.step,
+        occurrence=entry.unit.occurrence,
+        index=entry.unit.tasks[0].index,
+        tasks=len(entry.unit.tasks),
+        reason=reason.value,
+        entitled=entry.entitled,
+        waited_ms=planner_state.now.ms - wait.since_ms,
+        start_by_in_ms=int(entry.rank.start_by_ms - planner_state.now.ms),
+        waste_core_s=round(waste_core_s, 1),
+        limit_core_s=round(limit_core_s, 1),
+    )
+
+
 def list_victim_runs(planner_state: PlannerState, key: tuple) -> list[Run]:
     """Return the runs of a victim; the index is -1 for all members of a gang."""
     job, occurrence, number, index = key
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -325,6 +325,8 @@
             workers=','.join(placement),
             racks=len({view.rack() for view in views}),
             least_speed=round(min(speeds), 2),
+            suspect=sum(self.now.ms < view.suspect_until_ms for view in views),
+            unproven=sum(self.now.ms >= view.proven_until_ms for view in views),
             image=step.image,
             submitted_ms=step.estimated_ms,
             estimate_ms=int(
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -247,6 +247,7 @@
             'run_ended',
             task=run.task,
             run=run.number,
+            agent=view.agent,
             worker=run.worker.name,
             how=end.end,
             ran_ms=planner_state.now.ms - run.started_ms if run.started_ms else 0,
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -17,7 +17,7 @@
 )
 from yuccarelay.core.batch.entities import Reservation
 from yuccarelay.core.batch.events import QueryAdvice
-from yuccarelay.core.batch.eviction import evict_for
+from yuccarelay.core.batch.eviction import Decline, evict_for, note_declined
 from yuccarelay.core.batch.guarantees import URGENT_PRIORITY, find_entitled
 from yuccarelay.core.batch.neighbours import find_kind
 from yuccarelay.core.batch.planner_state import PlannerState
@@ -158,6 +158,8 @@
         and evict_for(planner_state, snapshot, entry, open_candidates)
     ):
         return True
+    if urgent and not may_displace:
+        note_declined(planner_state, entry, Decline.LATE)
     report_wait(planner_state, snapshot, entry)
     reserve_in_advance(snapshot, entry, open_candidates)
     return False
