Take only runs started since others began to fail as a sign of a sound worker

Cause: after a failure a gang goes to workers that are known to run tasks, and progress of any run counted, as did any run that was done in the last 8 s. A worker that begins to fail what it starts goes on with what it runs, so its progress renewed the evidence, and the end of an older run even cleared the mark of a failure.

Change: while workers of a service fail what they start, a worker counts as sound by a run that was started since the first failure and went on for a second, or was done; others come after it on a retry. The end of a run clears a worker only if the run was started after the one that failed. Placements count failing workers before those that a release may drain. Nothing waits longer: last attempts still wait by the older rule.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -190,6 +190,8 @@
             return Suspicion.FAILED
         if failures and now_ms >= view.proven_until_ms:
             return Suspicion.UNPROVEN
+        if failures and not self.planner_state.starts_tasks(view):
+            return Suspicion.OUTDATED
         return Suspicion.NONE
 
     def _make_candidate(
@@ -391,7 +393,7 @@
     """
     return [
         candidate._replace(avoidance=Avoidance.UNPROVEN)
-        if candidate.suspicion and not candidate.avoided
+        if candidate.suspicion >= Suspicion.UNPROVEN and not candidate.avoided
         else candidate
         for candidate in candidates
     ]
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -299,7 +299,9 @@
     `has_orphans` means that it lists a run without a record, whose resources are not
     known. Until it `is_settled`, late calls may make it forget ended runs.
     `suspect_until_ms` follows a failed run, because the worker may be the cause, and
-    `proven_until_ms` one that made progress or was done.
+    `proven_until_ms` one that made progress or was done. Of its runs that failed and of
+    those that went on for a while or were done, the latest were started at
+    `failed_start_ms` and `sound_start_ms`.
     `is_silent` means that its agent does not answer, since `silent_since_ms`, and
     `agent_changed_ms` is when its process was last replaced, 0 if never. The worker is
     slow until `cold_until_ms`, because it has started lately.
@@ -335,6 +337,8 @@
     avoid_until_ms: int = 0
     suspect_until_ms: int = 0
     proven_until_ms: int = 0
+    failed_start_ms: int = 0
+    sound_start_ms: int = 0
     failures: int = 0
     failed_jobs: set[str] = field(default_factory=set)
     orphaned_runs: dict[tuple[str, int], int] = field(default_factory=dict)
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -40,6 +40,7 @@
 from yuccarelay.core.batch.run_observations import learn_stopped
 from yuccarelay.core.batch.run_times import Quantile, RunTimes
 from yuccarelay.core.batch.silence import SilentAgents
+from yuccarelay.core.batch.start_failures import StartFailures
 from yuccarelay.core.batch.unit_placement import resources_held
 from yuccarelay.core.batch.worker_speeds import Machine
 
@@ -52,6 +53,9 @@
 RETRY_MS = 100
 # Below this progress the estimate is more accurate than a projection from progress.
 MIN_PROJECTION_PERCENT = 5
+# Workers may begin to fail what they start in the midst of a series of failures, so a
+# run that was started earlier than this does not show that its worker is sound.
+START_PROOF_MS = 8_000
 # Marks the reason of members that are stopped because another one was lost.
 GANG_PREFIX = 'gang_'
 
@@ -104,6 +108,7 @@
         self.silent_agents = SilentAgents()
         self.reserved: dict[tuple, Reservation] = {}
         self.releases = Releases()
+        self.start_failures = StartFailures()
         self.evacuated.reset()
         self.pass_due_ms = 0
         self.changed: set[str] = set()
@@ -171,6 +176,20 @@
         advice = plan.advice.setdefault(task[1:3], StepAdvice())
         return advice.find_ticket(worker, self.now.ms)
 
+    def starts_tasks(self, view: WorkerView) -> bool:
+        """
+        Whether a worker that runs tasks is known to start them as well.
+
+        Workers that fail what they start go on with what they run. So while workers of
+        its service do, it needs a run that was started since, and not long ago.
+        """
+        if view.info is None:
+            return False
+        since_ms = self.start_failures.find_since_ms(view.info.service, self.now.ms)
+        if not since_ms:
+            return True
+        return view.sound_start_ms >= max(since_ms, self.now.ms - START_PROOF_MS)
+
     def list_interfering(self, view: WorkerView) -> tuple[list[Run], list[Run]]:
         """
         Return the latency-sensitive and the best-effort runs of a worker.
@@ -326,7 +345,10 @@
             racks=len({view.rack() for view in views}),
             least_speed=round(min(speeds), 2),
             suspect=sum(self.now.ms < view.suspect_until_ms for view in views),
-            unproven=sum(self.now.ms >= view.proven_until_ms for view in views),
+            unproven=sum(
+                self.now.ms >= view.proven_until_ms or not self.starts_tasks(view)
+                for view in views
+            ),
             image=step.image,
             submitted_ms=step.estimated_ms,
             estimate_ms=int(
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -46,8 +46,8 @@
 # A step avoids a worker on which it has failed for this time. A worker's fault usually
 # passes within it, and a step that fails by itself would run out of workers.
 FAILED_STEP_MS = SUSPECT_MS
-# A worker on which a run has gone on for `PROVEN_RUN_MS`, or was done, can run tasks.
-# Workers that cannot do so fail their runs within half a second.
+# A worker on which a run has gone on for this time, or was done, could run tasks when
+# the run was started. Workers that cannot do so fail their runs within half a second.
 PROVEN_RUN_MS = 1_000
 PROVEN_MS = 8_000
 # The pause after the second failed attempt, doubled with each further one. Meanwhile
@@ -143,7 +143,9 @@
             view.read_ms = 0
             view.basis = None
             view.failures, view.failed_jobs = 0, set()
-            view.avoid_until_ms = view.suspect_until_ms = view.proven_until_ms = 0
+            view.avoid_until_ms = view.suspect_until_ms = 0
+            view.proven_until_ms = 0
+            view.failed_start_ms = view.sound_start_ms = 0
             planner_state.dirty = True
         view.info = info
         if info is not None and info.draining and not was_draining:
@@ -261,7 +263,8 @@
         match end.end:
             case End.DONE:
                 self._learn_duration(view, plan, run)
-                self._record_done(view, plan, run.task)
+                self._note_sound_end(view, run)
+                self._record_done(plan, run.task)
             case End.FAILED:
                 self._record_failure(view, plan, run)
         planner_state.release(run, end.end)
@@ -280,7 +283,7 @@
         self.planner_state.note(
             'run_ended_late', task=task, run=end.run, worker=view.id.name
         )
-        self._record_done(view, plan, task)
+        self._record_done(plan, task)
         if not plan.ended and plan.is_done():
             self.planner_state.end_job(plan, JobState.COMPLETED)
 
@@ -301,11 +304,24 @@
                 learned_factor=round(switch.learned_error, 2),
             )
 
-    def _record_done(self, view: WorkerView, plan: JobPlan, task: TaskId) -> None:
-        view.failures = 0
-        view.failed_jobs.clear()
-        view.suspect_until_ms = 0
+    def _note_progress(self, view: WorkerView, run: Run) -> None:
+        """Note that a worker runs a task, and since when it could start one."""
         view.proven_until_ms = self.planner_state.now.ms + PROVEN_MS
+        view.sound_start_ms = max(view.sound_start_ms, run.started_ms)
+
+    def _note_sound_end(self, view: WorkerView, run: Run) -> None:
+        """
+        Note a run that was done.
+
+        It clears its worker unless another run was started later and failed there.
+        """
+        self._note_progress(view, run)
+        if run.started_ms > view.failed_start_ms:
+            view.failures = 0
+            view.failed_jobs.clear()
+            view.suspect_until_ms = 0
+
+    def _record_done(self, plan: JobPlan, task: TaskId) -> None:
         step = plan.step(task)
         if step.is_long_running:
             return
@@ -320,6 +336,10 @@
         """Count a failed attempt; for a gang, one attempt of all its members."""
         planner_state = self.planner_state
         view.suspect_until_ms = planner_state.now.ms + SUSPECT_MS
+        view.failed_start_ms = max(view.failed_start_ms, run.started_ms)
+        planner_state.start_failures.note(
+            view.info.service, run.started_ms, planner_state.now.ms
+        )
         if plan.job.id not in view.failed_jobs:
             view.failed_jobs.add(plan.job.id)
             view.failures += 1
@@ -386,7 +406,7 @@
                 run.percent = entry.percent
                 run.percent_since_ms = now_ms
                 if run.started_ms and now_ms >= run.started_ms + PROVEN_RUN_MS:
-                    view.proven_until_ms = now_ms + PROVEN_MS
+                    self._note_progress(view, run)
             if run.stage in (RunStage.UNCERTAIN, RunStage.ORDERED):
                 run.move(RunStage.RUNNING, now_ms)
                 run.started_ms = run.started_ms or now_ms
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -18,13 +18,15 @@
     """
     Whether a worker is likely to fail a task, which it then gets after other workers.
 
-    UNPROVEN: it has not run a task lately, and the unit has failed elsewhere. FAILED:
-    its last run failed.
+    The unit has failed elsewhere, and the worker has run a task lately, but was given
+    it before others began to fail what they start (OUTDATED), or has not run one lately
+    (UNPROVEN). FAILED: its last run failed.
     """
 
     NONE = 0
-    UNPROVEN = 1
-    FAILED = 2
+    OUTDATED = 1
+    UNPROVEN = 2
+    FAILED = 3
 
 
 class Avoidance(enum.Enum):
@@ -111,10 +113,16 @@
         for candidate in candidates
         if candidate.outdated or candidate.suspicion or candidate.is_cold
     }
+    failing = {
+        candidate.agent
+        for candidate in candidates
+        if candidate.suspicion is Suspicion.FAILED
+    }
     costs = {candidate.agent: candidate.interference for candidate in candidates}
     slowness = {candidate.agent: rank_speed(candidate) for candidate in candidates}
     placed = [
         (
+            sum(agent in failing for agent in placement),
             sum(agent in last_choices for agent in placement),
             sum(costs[agent] for agent in placement),
             free_accelerators_after(step, count, members),
