Weigh a last attempt by its chance and by what its caller loses by a wait

Cause: the wait for workers that are known to run tasks ended after 5 s whatever a job had to spare, and was left out when such workers could not hold the gang even if they were empty, that is, for the widest gangs, which fail with any one of their workers. It held on, however, beside sound workers that had not started anything for a while, also for a gang of two.

Change: while workers of a service fail what they start, a last attempt begins once its chance is good enough: the share of the workers that fail is estimated from those that did and those that are known to be sound, and each worker of the placement that is neither counts with it. Four in five are asked for while the job can still meet its objective, one in two after that, because a late job costs its caller less than a failed one. The wait ends 8 s after the failure, when such workers have usually recovered, and after 2 s in a fleet that is mostly idle. Meanwhile other work may be stopped for it on workers that are known to be sound.

--- a/tests/test_batch_failing_starts.py
+++ b/tests/test_batch_failing_starts.py
@@ -80,5 +80,84 @@
         self.assertEqual(len(fleet.starts(job)), 1)
 
 
+class LastAttemptTest(unittest.TestCase):
+    """Guards against last attempts that begin where they are likely to fail."""
+
+    # Workers that are busy all the time, so that half of the fleet is in use.
+    BUSY = 12
+
+    def start_gang(self, tasks: int, failing: int, estimated_ms: int) -> Job:
+        """Submit a gang of whole workers beside some that fail what they start."""
+        idle = self.BUSY - 2
+        self.fleet = make_fleet(self.BUSY + idle, run_ms=LONG_MS)
+        self.fleet.feed(Configured(CONFIGURATION._replace(version=2, queues=(TWICE,))))
+        step = make_step(self.BUSY, 8, estimated_ms=LONG_MS)
+        self.fleet.submit(make_job(step, queue=TWICE))
+        self.fleet.run(SETTLED_MS)
+        workers = self.fleet.workers
+        empty = [workers[name] for name in sorted(workers) if not workers[name].runs]
+        self.failing = empty[:failing]
+        for number, worker in enumerate(self.failing):
+            worker.how, worker.run_ms = 'failed', FAILS_AFTER_MS * (1 + 20 * number)
+        step = make_step(tasks, 8, gang=True, estimated_ms=estimated_ms)
+        return self.fleet.submit(make_job(step, queue=TWICE))
+
+    def recover(self) -> None:
+        """Let all workers run what they start from now on."""
+        for worker in self.failing:
+            worker.how, worker.run_ms = 'done', LONG_MS
+
+    def find_last_start_ms(self, gang: Job) -> int:
+        """Return how long after its failure a gang has begun its last attempt."""
+        first, *_, last = self.fleet.starts(gang)
+        self.assertEqual((first[2], last[2]), (1, 2))
+        return last[0] - first[0]
+
+    def test_a_gang_that_needs_more_sound_workers_than_there_are_waits_as_well(self):
+        # silverthread-tw-grown scale-1: a gang of 10 whole workers that had 15 s to
+        # spare began its last attempt at once, and failed.
+        gang = self.start_gang(8, failing=3, estimated_ms=10_000)
+        self.fleet.run(6_000)
+        self.recover()
+        self.fleet.run(4_000)
+        self.assertEqual(self.fleet.state(gang), 'running')
+        self.assertGreater(self.find_last_start_ms(gang), 6_000)
+
+    def test_it_waits_no_longer_than_the_failures_usually_last(self):
+        gang = self.start_gang(8, failing=3, estimated_ms=10_000)
+        self.fleet.run(9_000)
+        self.assertEqual(self.fleet.state(gang), 'failed')
+
+    def test_a_narrow_gang_begins_while_it_is_in_time(self):
+        # Objective: 3 x 1 s + 1.5 s, so it has to start within 3.5 s.
+        gang = self.start_gang(2, failing=1, estimated_ms=1_000)
+        self.fleet.run(4_500)
+        self.assertEqual(self.fleet.state(gang), 'running')
+        self.assertLess(self.find_last_start_ms(gang), 3_600)
+
+    def test_it_does_not_wait_for_long_beside_much_free_room(self):
+        # Work must not be idle for 3 s in a fleet that is mostly idle.
+        fleet = make_fleet(8, run_ms=LONG_MS)
+        fleet.feed(Configured(CONFIGURATION._replace(version=2, queues=(TWICE,))))
+        for name in ('w0', 'w1'):
+            worker = fleet.workers[f'agent-{name}']
+            worker.how, worker.run_ms = 'failed', FAILS_AFTER_MS
+        step = make_step(2, 8, gang=True, estimated_ms=LONG_MS)
+        gang = fleet.submit(make_job(step, queue=TWICE))
+        fleet.run(3_000)
+        self.assertEqual(fleet.state(gang), 'running')
+        self.assertEqual(max(run for _, _, run in fleet.starts(gang)), 2)
+
+    def test_it_begins_at_once_if_it_is_likely_to_succeed(self):
+        gang = self.start_gang(2, failing=1, estimated_ms=10_000)
+        self.fleet.run(200)
+        for _ in range(5):
+            step = make_step(1, 8, estimated_ms=LONG_MS)
+            self.fleet.submit(make_job(step, queue=TWICE))
+        self.fleet.run(4_000)
+        self.assertEqual(self.fleet.state(gang), 'running')
+        self.assertLess(self.find_last_start_ms(gang), 3_500)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -119,10 +119,6 @@
             candidates = [
                 add_reservation(candidate, own_reservation) for candidate in candidates
             ]
-        if is_last_attempt and planner_state.now.ms < plan.proof_until_ms.get(
-            unit[1:3], 0
-        ):
-            candidates = avoid_unproven(candidates)
         return self._admit_avoided(unit, queue, step, candidates)
 
     def _admit_avoided(
@@ -142,7 +138,7 @@
         wait = self.planner_state.plans[unit.job].waits[unit.tasks[0][1:]]
         waited_ms = self.planner_state.now.ms - wait.since_ms
         has_waited = waited_ms >= LONGEST_IDLE_MS
-        is_idle = has_waited and self._share_in_use(queue.service) < IDLE_SHARE
+        is_idle = has_waited and self.is_idle(queue.service)
         if step.is_long_running and has_waited:
             return admit(candidates, *Avoidance)
         if is_idle and waited_ms >= RECOVERY_MS:
@@ -151,7 +147,7 @@
             candidates = admit(candidates, Avoidance.FAILED_BEFORE, Avoidance.FAILING)
         if could_hold(step, len(unit.tasks), candidates):
             return candidates
-        candidates = admit(candidates, Avoidance.FAILED_BEFORE, Avoidance.UNPROVEN)
+        candidates = admit(candidates, Avoidance.FAILED_BEFORE)
         if could_hold(step, len(unit.tasks), candidates):
             return candidates
         is_any_left = any(
@@ -319,7 +315,7 @@
         ]
         if not usable or now_ms < wait.since_ms + LONGEST_IDLE_MS:
             return []
-        if not is_long_running and self._share_in_use(queue.service) >= IDLE_SHARE:
+        if not is_long_running and not self.is_idle(queue.service):
             return []
         return self._add_withheld(step, usable, candidates)
 
@@ -338,15 +334,15 @@
             found.append(candidate)
         return found if is_of_use else []
 
-    def _share_in_use(self, service: str) -> float:
+    def is_idle(self, service: str) -> bool:
         """
-        Return the share of a service that is in use, by its accelerators if any.
+        Whether most of a service is not in use, by its accelerators if any.
 
         It is that at the first call in the pass.
         """
         if service not in self.shares_in_use:
             self.shares_in_use[service] = self._sum_share_in_use(service)
-        return self.shares_in_use[service]
+        return self.shares_in_use[service] < IDLE_SHARE
 
     def _sum_share_in_use(self, service: str) -> float:
         total, used = Resources(), Resources()
@@ -384,21 +380,6 @@
         return self.ends[quantile]
 
 
-def avoid_unproven(candidates: list[Candidate]) -> list[Candidate]:
-    """
-    Avoid the workers that may fail a last attempt.
-
-    Workers that fail what they start are empty, so without this a job that needs whole
-    workers would get one of them after the other.
-    """
-    return [
-        candidate._replace(avoidance=Avoidance.UNPROVEN)
-        if candidate.suspicion >= Suspicion.UNPROVEN and not candidate.avoided
-        else candidate
-        for candidate in candidates
-    ]
-
-
 def admit(candidates: list[Candidate], *reasons: Avoidance) -> list[Candidate]:
     """
     Return the candidates, with those admitted that are avoided for one of the reasons.
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -164,13 +164,15 @@
 
     A unit on probation that had workers reserved starts at `settled_by_ms` even if
     other runs there are still new; 0 if it had none. `declined` is why no other work
-    was last stopped for it, empty if that was not asked.
+    was last stopped for it, empty if that was not asked. `beside_idle_ms` is since when
+    a last attempt has waited in a fleet that is mostly idle, 0 if it is not.
     """
 
     since_ms: int
     passes: int = 0
     settled_by_ms: int = 0
     declined: str = ''
+    beside_idle_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -180,8 +182,8 @@
 
     `version` counts changes of the record; `saved` is the last version that the
     store confirmed. `accepted_ms` is on the planner's clock. `displaced_core_s`
-    is the work of other jobs that was lost to preemption for this one. The last attempt
-    of a step goes only to workers that are known to run tasks until `proof_until_ms`.
+    is the work of other jobs that was lost to preemption for this one. The last failure
+    of a step was noticed at `failed_ms`.
     `failed_on` has the workers that a step avoids because it failed there, and until
     when.
     `waits` has the units that may start, by the first of their tasks. The next log line
@@ -206,7 +208,7 @@
     waits: dict[tuple[int, int, int], Wait] = field(default_factory=dict)
     wait_log_due_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_on: dict[tuple[int, int], dict[WorkerId, int]] = field(default_factory=dict)
-    proof_until_ms: dict[tuple[int, int], int] = field(default_factory=dict)
+    failed_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     displaced_core_s: float = 0
     crashes_in_a_row: dict[tuple[int, int, int], int] = field(default_factory=dict)
     held_until_ms: dict[tuple[int, int, int], int] = field(default_factory=dict)
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -54,8 +54,6 @@
 # other work shows which workers fail.
 FAILED_RETRY_MS = 250
 FAILED_RETRY_LIMIT_MS = 2_000
-# The last attempt waits at most this long for workers that are known to run tasks.
-PROOF_WAIT_MS = 5_000
 
 
 class ReportReader:
@@ -366,7 +364,7 @@
         planner_state.changed.add(plan.job.id)
         failures = plan.task(run.task).failures
         key, now_ms = run.task[1:3], planner_state.now.ms
-        plan.proof_until_ms[key] = now_ms + PROOF_WAIT_MS
+        plan.failed_ms[key] = now_ms
         if failures > 1 and len(tasks) == step.count:
             # The other tasks of a step do not wait for one that failed.
             pause_ms = FAILED_RETRY_MS * 2 ** (failures - 2)
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -19,6 +19,7 @@
 from yuccarelay.core.batch.events import QueryAdvice
 from yuccarelay.core.batch.eviction import Decline, evict_for, note_declined
 from yuccarelay.core.batch.guarantees import URGENT_PRIORITY, find_entitled
+from yuccarelay.core.batch.last_attempts import withhold_unproven
 from yuccarelay.core.batch.neighbours import find_kind
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.run_times import Quantile
@@ -238,14 +239,11 @@
     planner_state: PlannerState, snapshot: CapacitySnapshot, entry: WaitingUnit
 ) -> list[Candidate]:
     """Return the workers that may take a unit and are approved if need be."""
-    candidates = keep_off(
-        planner_state,
-        entry.unit,
-        entry.entitled,
-        snapshot.list_candidates(
-            entry.unit, entry.queue, needs_speed=entry.needs_speed
-        ),
+    candidates = snapshot.list_candidates(
+        entry.unit, entry.queue, needs_speed=entry.needs_speed
     )
+    candidates = withhold_unproven(planner_state, snapshot, entry, candidates)
+    candidates = keep_off(planner_state, entry.unit, entry.entitled, candidates)
     if entry.queue.advice is None:
         return candidates
     return filter_approved(planner_state, entry, candidates)
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -35,8 +35,8 @@
 
     FAILING: it was slow, or work of several jobs failed there. FAILED_BEFORE: the
     step of the unit has failed there. LAST_ATTEMPT: with one more failure the job
-    fails, and the last run on the worker failed. UNPROVEN: likewise, and it has not
-    run a task lately.
+    fails, and the last run on the worker failed. UNPROVEN: likewise, and the worker is
+    not known to run what it starts.
     """
 
     FAILING = 'failing'
--- a/yuccarelay/core/batch/wait_report.py
+++ b/yuccarelay/core/batch/wait_report.py
@@ -14,6 +14,7 @@
     list_settled,
 )
 from yuccarelay.core.batch.entities import JobPlan, Run, RunStage, Wait, WorkerView
+from yuccarelay.core.batch.last_attempts import withhold_unproven
 from yuccarelay.core.batch.models import Step
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.unit_placement import (
@@ -138,7 +139,9 @@
     """Return which workers may take a unit, for the log."""
     plan, unit = entry.plan, entry.unit
     step = plan.job.steps[unit.step]
-    candidates = snapshot.list_candidates(unit, entry.queue)
+    candidates = withhold_unproven(
+        planner_state, snapshot, entry, snapshot.list_candidates(unit, entry.queue)
+    )
     usable = [candidate for candidate in candidates if is_usable(step, candidate)]
     apart = keep_off(planner_state, unit, entry.entitled, candidates)
     if has_crashed_worker(plan, unit):
