Reclaim workers that have just failed a run after all others

What callers saw: urgent gangs whose first start failed at once after other work had been stopped for them.

Cause: the search for victims ranks workers by what their victims lose. A worker that fails what it starts is empty, so it costs nothing and comes first; likewise a rack with such workers is the cheapest.

Change: workers that have failed their last run come after the others in the search, and plans with fewer of them are preferred. This holds for what is waited for and reserved in advance as well, which uses the same search.

Evidence: ReclaimTest fails before (the first attempt is on agent-w0, which fails) and passes now.

--- a/tests/test_batch_failing_starts.py
+++ b/tests/test_batch_failing_starts.py
@@ -6,6 +6,7 @@
     CONFIGURATION,
     DEFERRABLE,
     ORDINARY,
+    URGENT,
     Fleet,
     make_fleet,
     make_job,
@@ -159,5 +160,31 @@
         self.assertLess(self.find_last_start_ms(gang), 3_500)
 
 
+class ReclaimTest(unittest.TestCase):
+    """Guards against work that is stopped for a gang on workers that fail it."""
+
+    def test_reclaimed_workers_are_not_those_that_fail_what_they_start(self):
+        # silverthread-tw-grown scale-1: nine places were reclaimed for a gang, one on a
+        # worker that had failed a run 0.8 s before, since it was empty.
+        fleet = make_fleet(3, per_rack=1, run_ms=LONG_MS)
+        for number in (1, 2):
+            step = make_step(1, 8, label=f'r{number}', estimated_ms=LONG_MS)
+            fleet.submit(make_job(step, queue=DEFERRABLE))
+        worker = fleet.workers['agent-w0']
+        worker.how, worker.run_ms = 'failed', FAILS_AFTER_MS
+        fleet.run(1_000)
+        fleet.submit(make_job(make_step(1, 8, label='r0'), queue=ORDINARY))
+        fleet.run(200)
+        gang = make_job(make_step(2, 8, gang=True, estimated_ms=5_000), queue=URGENT)
+        fleet.submit(gang)
+        fleet.run(2_000)
+        workers = [
+            fields['workers']
+            for event, fields in fleet.notes
+            if event == 'run_assigned' and fields['job'] == gang.id
+        ]
+        self.assertEqual(workers, ['agent-w1,agent-w2'])
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -301,15 +301,30 @@
     Return a low-cost set of victims that lets the tasks fit, or None.
 
     A gang that should stay on one rack gets the cheapest rack. The search is greedy:
-    the tasks are placed one by one, each where the victims it needs cost least.
+    the tasks are placed one by one, each where the victims it needs cost least. Workers
+    that have failed their last run come last: they are empty and would cost nothing,
+    but all that is lost for the others would be lost in vain.
     """
+    failing = {
+        candidate.agent
+        for candidate in candidates
+        if candidate.suspicion is Suspicion.FAILED
+    }
     plans = [
         plan
         for members in group_candidates(step, count, candidates)
         if (plan := EvictionSearch(step, members, victims, combine).plan(count))
         is not None
     ]
-    return min(plans, key=lambda plan: (plan.cost, plan.placement), default=None)
+    return min(
+        plans,
+        key=lambda plan: (
+            sum(agent in failing for agent in plan.placement),
+            plan.cost,
+            plan.placement,
+        ),
+        default=None,
+    )
 
 
 def group_candidates(
@@ -392,7 +407,8 @@
         Update the victims that one more task needs on some workers, and their ranks.
 
         The worker whose victims cost least has the lowest rank, the fullest among
-        equals. Workers on which the task does not fit have none.
+        equals, and those that have failed their last run come after the others. Workers
+        on which the task does not fit have none.
         """
         for agent in agents:
             found = self._find_victims(agent)
@@ -401,9 +417,11 @@
                 ranks.pop(agent, None)
                 continue
             options[agent] = found
+            candidate = self.candidates[agent]
             ranks[agent] = (
+                candidate.suspicion is Suspicion.FAILED,
                 self.combine(victim.cost for victim in found),
-                candidate_order(self.candidates[agent]._replace(free=self.free[agent])),
+                candidate_order(candidate._replace(free=self.free[agent])),
                 agent,
             )
 
