Avoid a worker that fails tasks of a step which runs elsewhere

What callers saw: gangs whose first start failed at once.

Cause: a worker is avoided only after failures of two jobs, because a job may fail everywhere. Many failures of one job counted as one, though the same step ran on other workers, which shows that the job is not to blame.

Change: once a task of a step is known to run, workers on which two or more of its tasks failed within a second of their start are avoided for the rest of 8 s. A single task may be at fault by itself and is no evidence.

--- a/tests/test_batch_failing_starts.py
+++ b/tests/test_batch_failing_starts.py
@@ -87,8 +87,8 @@
     # Workers that are busy all the time, so that half of the fleet is in use.
     BUSY = 12
 
-    def start_gang(self, tasks: int, failing: int, estimated_ms: int) -> Job:
-        """Submit a gang of whole workers beside some that fail what they start."""
+    def make_failing(self, failing: int) -> None:
+        """Make a fleet of which some workers fail what they start."""
         idle = self.BUSY - 2
         self.fleet = make_fleet(self.BUSY + idle, run_ms=LONG_MS)
         self.fleet.feed(Configured(CONFIGURATION._replace(version=2, queues=(TWICE,))))
@@ -100,6 +100,10 @@
         self.failing = empty[:failing]
         for number, worker in enumerate(self.failing):
             worker.how, worker.run_ms = 'failed', FAILS_AFTER_MS * (1 + 20 * number)
+
+    def start_gang(self, tasks: int, failing: int, estimated_ms: int) -> Job:
+        """Submit a gang of whole workers beside some that fail what they start."""
+        self.make_failing(failing)
         step = make_step(tasks, 8, gang=True, estimated_ms=estimated_ms)
         return self.fleet.submit(make_job(step, queue=TWICE))
 
@@ -160,6 +164,50 @@
         self.assertLess(self.find_last_start_ms(gang), 3_500)
 
 
+class AttributionTest(unittest.TestCase):
+    """Guards against gangs on workers that have failed many runs of one job."""
+
+    def make_fleet(self) -> Fleet:
+        """Return two workers that are about to get eight tasks of a step each."""
+        fleet = make_fleet(2, run_ms=LONG_MS)
+        worker = fleet.workers['agent-w0']
+        worker.how, worker.run_ms = 'failed', FAILS_AFTER_MS
+        step = make_step(16, estimated_ms=LONG_MS)
+        fleet.submit(make_job(step, queue=DEFERRABLE))
+        return fleet
+
+    def list_avoided(self, fleet: Fleet) -> set[str]:
+        """Return the workers that have been avoided by all work."""
+        return {
+            fields['agent']
+            for event, fields in fleet.notes
+            if event == 'worker_avoided'
+        }
+
+    def test_a_worker_is_avoided_if_the_same_step_runs_elsewhere(self):
+        # silverthread-tw-grown scale-1 --seed 7106: a worker failed eight runs of one
+        # job, and a gang of another one was started there 0.2 s later.
+        fleet = self.make_fleet()
+        fleet.run(SETTLED_MS)
+        self.assertEqual(self.list_avoided(fleet), {'agent-w0'})
+
+    def test_a_single_task_that_fails_by_itself_is_no_evidence(self):
+        fleet = self.make_fleet().run(10)
+        worker = fleet.workers['agent-w0']
+        for number, run in enumerate(worker.runs.values()):
+            run.how = 'done' if number else 'failed'
+            run.ends_ms = fleet.now_ms + (LONG_MS if number else FAILS_AFTER_MS)
+        fleet.run(SETTLED_MS)
+        self.assertEqual(self.list_avoided(fleet), set())
+
+    def test_a_step_that_fails_everywhere_is_no_evidence(self):
+        fleet = self.make_fleet()
+        worker = fleet.workers['agent-w1']
+        worker.how, worker.run_ms = 'failed', FAILS_AFTER_MS
+        fleet.run(SETTLED_MS)
+        self.assertEqual(self.list_avoided(fleet), set())
+
+
 class ReclaimTest(unittest.TestCase):
     """Guards against work that is stopped for a gang on workers that fail it."""
 
--- a/tests/test_batch_planner.py
+++ b/tests/test_batch_planner.py
@@ -928,7 +928,7 @@
         fleet.submit(make_job(make_step(1, 8)))
         fleet.run(3_000)
         fleet.submit(make_job(make_step(2, 8, gang=True)))
-        fleet.run(200)
+        fleet.run(3_000)
         known = [
             (fields['tasks'], fields['suspect'], fields['unproven'])
             for event, fields in fleet.notes
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -29,6 +29,7 @@
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.protocol import Report, Stop
 from yuccarelay.core.batch.run_observations import learn_done, learn_members
+from yuccarelay.core.batch.start_failures import START_FAILURE_MS
 
 ORPHAN_RETRY_MS = 1_000
 # A stop takes up to 0.9 s. A run that is still listed this long after its stop was
@@ -37,7 +38,8 @@
 # Interval at which new checkpoints of a job are written to its record. A crash loses
 # about as much progress as the platform's own checkpoint interval.
 CHECKPOINTS_PAUSE_MS = 1_500
-# A worker that failed tasks of this many jobs in a row gets no work for a while.
+# A worker that failed tasks of this many jobs in a row gets no work for a while, nor
+# does one that failed as many tasks of a step which runs elsewhere.
 FAILURES_LIMIT = 2
 FAILURES_PAUSE_MS = 8_000
 # After a single failure a worker is suspect for this time, unless a task is done there.
@@ -261,7 +263,7 @@
         match end.end:
             case End.DONE:
                 self._learn_duration(view, plan, run)
-                self._note_sound_end(view, run)
+                self._note_sound_end(view, plan, run)
                 self._record_done(plan, run.task)
             case End.FAILED:
                 self._record_failure(view, plan, run)
@@ -302,18 +304,39 @@
                 learned_factor=round(switch.learned_error, 2),
             )
 
-    def _note_progress(self, view: WorkerView, run: Run) -> None:
-        """Note that a worker runs a task, and since when it could start one."""
-        view.proven_until_ms = self.planner_state.now.ms + PROVEN_MS
+    def _note_progress(self, view: WorkerView, plan: JobPlan, run: Run) -> None:
+        """
+        Note that a worker runs a task, and since when it could start one.
+
+        So the step is not to blame for its failures elsewhere right after a start.
+        """
+        now_ms = self.planner_state.now.ms
+        view.proven_until_ms = now_ms + PROVEN_MS
         view.sound_start_ms = max(view.sound_start_ms, run.started_ms)
+        for worker, times_ms in plan.failed_starts.pop(run.task[1:3], {}).items():
+            other = self.planner_state.workers[worker.agent]
+            # One task may be at fault by itself.
+            if len(times_ms) < FAILURES_LIMIT or other.id != worker:
+                continue
+            if other.sound_start_ms < times_ms[-1]:
+                self._avoid(other, times_ms[-1] + FAILURES_PAUSE_MS)
+
+    def _avoid(self, view: WorkerView, until_ms: int) -> None:
+        """Give a worker that fails its work none for a while."""
+        if until_ms <= max(view.avoid_until_ms, self.planner_state.now.ms):
+            return
+        view.avoid_until_ms = until_ms
+        self.planner_state.note(
+            'worker_avoided', agent=view.agent, failures=view.failures
+        )
 
-    def _note_sound_end(self, view: WorkerView, run: Run) -> None:
+    def _note_sound_end(self, view: WorkerView, plan: JobPlan, run: Run) -> None:
         """
         Note a run that was done.
 
         It clears its worker unless another run was started later and failed there.
         """
-        self._note_progress(view, run)
+        self._note_progress(view, plan, run)
         if run.started_ms > view.failed_start_ms:
             view.failures = 0
             view.failed_jobs.clear()
@@ -335,17 +358,17 @@
         planner_state = self.planner_state
         view.suspect_until_ms = planner_state.now.ms + SUSPECT_MS
         view.failed_start_ms = max(view.failed_start_ms, run.started_ms)
-        planner_state.start_failures.note(
-            view.info.service, run.started_ms, planner_state.now.ms
-        )
+        if planner_state.now.ms <= run.started_ms + START_FAILURE_MS:
+            planner_state.start_failures.note(
+                view.info.service, run.started_ms, planner_state.now.ms
+            )
+            failed_starts = plan.failed_starts.setdefault(run.task[1:3], {})
+            failed_starts.setdefault(view.id, []).append(planner_state.now.ms)
         if plan.job.id not in view.failed_jobs:
             view.failed_jobs.add(plan.job.id)
             view.failures += 1
         if view.failures >= FAILURES_LIMIT:
-            view.avoid_until_ms = planner_state.now.ms + FAILURES_PAUSE_MS
-            planner_state.note(
-                'worker_avoided', agent=view.agent, failures=view.failures
-            )
+            self._avoid(view, planner_state.now.ms + FAILURES_PAUSE_MS)
         failed_on = plan.failed_on.setdefault(run.task[1:3], {})
         failed_on[view.id] = planner_state.now.ms + FAILED_STEP_MS
         step = plan.step(run.task)
@@ -404,7 +427,7 @@
                 run.percent = entry.percent
                 run.percent_since_ms = now_ms
                 if run.started_ms and now_ms >= run.started_ms + PROVEN_RUN_MS:
-                    self._note_progress(view, run)
+                    self._note_progress(view, plan, run)
             if run.stage in (RunStage.UNCERTAIN, RunStage.ORDERED):
                 run.move(RunStage.RUNNING, now_ms)
                 run.started_ms = run.started_ms or now_ms
--- a/yuccarelay/core/batch/start_failures.py
+++ b/yuccarelay/core/batch/start_failures.py
@@ -30,9 +30,7 @@
         self.series: dict[str, FailureSeries] = {}
 
     def note(self, service: str, started_ms: int, now_ms: int) -> None:
-        """Note a run that failed, unless it had gone on for longer than a start."""
-        if now_ms > started_ms + START_FAILURE_MS:
-            return
+        """Note a run that failed within `START_FAILURE_MS`."""
         series = self.series.get(service)
         if series is None or now_ms > series.last_ms + SERIES_GAP_MS:
             self.series[service] = FailureSeries(started_ms, now_ms)
