Log that a last attempt waits, and what decided it

unit_waiting shows cause=unproven only after 3 s. last_attempt_waiting has the chance, the chance that is asked for and the share of failing workers, once for each wait. test_the_log_says_once_why_it_waits is new.

--- a/tests/test_batch_failing_starts.py
+++ b/tests/test_batch_failing_starts.py
@@ -13,6 +13,7 @@
     make_step,
 )
 from yuccarelay.core.batch.events import Configured
+from yuccarelay.core.batch.last_attempts import CHANCE_IN_TIME
 from yuccarelay.core.batch.models import Job
 
 FAILS_AFTER_MS = 50
@@ -128,6 +129,17 @@
         self.assertEqual(self.fleet.state(gang), 'running')
         self.assertGreater(self.find_last_start_ms(gang), 6_000)
 
+    def test_the_log_says_once_why_it_waits(self):
+        self.start_gang(8, failing=3, estimated_ms=10_000)
+        self.fleet.run(4_000)
+        notes = [
+            fields
+            for event, fields in self.fleet.notes
+            if event == 'last_attempt_waiting'
+        ]
+        self.assertEqual([fields['tasks'] for fields in notes], [8])
+        self.assertEqual([fields['least_chance'] for fields in notes], [CHANCE_IN_TIME])
+
     def test_it_waits_no_longer_than_the_failures_usually_last(self):
         gang = self.start_gang(8, failing=3, estimated_ms=10_000)
         self.fleet.run(9_000)
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -165,7 +165,8 @@
     A unit on probation that had workers reserved starts at `settled_by_ms` even if
     other runs there are still new; 0 if it had none. `declined` is why no other work
     was last stopped for it, empty if that was not asked. `beside_idle_ms` is since when
-    a last attempt has waited in a fleet that is mostly idle, 0 if it is not.
+    a last attempt has waited in a fleet that is mostly idle, 0 if it is not, and
+    `is_held_back` is set once a last attempt has waited for a better chance.
     """
 
     since_ms: int
@@ -173,6 +174,7 @@
     settled_by_ms: int = 0
     declined: str = ''
     beside_idle_ms: int = 0
+    is_held_back: bool = False
 
 
 @dataclass(slots=True)
--- a/yuccarelay/core/batch/last_attempts.py
+++ b/yuccarelay/core/batch/last_attempts.py
@@ -47,10 +47,13 @@
     placement = place_tasks(step, count, candidates, entry.spread)
     is_in_time = planner_state.now.ms < entry.rank.start_by_ms and not entry.rank.late
     least_chance = CHANCE_IN_TIME if is_in_time else CHANCE_LATE
+    failing_share = find_failing_share(planner_state, snapshot, entry.queue.service)
+    chance = None
     if placement is not None:
-        failing_share = find_failing_share(planner_state, snapshot, entry.queue.service)
-        if find_chance(placement, candidates, failing_share) >= least_chance:
+        chance = find_chance(placement, candidates, failing_share)
+        if chance >= least_chance:
             return candidates
+    note_wait(planner_state, entry, chance, least_chance, failing_share)
     return [
         candidate._replace(avoidance=Avoidance.UNPROVEN)
         if candidate.suspicion and not candidate.avoided
@@ -59,6 +62,31 @@
     ]
 
 
+def note_wait(
+    planner_state: PlannerState,
+    entry: WaitingUnit,
+    chance: float | None,
+    least_chance: float,
+    failing_share: float,
+) -> None:
+    """Log once that a last attempt waits, and what decided that."""
+    wait = entry.plan.waits[entry.unit.tasks[0][1:]]
+    if wait.is_held_back:
+        return
+    wait.is_held_back = True
+    planner_state.note(
+        'last_attempt_waiting',
+        job=entry.unit.job,
+        step=entry.unit.step,
+        occurrence=entry.unit.occurrence,
+        tasks=len(entry.unit.tasks),
+        chance=None if chance is None else round(chance, 2),
+        least_chance=round(least_chance, 2),
+        failing_share=round(failing_share, 2),
+        start_by_in_ms=int(entry.rank.start_by_ms - planner_state.now.ms),
+    )
+
+
 def may_wait(
     planner_state: PlannerState, snapshot: CapacitySnapshot, entry: WaitingUnit
 ) -> bool:
