Ask for more certainty if several tasks of a step have one attempt left

Cause: a job fails with any one task that fails its last attempt. The chance was asked for of each task by itself, so with many of them one was almost certain to fail.

Change: the least chance of a task is the root of that of the job, by the number of tasks of the step that have one attempt left and are not done.

Evidence: test_tasks_that_may_each_fail_their_job_need_more_certainty fails without the root (eight last attempts begin at once) and passes now.

--- a/tests/test_batch_failing_starts.py
+++ b/tests/test_batch_failing_starts.py
@@ -165,6 +165,18 @@
         self.assertEqual(fleet.state(gang), 'running')
         self.assertEqual(max(run for _, _, run in fleet.starts(gang)), 2)
 
+    def test_tasks_that_may_each_fail_their_job_need_more_certainty(self):
+        # silverthread-tw-grown scale-1 --seed 5506: of a step of 230 tasks many began
+        # their last attempt at a time, one by one, and the job failed with the first.
+        for tasks, last_starts in ((1, 1), (8, 0)):
+            with self.subTest(tasks=tasks):
+                self.make_failing(1)
+                step = make_step(tasks, estimated_ms=10_000)
+                job = self.fleet.submit(make_job(step, queue=TWICE))
+                self.fleet.run(2_000)
+                runs = [run for _, _, run in self.fleet.starts(job)]
+                self.assertEqual((runs.count(1), runs.count(2)), (tasks, last_starts))
+
     def test_it_begins_at_once_if_it_is_likely_to_succeed(self):
         gang = self.start_gang(2, failing=1, estimated_ms=10_000)
         self.fleet.run(200)
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -81,6 +81,8 @@
         self.ends: dict[Quantile, VictimsByAgent] = {}
         self.stopping: VictimsByAgent | None = None
         self.shares_in_use: dict[str, float] = {}
+        # Units with one attempt left, by job, occurrence and step.
+        self.last_attempts: dict[tuple[str, int, int], int] = {}
         self.cutoffs_ms = {
             service: planner_state.releases.find_cutoff_ms(
                 service, planner_state.now.wall_ms
--- a/yuccarelay/core/batch/last_attempts.py
+++ b/yuccarelay/core/batch/last_attempts.py
@@ -8,6 +8,7 @@
 """
 
 from yuccarelay.core.batch.capacity_snapshot import LONGEST_IDLE_MS, CapacitySnapshot
+from yuccarelay.core.batch.models import TaskStage
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.unit_placement import (
     Avoidance,
@@ -47,6 +48,8 @@
     placement = place_tasks(step, count, candidates, entry.spread)
     is_in_time = planner_state.now.ms < entry.rank.start_by_ms and not entry.rank.late
     least_chance = CHANCE_IN_TIME if is_in_time else CHANCE_LATE
+    # The job fails with any one of its tasks that have no other attempt left.
+    least_chance **= 1 / count_last_attempts(snapshot, entry)
     failing_share = find_failing_share(planner_state, snapshot, entry.queue.service)
     chance = None
     if placement is not None:
@@ -62,6 +65,21 @@
     ]
 
 
+def count_last_attempts(snapshot: CapacitySnapshot, entry: WaitingUnit) -> int:
+    """Return how many units of a step have one attempt left and are not done."""
+    key = entry.unit[:3]
+    if key not in snapshot.last_attempts:
+        plan = entry.plan
+        records = [plan.task(task) for task in plan.step_tasks(*entry.unit[1:3])]
+        units = sum(
+            record.failures >= entry.queue.max_attempts - 1
+            and record.stage is not TaskStage.DONE
+            for record in records
+        )
+        snapshot.last_attempts[key] = units // len(entry.unit.tasks)
+    return snapshot.last_attempts[key]
+
+
 def note_wait(
     planner_state: PlannerState,
     entry: WaitingUnit,
