Count failed starts of a step by task, also one after the other

Two failures of one and the same task counted as those of two tasks, so a task that fails by itself had a sound worker avoided. And progress of any task of the step dropped what was known of its failed starts. They are kept by task until they count now.

Tasks whose last run has survived its start do not raise the chance that is asked for of the others any more, and a gang is one unit however its tasks are recorded.

Evidence: test_a_single_task_that_fails_by_itself_is_no_evidence, made longer so that the task fails twice on the same worker, fails if the failures are kept without their tasks, and passes now.

--- a/tests/test_batch_failing_starts.py
+++ b/tests/test_batch_failing_starts.py
@@ -216,12 +216,15 @@
         self.assertEqual(self.list_avoided(fleet), {'agent-w0'})
 
     def test_a_single_task_that_fails_by_itself_is_no_evidence(self):
+        # It starts there again after 8 s, since the other worker is full.
         fleet = self.make_fleet().run(10)
         worker = fleet.workers['agent-w0']
-        for number, run in enumerate(worker.runs.values()):
-            run.how = 'done' if number else 'failed'
-            run.ends_ms = fleet.now_ms + (LONG_MS if number else FAILS_AFTER_MS)
-        fleet.run(SETTLED_MS)
+        first, *others = worker.runs.values()
+        first.ends_ms = fleet.now_ms + FAILS_AFTER_MS
+        for run in others:
+            run.how, run.ends_ms = 'done', fleet.now_ms + LONG_MS
+        fleet.run(LONG_MS // 2)
+        self.assertEqual(len(worker.starts), 9)
         self.assertEqual(self.list_avoided(fleet), set())
 
     def test_a_step_that_fails_everywhere_is_no_evidence(self):
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -187,8 +187,8 @@
     is the work of other jobs that was lost to preemption for this one. The last failure
     of a step was noticed at `failed_ms`.
     `failed_on` has the workers that a step avoids because it failed there, and until
-    when. `failed_starts` has those that failed tasks of it right after their start, and
-    when, until a task of it is known to run elsewhere.
+    when. `failed_starts` has those that failed tasks of it right after their start,
+    which tasks and when, until that counts against them.
     `waits` has the units that may start, by the first of their tasks. The next log line
     about a step that waits is due at `wait_log_due_ms`.
     `crashes_in_a_row` counts the workers that have crashed under a task, attributed to
@@ -211,7 +211,7 @@
     waits: dict[tuple[int, int, int], Wait] = field(default_factory=dict)
     wait_log_due_ms: dict[tuple[int, int], int] = field(default_factory=dict)
     failed_on: dict[tuple[int, int], dict[WorkerId, int]] = field(default_factory=dict)
-    failed_starts: dict[tuple[int, int], dict[WorkerId, list[int]]] = field(
+    failed_starts: dict[tuple[int, int], dict[WorkerId, dict[TaskId, int]]] = field(
         default_factory=dict
     )
     failed_ms: dict[tuple[int, int], int] = field(default_factory=dict)
--- a/yuccarelay/core/batch/last_attempts.py
+++ b/yuccarelay/core/batch/last_attempts.py
@@ -66,17 +66,21 @@
 
 
 def count_last_attempts(snapshot: CapacitySnapshot, entry: WaitingUnit) -> int:
-    """Return how many units of a step have one attempt left and are not done."""
-    key = entry.unit[:3]
+    """Return how many units of a step have one attempt left and may still fail it."""
+    key, plan = entry.unit[:3], entry.plan
+    if len(entry.unit.tasks) > 1:
+        return 1
     if key not in snapshot.last_attempts:
-        plan = entry.plan
-        records = [plan.task(task) for task in plan.step_tasks(*entry.unit[1:3])]
-        units = sum(
-            record.failures >= entry.queue.max_attempts - 1
-            and record.stage is not TaskStage.DONE
-            for record in records
-        )
-        snapshot.last_attempts[key] = units // len(entry.unit.tasks)
+        tasks = [
+            task
+            for task in plan.step_tasks(*entry.unit[1:3])
+            if plan.task(task).failures >= entry.queue.max_attempts - 1
+            and plan.task(task).stage is not TaskStage.DONE
+        ]
+        survived = [
+            task for task in tasks if task in plan.runs and plan.runs[task].has_survived
+        ]
+        snapshot.last_attempts[key] = max(1, len(tasks) - len(survived))
     return snapshot.last_attempts[key]
 
 
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -313,13 +313,16 @@
         now_ms = self.planner_state.now.ms
         view.proven_until_ms = now_ms + PROVEN_MS
         view.sound_start_ms = max(view.sound_start_ms, run.started_ms)
-        for worker, times_ms in plan.failed_starts.pop(run.task[1:3], {}).items():
-            other = self.planner_state.workers[worker.agent]
-            # One task may be at fault by itself.
-            if len(times_ms) < FAILURES_LIMIT or other.id != worker:
+        failed_starts = plan.failed_starts.get(run.task[1:3], {})
+        for worker, times_ms in list(failed_starts.items()):
+            # A single task may be at fault by itself.
+            if len(times_ms) < FAILURES_LIMIT:
                 continue
-            if other.sound_start_ms < times_ms[-1]:
-                self._avoid(other, times_ms[-1] + FAILURES_PAUSE_MS)
+            del failed_starts[worker]
+            other = self.planner_state.workers[worker.agent]
+            last_ms = max(times_ms.values())
+            if other.id == worker and other.sound_start_ms < last_ms:
+                self._avoid(other, last_ms + FAILURES_PAUSE_MS)
 
     def _avoid(self, view: WorkerView, until_ms: int) -> None:
         """Give a worker that fails its work none for a while."""
@@ -363,7 +366,7 @@
                 view.info.service, run.started_ms, planner_state.now.ms
             )
             failed_starts = plan.failed_starts.setdefault(run.task[1:3], {})
-            failed_starts.setdefault(view.id, []).append(planner_state.now.ms)
+            failed_starts.setdefault(view.id, {})[run.task] = planner_state.now.ms
         if plan.job.id not in view.failed_jobs:
             view.failed_jobs.add(plan.job.id)
             view.failures += 1
