--- a/tests/test_batch_failing_starts.py
+++ b/tests/test_batch_failing_starts.py
@@ -120,8 +120,8 @@
         return last[0] - first[0]
 
     def test_a_gang_that_needs_more_sound_workers_than_there_are_waits_as_well(self):
-        # silverthread-tw-grown scale-1: a gang of 10 whole workers that had 15 s to
-        # spare began its last attempt at once, and failed.
+        # silverthread-tw-grown scale-1: a gang of 7 tasks that had 15 s to spare began
+        # its last attempt 0.4 s after the first, and failed.
         gang = self.start_gang(8, failing=3, estimated_ms=10_000)
         self.fleet.run(6_000)
         self.recover()
