--- a/yuccarelay/tasks/batch/planner.py
+++ b/yuccarelay/tasks/batch/planner.py
@@ -24,6 +24,7 @@
     StepDown,
 )
 from yuccarelay.core.batch.planner import Planner
+from yuccarelay.core.batch.planner_load import PlannerLoad
 from yuccarelay.core.batch.protocol import Answer, Look, Unanswered
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.journal import Journal
@@ -32,6 +33,7 @@
 from yuccarelay.tasks.mailbox import Mailbox
 
 TICK_S = 0.1
+LOAD_PERIOD_MS = 5_000
 # An agent's call to its worker takes up to 0.6 s, and the network delay between
 # regions is 60 ms.
 ORDER_LIMIT_MS = 1_200
@@ -60,6 +62,7 @@
         self.records = records
         self.election = election
         self.journal = journal
+        self.load = PlannerLoad(clock.now_ms())
 
     async def run(self) -> None:
         """Handle events, and ticks between them, until cancelled."""
@@ -78,13 +81,28 @@
         """
         now = Moment(self.clock.now_ms(), time.time_ns() // 1_000_000)
         term = self.planner.term
+        name = type(event).__name__
         try:
             return self.planner.step(event, now)
         except Exception as error:
-            fields = {'event': type(event).__name__, 'term': term}
+            fields = {'event': name, 'term': term}
             write_failure(self.journal, 'planner_failed', error, fields)
             self.planner.step(Deposed('failed'), now)
             return [StepDown(term)]
+        finally:
+            self._note_load(name, now.ms)
+
+    def _note_load(self, event: str, begun_ms: int) -> None:
+        """Count an event, and log the load of each interval in which it plans."""
+        now_ms = self.clock.now_ms()
+        self.load = self.load.add(event, now_ms - begun_ms, self.inbox.qsize())
+        if now_ms < self.load.since_ms + LOAD_PERIOD_MS:
+            return
+        if self.planner.term:
+            fields = self.load._asdict()
+            interval_ms = now_ms - fields.pop('since_ms')
+            self.journal.write('planner_load', {'interval_ms': interval_ms, **fields})
+        self.load = PlannerLoad(now_ms)
 
     async def _tick(self) -> None:
         while True:
