Show no job as failed for crashes of its workers

Cause: crashes of workers right after a start were counted up to the attempts of the queue, and then the job was ended. A worker that goes down and up cannot be told from a task that crashes it, so the class of fault is a guess that is reported as a fact.

Why the fix works: nothing but ends that a worker lists as failed ends a job. A task that does crash its workers is bounded otherwise: its pause grows to 16 s, in an idle fleet from the fifth attributed crash on, and after two it starts only on a worker that runs nothing else, not even its siblings, which were taken with it each time.

--- a/yuccarelay/core/batch/crashes.py
+++ b/yuccarelay/core/batch/crashes.py
@@ -5,13 +5,14 @@
 end. Each run that was started shortly before its worker crashed, and was not seen at
 work since, is suspected. One of them may be to blame, or none: so the job starts next
 on workers where no other job's runs are as new, with a growing pause. How many crashes
-in a row are due to the task is decided in `crash_attribution`. A run that is seen at
-work clears its task.
+in a row are due to the task is decided in `crash_attribution`; after some of them it
+starts alone on its workers, so that it harms nothing else. It is never given up, since
+none of its runs has ended as failed. A run that is seen at work clears its task.
 """
 
+from yuccarelay.core.batch.capacity_snapshot import LONGEST_IDLE_MS, CapacitySnapshot
 from yuccarelay.core.batch.crash_attribution import (
-    find_crashes_limit,
-    find_undecided_ms,
+    count_suspected,
     hold_crash,
     is_new,
 )
@@ -23,6 +24,7 @@
     Placement,
     resources_held,
 )
+from yuccarelay.core.batch.waiting_units import WaitingUnit
 
 # A run that is listed this long after its start has not crashed its worker.
 SURVIVED_MS = 1_000
@@ -31,6 +33,17 @@
 # after a first crash, which is rarely its own fault.
 CRASH_RETRY_MS = 500
 CRASH_RETRY_LIMIT_MS = 2_000
+# In a fleet that is in use each crash of a worker costs more, so there the pause of a
+# task that is the likely cause grows further.
+ISOLATION_RETRY_LIMIT_MS = 16_000
+# After so many crashes in a row that are due to a task it runs alone on its workers.
+ISOLATION_CRASHES = 2
+# A worker that goes down and up by itself is stable again before a task has crashed it
+# so often. Such a task waits in an idle fleet as well.
+CERTAIN_CRASHES = 5
+# For so long an isolated task waits for workers without other runs; in a fleet of small
+# tasks there may never be one.
+ISOLATION_WAIT_MS = 10_000
 # Most workers have no new runs at some moment within this time. For a unit on probation
 # that has waited longer, workers are reserved.
 SETTLING_WAIT_MS = SURVIVED_MS
@@ -54,23 +67,69 @@
     plan.put(run.task, record._replace(crashes=crashes, crashed_run=run.number))
     planner_state.changed.add(plan.job.id)
     planner_state.suspects.add(plan.job.id)
+    hold_crash(planner_state, view, run)
+    key = run.task[1:]
+    in_a_row = plan.crashes_in_a_row.get(key, record.crashes) + 1
+    plan.crashes_in_a_row[key] = in_a_row
+    pause_ms = find_pause_ms(in_a_row, CRASH_RETRY_LIMIT_MS)
+    suspected = count_suspected(planner_state, plan, run.task)
+    isolation_pause_ms = find_pause_ms(suspected, ISOLATION_RETRY_LIMIT_MS)
+    plan.held_until_ms[key] = planner_state.now.ms + pause_ms
+    plan.isolation_pauses_end_ms[key] = planner_state.now.ms + isolation_pause_ms
     planner_state.note(
         'crash_counted',
         task=run.task,
         run=run.number,
         worker=run.worker.name,
         crashes=plan.task(run.task).attributed_crashes,
-        limit=find_crashes_limit(planner_state, plan, run.task),
+        pause_ms=pause_ms,
+        isolation_pause_ms=isolation_pause_ms,
     )
-    hold_crash(planner_state, view, run)
-    key = run.task[1:]
-    in_a_row = plan.crashes_in_a_row.get(key, record.crashes) + 1
-    plan.crashes_in_a_row[key] = in_a_row
-    pause_ms = 0
-    if in_a_row > 1:
-        pause_ms = min(CRASH_RETRY_MS * 2 ** (in_a_row - 2), CRASH_RETRY_LIMIT_MS)
-    undecided_ms = find_undecided_ms(planner_state, plan, run.task)
-    plan.held_until_ms[key] = max(planner_state.now.ms + pause_ms, undecided_ms)
+
+
+def find_pause_ms(crashes: int, limit_ms: int) -> int:
+    """Return the pause after so many crashes in a row."""
+    if crashes < 2:
+        return 0
+    return min(CRASH_RETRY_MS * 2 ** min(crashes - 2, 10), limit_ms)
+
+
+def must_pause(snapshot: CapacitySnapshot, entry: WaitingUnit) -> bool:
+    """
+    Whether a unit that may crash its workers waits longer since the fleet is in use.
+
+    In a fleet that is mostly idle users take work that waits for forgotten, so there it
+    waits only if it is certain to crash them.
+    """
+    ends_ms = entry.plan.isolation_pauses_end_ms
+    if not ends_ms:
+        return False
+    now_ms = snapshot.planner_state.now.ms
+    is_paused = any(now_ms < ends_ms.get(task[1:], 0) for task in entry.unit.tasks)
+    return is_paused and is_harmful(snapshot, entry)
+
+
+def is_harmful(snapshot: CapacitySnapshot, entry: WaitingUnit) -> bool:
+    """Whether a unit that may crash its workers would harm others by a start now."""
+    crashes = count_attributed(entry.plan, entry.unit)
+    return crashes >= CERTAIN_CRASHES or not snapshot.is_idle(entry.queue.service)
+
+
+def count_attributed(plan: JobPlan, unit: Unit) -> int:
+    """Return how many crashes in a row are due to a task of a unit."""
+    return max(plan.task(task).attributed_crashes for task in unit.tasks)
+
+
+def must_run_alone(snapshot: CapacitySnapshot, entry: WaitingUnit) -> bool:
+    """Whether a unit starts only on workers that run nothing else."""
+    plan, unit = entry.plan, entry.unit
+    if count_attributed(plan, unit) < ISOLATION_CRASHES:
+        return False
+    now_ms = snapshot.planner_state.now.ms
+    waited_ms = now_ms - plan.waits[unit.tasks[0][1:]].since_ms
+    if waited_ms >= ISOLATION_WAIT_MS:
+        return False
+    return waited_ms < LONGEST_IDLE_MS or is_harmful(snapshot, entry)
 
 
 def note_survival(planner_state: PlannerState, plan: JobPlan, run: Run) -> None:
@@ -88,6 +147,7 @@
     """Clear a task that has run on a worker which did not crash."""
     record = plan.task(task)
     plan.crashes_in_a_row.pop(task[1:], None)
+    plan.isolation_pauses_end_ms.pop(task[1:], None)
     if record.crashes:
         plan.put(task, record._replace(crashes=0))
         planner_state.changed.add(plan.job.id)
@@ -212,12 +272,12 @@
 def list_unshared(
     planner_state: PlannerState, unit: Unit, candidates: list[Candidate]
 ) -> list[Candidate]:
-    """Return the workers on which no other job runs that a crash would harm."""
+    """Return the workers on which nothing else runs that a crash would harm."""
     return [
         candidate
         for candidate in candidates
         if all(
-            run.task.job == unit.job
+            run.task in unit.tasks
             for run in planner_state.workers[candidate.agent].runs.values()
         )
     ]
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -11,6 +11,8 @@
     keep_off,
     list_settled,
     list_unshared,
+    must_pause,
+    must_run_alone,
     must_settle,
     note_new_neighbours,
     reserve_settling,
@@ -80,6 +82,8 @@
         # If one of several alike units cannot be placed, the others wait.
         if kind in blocked and tuple(entry.unit) not in planner_state.reserved:
             continue
+        if must_pause(snapshot, entry):
+            continue
         if not place_unit(planner_state, snapshot, entry):
             blocked.add(kind)
     steps = len({entry.unit[:3] for entry in waiting})
@@ -130,17 +134,17 @@
     open_candidates = candidates
     if must_settle(planner_state, entry.unit):
         candidates = list_settled(planner_state, entry.unit, candidates)
-    placement = choose_placement(planner_state, entry, candidates)
+    placement = choose_placement(snapshot, entry, candidates)
     if placement is None and reservation is None:
         backfill = snapshot.list_backfill(entry.unit, entry.queue, candidates)
-        placement = choose_placement(planner_state, entry, backfill)
+        placement = choose_placement(snapshot, entry, backfill)
     if waits_for_release(planner_state, entry, candidates, placement):
         report_wait(planner_state, snapshot, entry)
         return False
     if placement is not None:
         planner_state.reserved.pop(key, None)
         planner_state.assign(entry.plan, entry.unit, placement)
-        note_separation(planner_state, entry, candidates, placement)
+        note_separation(snapshot, entry, candidates, placement)
         note_new_neighbours(planner_state, entry.unit)
         snapshot.refresh((*placement, *(reservation.placement if reservation else ())))
         return True
@@ -167,20 +171,22 @@
 
 
 def choose_placement(
-    planner_state: PlannerState, entry: WaitingUnit, candidates: list[Candidate]
+    snapshot: CapacitySnapshot, entry: WaitingUnit, candidates: list[Candidate]
 ) -> Placement | None:
     """Return the workers for a unit, or None; on probation it runs alone if it can."""
     step = entry.plan.job.steps[entry.unit.step]
     count = len(entry.unit.tasks)
     placement = None
     if has_crashed_worker(entry.plan, entry.unit):
-        unshared = list_unshared(planner_state, entry.unit, candidates)
+        unshared = list_unshared(snapshot.planner_state, entry.unit, candidates)
         placement = place_tasks(step, count, unshared, entry.spread)
+        if must_run_alone(snapshot, entry):
+            return placement
     return placement or place_tasks(step, count, candidates, entry.spread)
 
 
 def note_separation(
-    planner_state: PlannerState,
+    snapshot: CapacitySnapshot,
     entry: WaitingUnit,
     candidates: list[Candidate],
     placement: Placement,
@@ -193,7 +199,7 @@
     ):
         return
     plain = choose_placement(
-        planner_state,
+        snapshot,
         entry,
         [
             candidate._replace(interference=0, self_interference=0)
@@ -203,7 +209,7 @@
     if plain is None or sorted(plain) == sorted(placement):
         return
     step = entry.plan.job.steps[entry.unit.step]
-    planner_state.note(
+    snapshot.planner_state.note(
         'interference_avoided',
         job=entry.unit.job,
         step=entry.unit.step,
@@ -227,7 +233,7 @@
     has_waited = planner_state.now.ms >= wait.since_ms + SETTLING_WAIT_MS
     if not has_waited or not must_settle(planner_state, entry.unit):
         return False
-    placement = choose_placement(planner_state, entry, candidates)
+    placement = choose_placement(snapshot, entry, candidates)
     if placement is None:
         return False
     reserve_settling(planner_state, entry.unit, placement)
