Use a worker that has just crashed after all others

The class of fault is an order of workers that forgets what has just happened on them.

Evidence: UnstableWorkerTest fails before, for a single task and for a gang (2 starts on that worker, not 1). A worker that a release drains soon comes later still.

--- a/tests/test_batch_crash_attribution.py
+++ b/tests/test_batch_crash_attribution.py
@@ -14,6 +14,7 @@
     make_job,
     make_step,
 )
+from yuccarelay.core.batch.crash_attribution import UNSTABLE_MS
 from yuccarelay.core.batch.crashes import ISOLATION_RETRY_LIMIT_MS
 from yuccarelay.core.batch.events import AgentAddressChanged
 from yuccarelay.core.batch.models import Job
@@ -169,6 +170,50 @@
                         self.assertEqual(state, 'completed')
 
 
+class UnstableWorkerTest(AttributionCase):
+    """Guards against work that returns to a worker which goes down and up."""
+
+    def list_starts_there(self, fleet: Fleet, job: Job, worker) -> int:
+        """Return how often a job was started on a worker."""
+        return sum(task.startswith(job.id) for _, task, _ in worker.starts)
+
+    def test_work_starts_elsewhere_while_there_is_room(self):
+        # review/9: a job was started on the same worker again, beside eight idle ones.
+        for step in (make_step(), make_step(2, 8, gang=True)):
+            with self.subTest(tasks=step.count):
+                fleet = make_fleet(6, run_ms=10_000)
+                job = fleet.submit(make_job(step))
+                self.run_until_starts(fleet, job, 1)
+                fleet.run(300)
+                worker = self.list_workers(fleet, job)[0]
+                for _ in range(3):
+                    worker.crashes_at_ms = fleet.now_ms
+                    fleet.run(batch_fleet.DOWN_MS + 700)
+                self.assertEqual(self.list_starts_there(fleet, job, worker), 1)
+                fleet.run(20_000)
+                self.assertEqual(fleet.state(job), 'completed')
+
+    def test_work_returns_there_if_there_is_no_other_room(self):
+        fleet = make_fleet(1, run_ms=3_000)
+        job = fleet.submit(make_job())
+        self.run_until_starts(fleet, job, 1)
+        fleet.workers['agent-w0'].crashes_at_ms = fleet.now_ms
+        fleet.run(batch_fleet.DOWN_MS + 1_000)
+        self.assertEqual(len(fleet.starts(job)), 2)
+
+    def test_it_is_an_ordinary_worker_again_after_some_seconds(self):
+        fleet = make_fleet(2, run_ms=400)
+        for worker in fleet.workers.values():
+            worker.crashes_at_ms = fleet.now_ms
+            fleet.run(batch_fleet.DOWN_MS + UNSTABLE_MS + 300)
+        for view in fleet.planner.planner_state.workers.values():
+            self.assertLess(0, view.unstable_until_ms)
+        self.assertLess(
+            fleet.planner.planner_state.workers['agent-w0'].unstable_until_ms,
+            fleet.now_ms,
+        )
+
+
 class CountTest(AttributionCase):
     """Guards against crashes that are not counted, or counted as attempts."""
 
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -230,6 +230,7 @@
             self_interference,
             planner_state.run_times.speeds.find_level(view.machine()),
             needs_speed,
+            planner_state.now.ms < view.unstable_until_ms,
         )
 
     def _is_cold(self, view: WorkerView) -> bool:
--- a/yuccarelay/core/batch/crash_attribution.py
+++ b/yuccarelay/core/batch/crash_attribution.py
@@ -24,6 +24,8 @@
 # A crash is noticed when the worker is back, some seconds after the start. Work that
 # was assigned earlier had survived its start, even if another planner saw it.
 START_WINDOW_MS = 10_000
+# Workers that go down and up by themselves crash again within this time.
+UNSTABLE_MS = 4_000
 
 
 def is_new(planner_state: PlannerState, run: Run) -> bool:
@@ -47,6 +49,7 @@
         if now_ms <= loss.noticed_ms + 2 * LOSS_WINDOW_MS
     ]
     recent.append(WorkerLoss(view.agent, now_ms, jobs, is_explained))
+    view.unstable_until_ms = now_ms + UNSTABLE_MS
     planner_state.worker_losses = recent
 
 
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -318,7 +318,8 @@
     `agent_changed_ms` is when its process was last replaced, 0 if never. The worker is
     slow until `cold_until_ms`, because it has started lately.
     `poll` is the poll that has not been answered yet, and `changes` the agent's count
-    in the last report.
+    in the last report. Until `unstable_until_ms` it gets work after other workers,
+    because it has crashed and may do so again.
     """
 
     agent: str
@@ -347,6 +348,7 @@
     ends: dict[int, tuple[str, int]] = field(default_factory=dict)
     runs: dict[TaskId, Run] = field(default_factory=dict)
     avoid_until_ms: int = 0
+    unstable_until_ms: int = 0
     suspect_until_ms: int = 0
     proven_until_ms: int = 0
     failed_start_ms: int = 0
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -57,7 +57,7 @@
     to lose through each other, and `self_interference` what each further task of the
     unit there adds; see `InterferenceTable`. `speed_level` is the worker's speed in
     steps of a tenth, 0 if it is normal or not known; it counts if the unit
-    `needs_speed`.
+    `needs_speed`. One that `is_unstable` has crashed a short time ago.
     """
 
     agent: str
@@ -75,6 +75,7 @@
     self_interference: float = 0
     speed_level: int = 0
     needs_speed: bool = False
+    is_unstable: bool = False
 
     @property
     def avoided(self) -> bool:
@@ -111,7 +112,10 @@
     last_choices = {
         candidate.agent
         for candidate in candidates
-        if candidate.outdated or candidate.suspicion or candidate.is_cold
+        if candidate.outdated
+        or candidate.suspicion
+        or candidate.is_cold
+        or candidate.is_unstable
     }
     failing = {
         candidate.agent
@@ -219,13 +223,15 @@
     Return a sort key: fullest workers first, then the fastest for work that needs it.
 
     Workers where tasks are known to slow each other down come after the others, then
-    cold ones, then those that a release will probably drain soon, then those that are
-    likely to fail, and last those with best-effort beside latency-sensitive tasks.
+    cold ones, then those that have just crashed, then those that a release will
+    probably drain soon, then those that are likely to fail, and last those with
+    best-effort beside latency-sensitive tasks.
     """
     return (
         candidate.interferes,
         candidate.suspicion,
         candidate.outdated,
+        candidate.is_unstable,
         candidate.is_cold,
         candidate.interference,
         candidate.free.accelerators,
