Let a job with nothing running use what a gang has reserved for long

Callers saw work wait beside free workers of a service that was mostly idle, for as long as the runs lasted that a gang waited for. An advance reservation is kept from others once its gang has waited for 10 s, whatever is in use, so nothing bounded the wait of work that takes longer than the gang's expected wait.

Such a job may now start one unit there after 2 s, as before the 10 s. Its further units, and work that fits only once, still keep off, so small tasks do not fill what is reserved for a gang.

The test had 0 of 2 tasks at work after 3 s before the change: five of six workers are reserved for a gang since 15 s, one accelerator of each is in use.

--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -165,6 +165,18 @@
         fleet.run(IDLE_LIMIT_MS)
         self.assertEqual(count_runs(fleet, gang), 2)
 
+    def test_a_gang_that_has_waited_for_long_keeps_no_job_idle_beside_room(self):
+        fleet = make_fleet(6, run_ms=60_000)
+        fleet.submit(make_job(make_step(6, per_worker=1, estimated_ms=60_000)))
+        fleet.run(500)
+        gang = make_step(5, 8, gang=True, estimated_ms=60_000)
+        fleet.submit(make_job(gang, queue=ORDINARY))
+        fleet.run(15_000)
+        step = make_step(2, 4, gang=True, estimated_ms=120_000)
+        job = fleet.submit(make_job(step, queue=DEFERRABLE))
+        fleet.run(IDLE_LIMIT_MS)
+        self.assertEqual(count_runs(fleet, job), 2)
+
     def test_they_are_not_withheld_for_long_from_a_long_running_task(self):
         fleet = make_fleet(6, run_ms=20_000)
         blocker = make_step(4, 8, estimated_ms=20_000)
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -24,6 +24,7 @@
     Victim,
     VictimsByAgent,
     could_hold,
+    fill_candidates,
     group_victims,
     is_usable,
     resources_held,
@@ -299,29 +300,53 @@
         An advance reservation keeps a full fleet from being filled with small tasks. In
         one that is mostly idle it would keep work waiting beside free resources. What a
         unit that has waited for `BACKFILL_LIMIT_MS` has reserved is kept from work that
-        would delay it. A long-running task may be away for 6 s on any fleet.
+        would delay it, unless its job has nothing running beside room for it twice
+        over. A long-running task may be away for 6 s on any fleet.
         """
         now_ms = self.planner_state.now.ms
         plan = self.planner_state.plans[unit.job]
         wait = plan.waits[unit.tasks[0][1:]]
         step = plan.job.steps[unit.step]
         is_long_running = step.is_long_running
+        if not self.advance_reservations or now_ms < wait.since_ms + LONGEST_IDLE_MS:
+            return []
+        if not is_long_running and not self.is_idle(queue.service):
+            return []
+        is_idle_beside_room = is_long_running or self._is_idle_beside_room(
+            unit, candidates
+        )
         end_ms = now_ms + self.planner_state.run_times.total_ms(
             queue.name, step, Quantile.HIGH
         )
         usable = [
             reservation
             for reservation in self.advance_reservations
-            if is_long_running
+            if is_idle_beside_room
             or now_ms < reservation.backfill_until_ms
             or end_ms <= reservation.start_ms
         ]
-        if not usable or now_ms < wait.since_ms + LONGEST_IDLE_MS:
-            return []
-        if not is_long_running and not self.is_idle(queue.service):
-            return []
         return self._add_withheld(step, usable, candidates)
 
+    def _is_idle_beside_room(self, unit: Unit, candidates: list[Candidate]) -> bool:
+        """
+        Whether a job has nothing running, beside room for it twice over.
+
+        Users count all that no run holds. A job with one unit at work does not count,
+        so small tasks cannot fill what is reserved for a gang.
+        """
+        plan = self.planner_state.plans[unit.job]
+        if plan.runs:
+            return False
+        step, workers = plan.job.steps[unit.step], self.planner_state.workers
+        room = [
+            candidate._replace(
+                free=candidate.capacity.minus(workers[candidate.agent].used())
+            )
+            for candidate in candidates
+            if is_usable(step, candidate)
+        ]
+        return fill_candidates(step, 2 * len(unit.tasks), room) is not None
+
     def _add_withheld(
         self, step: Step, withheld: list[Reservation], candidates: list[Candidate]
     ) -> list[Candidate]:
