Compare only workers with room when a unit is placed

Cause: `place_tasks` computed the costs of all workers, grouped them and sorted them before it looked whether the tasks fit at all, and again for `spread`. `could_hold` and the check of empty racks copied every worker for the same question.

Now the workers with room are filtered first, and what fits on them is added up: if that is less than the unit's tasks, no group of them is enough either. Sort keys are computed for workers with room only, and a unit for which racks do not matter has a single group, so nothing is ranked.

Of the new tests four failed before: 690 sort keys instead of 0 for units that fit nowhere, 57 instead of 3 for a unit with three workers that have room, 114 instead of 0 for the check of empty workers and for a gang that is too large.

--- /dev/null
+++ b/tests/test_batch_placement_work.py
@@ -0,0 +1,157 @@
+"""Tests of how much work the choice of workers and of victims takes."""
+
+import random
+import unittest
+from unittest import mock
+
+from yuccarelay.core.batch import unit_placement
+from yuccarelay.core.batch.models import Resources, Step
+from yuccarelay.core.batch.unit_placement import (
+    Avoidance,
+    Candidate,
+    Suspicion,
+    can_take,
+    candidate_order,
+    could_hold,
+    is_usable,
+    place_tasks,
+    resources_held,
+)
+
+WORKER_CAPACITY = Resources(128_000, 262_144, 8)
+WORKERS = 57
+
+
+def make_workers(accelerators: int) -> list[Candidate]:
+    """Return a fleet of racks of five workers with some free accelerators each."""
+    free = WORKER_CAPACITY._replace(accelerators=accelerators)
+    return [
+        Candidate(f'w{number}', f'r{number // 5}', (), free, WORKER_CAPACITY)
+        for number in range(WORKERS)
+    ]
+
+
+def make_step(count: int, accelerators: int, **fields) -> Step:
+    """Return a step whose tasks need some accelerators each."""
+    return Step(count, Resources(1_000, 1_000, accelerators), **fields)
+
+
+def count_calls(test: unittest.TestCase, name: str) -> mock.Mock:
+    """Count the calls of a function of the placement until the test ends."""
+    function = getattr(unit_placement, name)
+    patch = mock.patch.object(unit_placement, name, wraps=function)
+    test.addCleanup(patch.stop)
+    return patch.start()
+
+
+def place_one_by_one(step: Step, count: int, candidates: list[Candidate]):
+    """Return the agents for tasks that may run on any rack, in the plainest way."""
+    left = {
+        candidate.agent: candidate
+        for candidate in candidates
+        if is_usable(step, candidate) and not candidate.avoided
+    }
+    chosen = []
+    while len(chosen) < count:
+        fitting = [
+            candidate for candidate in left.values() if can_take(step, candidate)
+        ]
+        if not fitting:
+            return None
+        best = min(fitting, key=candidate_order)
+        chosen.append(best.agent)
+        left[best.agent] = best._replace(
+            free=best.free.minus(resources_held(step)),
+            colocated=best.colocated + 1,
+            interference=best.interference + best.self_interference,
+        )
+    return tuple(chosen)
+
+
+class PlacementWorkTest(unittest.TestCase):
+    """
+    Guards against a planner that is busy with units which fit nowhere.
+
+    Callers and the renewal of the term waited behind it: each unit that waited was
+    compared with all workers of a full fleet, several times a pass.
+    """
+
+    def test_on_a_full_fleet_no_workers_are_compared(self):
+        compared, checked = (
+            count_calls(self, 'candidate_order'),
+            count_calls(self, 'is_usable'),
+        )
+        workers = make_workers(1)
+        for step in (
+            make_step(1, 2),
+            make_step(12, 8, gang=True),
+            make_step(4, 8, gang=True, same_rack=True),
+            make_step(4, 8, data_rack='r1'),
+        ):
+            for spread in (False, True):
+                self.assertIsNone(place_tasks(step, step.count, workers, spread))
+        self.assertEqual(compared.call_count, 0)
+        self.assertEqual(checked.call_count, 0)
+
+    def test_only_workers_with_room_are_compared(self):
+        compared = count_calls(self, 'candidate_order')
+        workers = make_workers(0)
+        workers[40:43] = make_workers(4)[40:43]
+        self.assertEqual(place_tasks(make_step(2, 2), 2, workers), ('w40', 'w40'))
+        self.assertLessEqual(compared.call_count, 3)
+
+    def test_a_gang_that_does_not_fit_is_placed_nowhere_without_a_comparison(self):
+        compared = count_calls(self, 'candidate_order')
+        step = make_step(WORKERS + 1, 5, gang=True)
+        self.assertIsNone(place_tasks(step, step.count, make_workers(8), True))
+        self.assertEqual(compared.call_count, 0)
+
+    def test_the_check_of_empty_workers_ends_with_the_first_that_are_enough(self):
+        compared, checked = (
+            count_calls(self, 'candidate_order'),
+            count_calls(self, 'is_usable'),
+        )
+        self.assertTrue(could_hold(make_step(16, 1), 16, make_workers(0)))
+        self.assertTrue(could_hold(make_step(WORKERS * 8, 1), 456, make_workers(0)))
+        self.assertFalse(could_hold(make_step(WORKERS * 8, 1), 457, make_workers(0)))
+        self.assertEqual(compared.call_count, 0)
+        self.assertLessEqual(checked.call_count, 2 + 2 * WORKERS)
+
+    def test_tasks_are_placed_as_one_by_one(self):
+        draw, placed = random.Random(58), 0
+        for _ in range(400):
+            candidates = [
+                Candidate(
+                    f'w{number}',
+                    'r0',
+                    draw.choice([(), ('a',)]),
+                    Resources(draw.randrange(0, 5_000), 9_000, draw.randrange(-1, 9)),
+                    WORKER_CAPACITY,
+                    colocated=draw.randrange(3),
+                    avoidance=draw.choice([None, None, None, Avoidance.FAILING]),
+                    suspicion=draw.choice(list(Suspicion)),
+                    interference=draw.choice([0, 0, 0.5]),
+                    self_interference=draw.choice([0, 0, 0, 0.25]),
+                    speed_level=draw.randrange(-1, 2),
+                    needs_speed=True,
+                )
+                for number in range(draw.randrange(8))
+            ]
+            step = make_step(
+                draw.randrange(1, 7),
+                draw.randrange(5),
+                label=draw.choice(['', '', 'a']),
+                per_worker=draw.choice([0, 0, 3]),
+                best_effort=draw.random() < 0.2,
+            )
+            expected = place_one_by_one(step, step.count, candidates)
+            placed += expected is not None
+            for spread in (False, True):
+                self.assertEqual(
+                    place_tasks(step, step.count, candidates, spread), expected
+                )
+        self.assertGreater(placed, 100)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -100,43 +100,48 @@
     anywhere, and so does work with `spread` that does not fit on a suitable rack now.
     A gang takes as long as its slowest member.
     """
-    if spread:
-        healthy = [
-            candidate
-            for candidate in candidates
-            if is_usable(step, candidate) and not candidate.avoided
-        ]
-        return place_tasks(step, count, candidates) or fill_candidates(
-            step, count, healthy
-        )
-    last_choices = {
-        candidate.agent
-        for candidate in candidates
-        if candidate.outdated
-        or candidate.suspicion
-        or candidate.is_cold
-        or candidate.is_unstable
-    }
-    failing = {
-        candidate.agent
-        for candidate in candidates
-        if candidate.suspicion is Suspicion.FAILED
-    }
-    costs = {candidate.agent: candidate.interference for candidate in candidates}
-    slowness = {candidate.agent: rank_speed(candidate) for candidate in candidates}
+    fitting = [
+        candidate
+        for candidate in list_fitting(step, candidates)
+        if not candidate.avoided and is_usable(step, candidate)
+    ]
+    if not has_room(step, count, fitting):
+        # None of the groups is larger.
+        return None
+    if not needs_group(step):
+        return fill_candidates(step, count, fitting)
+    groups = group_candidates(step, count, candidates)
     placed = [
-        (
-            sum(agent in failing for agent in placement),
-            sum(agent in last_choices for agent in placement),
-            sum(costs[agent] for agent in placement),
-            free_accelerators_after(step, count, members),
-            max(slowness[agent] for agent in placement),
-            placement,
-        )
-        for members in group_candidates(step, count, candidates)
+        (*rank_placement(step, count, members, placement), placement)
+        for members in groups
         if (placement := fill_candidates(step, count, members)) is not None
     ]
-    return min(placed)[-1] if placed else None
+    if placed:
+        return min(placed)[-1]
+    return fill_candidates(step, count, fitting) if spread else None
+
+
+def rank_placement(
+    step: Step, count: int, members: list[Candidate], placement: Placement
+) -> tuple:
+    """Return a sort key of a placement within a group of workers; lower is better."""
+    chosen = {candidate.agent: candidate for candidate in members}
+    tasks = [chosen[agent] for agent in placement]
+    return (
+        sum(candidate.suspicion is Suspicion.FAILED for candidate in tasks),
+        sum(
+            bool(
+                candidate.outdated
+                or candidate.suspicion
+                or candidate.is_cold
+                or candidate.is_unstable
+            )
+            for candidate in tasks
+        ),
+        sum(candidate.interference for candidate in tasks),
+        free_accelerators_after(step, count, members),
+        max(rank_speed(candidate) for candidate in tasks),
+    )
 
 
 def is_usable(step: Step, candidate: Candidate) -> bool:
@@ -148,42 +153,74 @@
 
 def could_hold(step: Step, count: int, candidates: list[Candidate]) -> bool:
     """Whether the workers that are not avoided could hold the tasks if empty."""
-    usable = [
-        candidate
-        for candidate in candidates
-        if not candidate.avoided and is_usable(step, candidate)
-    ]
-    if len(usable) >= count:
-        return True
-    empty = [
-        candidate._replace(free=candidate.capacity, colocated=0) for candidate in usable
-    ]
-    return fill_candidates(step, count, empty) is not None
+    room = 0
+    for candidate in candidates:
+        if room >= count:
+            break
+        if not candidate.avoided and is_usable(step, candidate):
+            room += count_fitting(step, candidate.capacity, 0, count)
+    return room >= count
 
 
 def resources_held(step: Step) -> Resources:
     """Return the resources a task holds; best-effort tasks hold no millicores."""
-    return step.need._replace(millicores=0) if step.best_effort else step.need
+    if not step.best_effort:
+        return step.need
+    return Resources(0, step.need.memory_mb, step.need.accelerators)
 
 
 def fill_candidates(
     step: Step, count: int, candidates: list[Candidate]
 ) -> Placement | None:
     """Return agents for the tasks, the fullest workers first, or None."""
-    need = resources_held(step)
-    if count > 1 and any(candidate.self_interference for candidate in candidates):
-        return spread_over_candidates(step, count, candidates)
+    fitting = list_fitting(step, candidates)
+    if not has_room(step, count, fitting):
+        return None
+    if count == 1:
+        return (min(fitting, key=candidate_order).agent,)
+    if any(candidate.self_interference for candidate in fitting):
+        return spread_over_candidates(step, count, fitting)
     chosen: list[str] = []
-    for candidate in sorted(candidates, key=candidate_order):
-        free, colocated = candidate.free, candidate.colocated
-        while len(chosen) < count and free.holds(need):
-            if step.per_worker and colocated >= step.per_worker:
-                break
-            chosen.append(candidate.agent)
-            free, colocated = free.minus(need), colocated + 1
+    for candidate in sorted(fitting, key=candidate_order):
+        left = count - len(chosen)
+        tasks = count_fitting(step, candidate.free, candidate.colocated, left)
+        chosen += [candidate.agent] * tasks
         if len(chosen) == count:
-            return tuple(chosen)
-    return None
+            break
+    return tuple(chosen)
+
+
+def list_fitting(step: Step, candidates: list[Candidate]) -> list[Candidate]:
+    """Return the workers that one more task of a step fits on."""
+    need, limit = resources_held(step), step.per_worker
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.free.holds(need) and not (limit and candidate.colocated >= limit)
+    ]
+
+
+def has_room(step: Step, count: int, candidates: list[Candidate]) -> bool:
+    """Whether a number of tasks fit on some workers now."""
+    room = 0
+    for candidate in candidates:
+        if room >= count:
+            break
+        room += count_fitting(step, candidate.free, candidate.colocated, count)
+    return room >= count
+
+
+def count_fitting(step: Step, free: Resources, colocated: int, limit: int) -> int:
+    """Return how many more tasks of a step fit on a worker, at most `limit`."""
+    fitting = limit
+    if step.per_worker:
+        fitting = min(limit, step.per_worker - colocated)
+    for available, needed in zip(free, resources_held(step), strict=True):
+        if available < needed:
+            return 0
+        if needed:
+            fitting = min(fitting, available // needed)
+    return max(0, fitting)
 
 
 def spread_over_candidates(
@@ -333,6 +370,11 @@
     )
 
 
+def needs_group(step: Step) -> bool:
+    """Whether it matters on which racks the tasks of a step run."""
+    return bool(step.data_rack) or (step.gang and step.same_rack)
+
+
 def group_candidates(
     step: Step, count: int, candidates: list[Candidate]
 ) -> list[list[Candidate]]:
@@ -344,20 +386,26 @@
             [candidate for candidate in healthy if candidate.rack == step.data_rack]
         ]
     if step.gang and step.same_rack:
-        empty_racks = group_racks(
-            candidate._replace(free=candidate.capacity) for candidate in usable
-        )
         racks = group_racks(healthy)
         feasible = [
             racks.get(rack, [])
-            for rack, members in empty_racks.items()
-            if fill_candidates(step, count, members) is not None
+            for rack, members in group_racks(usable).items()
+            if could_hold_beside(step, count, members)
         ]
         if feasible:
             return feasible
     return [healthy]
 
 
+def could_hold_beside(step: Step, count: int, members: list[Candidate]) -> bool:
+    """Whether workers without other work could hold more tasks of a step."""
+    room = sum(
+        count_fitting(step, candidate.capacity, candidate.colocated, count)
+        for candidate in members
+    )
+    return room >= count
+
+
 class EvictionSearch:
     """A search for victims on a group of workers."""
 
