Look at each worker once for all waiting units that see it alike

Each waiting unit built a candidate of every worker, whatever was built for the unit before it, and then searched a place on a fleet without room. What decides how a worker looks to a unit is the same for most units, also of other jobs: its queue's service, whether it has failed, has one attempt left and needs speed. So the candidates are kept for the pass by these traits, and only workers that have changed since are built again. How many tasks of some need fit anywhere is kept likewise; a unit with more tasks than that is not searched a place. The bound leaves out labels, racks and avoidance, so no unit is skipped that would fit.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -2,19 +2,20 @@
 
 from collections.abc import Iterable
 
+from yuccarelay.core.batch.candidate_listing import (
+    CandidateMaker,
+    Listing,
+    Slots,
+    UnitTraits,
+    find_traits,
+)
 from yuccarelay.core.batch.entities import (
     STOP_STAGES,
-    JobPlan,
     Reservation,
     Unit,
     WorkerView,
 )
 from yuccarelay.core.batch.models import Queue, Resources, Step
-from yuccarelay.core.batch.neighbours import (
-    find_kind,
-    find_run_kind,
-    sum_interference,
-)
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.run_times import Quantile
 from yuccarelay.core.batch.unit_placement import (
@@ -62,11 +63,10 @@
         # Workers that would take new work if their failure domain were not evacuated.
         self.evacuated: dict[str, list[WorkerView]] = {}
         self.free: dict[str, Resources] = {}
-        # Candidates of the step that was asked for last, for units with as many
-        # failures; the units of a step follow each other.
-        self.listed_step: tuple = ()
-        self.listed: dict[str, Candidate] = {}
-        self.changed: set[str] = set()
+        self.listings: dict[UnitTraits, Listing] = {}
+        self.slots: dict[tuple[str, Resources], Slots] = {}
+        # The workers in the order in which they have changed during the pass.
+        self.changes: list[str] = []
         for view in planner_state.workers.values():
             if not is_open(view) or not planner_state.silent_agents.may_extend(
                 view.agent
@@ -84,46 +84,64 @@
         self.shares_in_use: dict[str, float] = {}
         # Units with one attempt left, by job, occurrence and step.
         self.last_attempts: dict[tuple[str, int, int], int] = {}
-        self.cutoffs_ms = {
+        cutoffs_ms = {
             service: planner_state.releases.find_cutoff_ms(
                 service, planner_state.now.wall_ms
             )
             for service in self.open
         }
+        self.maker = CandidateMaker(planner_state, cutoffs_ms)
 
     def list_candidates(
         self, unit: Unit, queue: Queue, *, needs_speed: bool = False
     ) -> list[Candidate]:
         """Return the workers that may take a unit, with their free resources."""
         planner_state = self.planner_state
-        plan = planner_state.plans[unit.job]
-        step = plan.job.steps[unit.step]
+        step = planner_state.plans[unit.job].job.steps[unit.step]
         own_reservation = planner_state.reserved.get(tuple(unit))
-        failures = max(plan.task(task).failures for task in unit.tasks)
-        # One more failure would end the job.
-        is_last_attempt = 0 < queue.max_attempts - 1 <= failures
-        key = (*unit[:3], failures, needs_speed)
-        if self.listed_step != key:
-            self.listed_step, self.listed = key, {}
-        for view in self.open.get(queue.service, ()):
-            if view.agent not in self.listed or view.agent in self.changed:
-                avoidance = self._find_avoidance(plan, unit, view, is_last_attempt)
-                self.listed[view.agent] = self._make_candidate(
-                    unit,
-                    step,
-                    view,
-                    avoidance,
-                    self._find_suspicion(view, failures),
-                    needs_speed,
-                )
-        self.changed.clear()
-        candidates = list(self.listed.values())
+        traits = find_traits(planner_state, unit, queue, needs_speed=needs_speed)
+        candidates = self._find_listing(traits)
         if own_reservation is not None:
             candidates = [
                 add_reservation(candidate, own_reservation) for candidate in candidates
             ]
         return self._admit_avoided(unit, queue, step, candidates)
 
+    def _find_listing(self, traits: UnitTraits) -> list[Candidate]:
+        """Return the workers as they look to units with some traits."""
+        listing = self.listings.get(traits)
+        if listing is None:
+            candidates = [
+                self.maker.make(traits, view, self.free[view.agent])
+                for view in self.open.get(traits.service, ())
+            ]
+            listing = self.listings[traits] = Listing(candidates, len(self.changes))
+        else:
+            for agent in set(self.changes[listing.changes_seen :]):
+                position = listing.positions.get(agent)
+                if position is not None:
+                    listing.candidates[position] = self.maker.make(
+                        traits, self.planner_state.workers[agent], self.free[agent]
+                    )
+            listing.changes_seen = len(self.changes)
+        return list(listing.candidates)
+
+    def count_slots(self, service: str, need: Resources) -> int:
+        """
+        Return how many tasks fit beside what the workers of a service hold, at most.
+
+        What is reserved does not count as free, also for the units it is reserved for.
+        """
+        slots = self.slots.get((service, need))
+        if slots is None:
+            agents = [view.agent for view in self.open.get(service, ())]
+            slots = self.slots[service, need] = Slots(need, agents)
+            slots.update(agents, self.free)
+        else:
+            slots.update(set(self.changes[slots.changes_seen :]), self.free)
+        slots.changes_seen = len(self.changes)
+        return slots.total
+
     def _admit_avoided(
         self, unit: Unit, queue: Queue, step: Step, candidates: list[Candidate]
     ) -> list[Candidate]:
@@ -164,108 +182,6 @@
             return candidates
         return admit(candidates, *Avoidance)
 
-    def _find_avoidance(
-        self, plan: JobPlan, unit: Unit, view: WorkerView, is_last_attempt: bool
-    ) -> Avoidance | None:
-        """Return why a worker takes no task of a unit, or None if it may."""
-        now_ms = self.planner_state.now.ms
-        if now_ms < view.avoid_until_ms:
-            return Avoidance.FAILING
-        if is_last_attempt and now_ms < view.suspect_until_ms:
-            return Avoidance.LAST_ATTEMPT
-        if now_ms < plan.failed_on.get(unit[1:3], {}).get(view.id, 0):
-            return Avoidance.FAILED_BEFORE
-        return None
-
-    def _find_suspicion(self, view: WorkerView, failures: int) -> Suspicion:
-        """
-        Return whether a worker is likely to fail a task of a unit.
-
-        After a failure a unit goes to workers that are known to run tasks, because
-        several workers often begin to fail at the same time.
-        """
-        now_ms = self.planner_state.now.ms
-        if now_ms < view.suspect_until_ms:
-            return Suspicion.FAILED
-        if failures and now_ms >= view.proven_until_ms:
-            return Suspicion.UNPROVEN
-        if failures and not self.planner_state.starts_tasks(view):
-            return Suspicion.OUTDATED
-        return Suspicion.NONE
-
-    def _make_candidate(
-        self,
-        unit: Unit,
-        step: Step,
-        view: WorkerView,
-        avoidance: Avoidance | None,
-        suspicion: Suspicion,
-        needs_speed: bool,
-    ) -> Candidate:
-        planner_state = self.planner_state
-        plan = planner_state.plans[unit.job]
-        colocated = 0
-        if step.per_worker:
-            colocated = sum(run.task[:3] == unit[:3] for run in view.runs.values())
-        info = view.info
-        interference = self_interference = 0.0
-        if planner_state.interference.known:
-            table = planner_state.interference
-            kind = find_kind(plan, step)
-            others = [find_run_kind(planner_state, run) for run in view.runs.values()]
-            interference = sum_interference(table, kind, others)
-            self_interference = sum_interference(table, kind, [kind])
-        return Candidate(
-            view.agent,
-            info.rack,
-            info.labels,
-            self.free[view.agent],
-            info.capacity,
-            colocated,
-            avoidance,
-            self._would_interfere(plan, step, view),
-            view.id.born_ms < self.cutoffs_ms[info.service],
-            suspicion,
-            self._is_cold(view),
-            interference,
-            self_interference,
-            planner_state.run_times.speeds.find_level(view.machine()),
-            needs_speed,
-            planner_state.now.ms < view.unstable_until_ms,
-        )
-
-    def _is_cold(self, view: WorkerView) -> bool:
-        """Whether a worker is slow because it has started lately."""
-        planner_state = self.planner_state
-        return (
-            planner_state.evacuated.is_followed
-            and planner_state.now.ms < view.cold_until_ms
-        )
-
-    def _would_interfere(self, plan: JobPlan, step: Step, view: WorkerView) -> bool:
-        """
-        Whether latency-sensitive and best-effort tasks would share the worker.
-
-        Those that are known to tolerate each other do not count.
-        """
-        if not (step.best_effort or step.target_ms):
-            return False
-        planner_state = self.planner_state
-        table, now_ms = planner_state.interference, planner_state.now.ms
-        kind = find_kind(plan, step)
-        for run in view.runs.values():
-            other = planner_state.plans[run.task.job].step(run.task)
-            other_kind = find_run_kind(planner_state, run)
-            if step.best_effort and other.target_ms:
-                pair = (other_kind, kind)
-            elif not step.best_effort and other.best_effort:
-                pair = (kind, other_kind)
-            else:
-                continue
-            if not table.is_tolerated(*pair, now_ms):
-                return True
-        return False
-
     def refresh(self, agents: Iterable[str]) -> None:
         """Recompute the free resources of some workers after a decision."""
         for agent in set(agents) & self.free.keys():
@@ -278,7 +194,7 @@
                 for _ in range(reservation.placement.count(agent)):
                     free = free.minus(reservation.need)
             self.free[agent] = free
-            self.changed.add(agent)
+            self.changes.append(agent)
 
     def add_advance_reservation(self, reservation: Reservation) -> None:
         """Withhold resources from the units that are placed later in the pass."""
@@ -289,7 +205,7 @@
         for agent in reservation.placement:
             if agent in self.free:
                 self.free[agent] = self.free[agent].minus(reservation.need)
-                self.changed.add(agent)
+                self.changes.append(agent)
 
     def list_backfill(
         self, unit: Unit, queue: Queue, candidates: list[Candidate]
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -134,10 +134,13 @@
     open_candidates = candidates
     if must_settle(planner_state, entry.unit):
         candidates = list_settled(planner_state, entry.unit, candidates)
-    placement = choose_placement(snapshot, entry, candidates)
+    placement = None
+    if reservation is not None or has_room(snapshot, entry):
+        placement = choose_placement(snapshot, entry, candidates)
     if placement is None and reservation is None:
         backfill = snapshot.list_backfill(entry.unit, entry.queue, candidates)
-        placement = choose_placement(snapshot, entry, backfill)
+        if backfill:
+            placement = choose_placement(snapshot, entry, backfill)
     if waits_for_release(planner_state, entry, candidates, placement):
         report_wait(planner_state, snapshot, entry)
         return False
@@ -170,6 +173,17 @@
     return False
 
 
+def has_room(snapshot: CapacitySnapshot, entry: WaitingUnit) -> bool:
+    """
+    Whether as many tasks as a unit has would fit if it took any worker.
+
+    On a full fleet this saves the search for each unit that waits.
+    """
+    need = resources_held(entry.plan.job.steps[entry.unit.step])
+    slots = snapshot.count_slots(entry.queue.service, need)
+    return slots >= len(entry.unit.tasks)
+
+
 def choose_placement(
     snapshot: CapacitySnapshot, entry: WaitingUnit, candidates: list[Candidate]
 ) -> Placement | None:
