Keep the candidates shared for steps with a history of their own

Steps whose tasks failed on some worker, and those that limit their tasks on a worker, still had the candidates of all workers built for themselves in a pass, though at most a few workers look different to them. Now they get the shared ones, in which only these workers are replaced. The kind of a waiting unit, by which alike units of a job are skipped, is found once for a step instead of for each of its tasks, because hashing the step took most of the time of a skip.

The new tests failed before: 2,280 candidates were built for 40 jobs of either sort on 57 workers, now at most 114.

--- a/tests/test_batch_candidate_listing.py
+++ b/tests/test_batch_candidate_listing.py
@@ -40,7 +40,7 @@
 class CrowdedPassTest(unittest.TestCase):
     """Guards against passes that look at each worker anew for each unit that waits."""
 
-    def make_crowd(self, size: int, jobs: int) -> PlannerState:
+    def make_crowd(self, size: int, jobs: int, **fields) -> PlannerState:
         """Return the state of a full fleet with jobs of several kinds that wait."""
         fleet = make_fleet(size, 5, run_ms=LONG_MS)
         fleet.submit(make_job(make_step(size, 8, estimated_ms=LONG_MS)))
@@ -49,7 +49,8 @@
         planner_state.pass_due_ms = fleet.now_ms + LONG_MS
         for number in range(jobs):
             queue = (ORDINARY, DEFERRABLE)[number % 2]
-            step = make_step(1 + number % 7, 1 + number % 8, gang=number % 3 == 0)
+            is_gang = number % 3 == 0
+            step = make_step(1 + number % 7, 1 + number % 8, gang=is_gang, **fields)
             fleet.submit(make_job(step, queue=queue))
         return planner_state
 
@@ -63,6 +64,21 @@
                 # Units that would be late on a slow worker see them in another order.
                 self.assertLessEqual(built, 2 * size)
 
+    def test_steps_with_a_history_do_not_look_at_all_workers_again(self):
+        size = 57
+        planner_state = self.make_crowd(size, 40)
+        until_ms = planner_state.now.ms + LONG_MS
+        workers = [view.id for view in planner_state.workers.values()]
+        for number, plan in enumerate(planner_state.plans.values()):
+            if not plan.runs:
+                plan.failed_on[0, 0] = {workers[number]: until_ms}
+        self.assertLessEqual(count_built(planner_state), 2 * size)
+
+    def test_steps_that_limit_their_tasks_on_a_worker_share_the_candidates(self):
+        size = 57
+        planner_state = self.make_crowd(size, 40, per_worker=1)
+        self.assertLessEqual(count_built(planner_state), 2 * size)
+
     def test_no_place_is_searched_for_units_that_fit_nowhere(self):
         for size in FLEET_SIZES:
             with self.subTest(workers=size):
--- a/yuccarelay/core/batch/candidate_listing.py
+++ b/yuccarelay/core/batch/candidate_listing.py
@@ -4,11 +4,12 @@
 Building a candidate of each worker for each waiting unit took most of a pass.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from yuccarelay.core.batch.entities import Unit, WorkerView
-from yuccarelay.core.batch.models import Queue, Resources, WorkerId
+from yuccarelay.core.batch.models import Queue, Resources
 from yuccarelay.core.batch.neighbours import (
     find_kind,
     find_run_kind,
@@ -23,18 +24,15 @@
 
 class UnitTraits(NamedTuple):
     """
-    All of a unit that decides how workers look to it; units with equal ones share them.
+    What decides how workers look to a unit, but for what has happened to its own step.
 
-    `failed_on` has the workers that its step avoids. `own_step` is set if the number of
-    the step's tasks on a worker counts, and `kind` if the runs beside it do.
+    `kind` is set if the runs beside it count.
     """
 
     service: str
     needs_speed: bool
     has_failed: bool
     is_last_attempt: bool
-    failed_on: frozenset[WorkerId] = frozenset()
-    own_step: tuple[str, int, int] | None = None
     kind: str = ''
     is_best_effort: bool = False
     is_latency_sensitive: bool = False
@@ -95,21 +93,12 @@
     step = plan.job.steps[unit.step]
     failures = max(plan.task(task).failures for task in unit.tasks)
     has_class = step.best_effort or bool(step.target_ms)
-    failed_on: frozenset[WorkerId] = frozenset()
-    if plan.failed_on:
-        failed_on = frozenset(
-            worker
-            for worker, until_ms in plan.failed_on.get(unit[1:3], {}).items()
-            if planner_state.now.ms < until_ms
-        )
     return UnitTraits(
         service=queue.service,
         needs_speed=needs_speed,
         has_failed=failures > 0,
         # One more failure would end the job.
         is_last_attempt=0 < queue.max_attempts - 1 <= failures,
-        failed_on=failed_on,
-        own_step=unit[:3] if step.per_worker else None,
         kind=find_kind(plan, step)
         if has_class or planner_state.interference.known
         else '',
@@ -118,6 +107,36 @@
     )
 
 
+def mark_own_step(
+    planner_state: PlannerState, unit: Unit, listing: Listing
+) -> list[Candidate]:
+    """
+    Return the candidates of a listing with what has happened to the step of a unit.
+
+    Other candidates are shared by the units of all jobs.
+    """
+    candidates = list(listing.candidates)
+    plan = planner_state.plans[unit.job]
+    if plan.job.steps[unit.step].per_worker:
+        colocated = Counter(
+            run.worker.agent for run in plan.runs.values() if run.task[1:3] == unit[1:3]
+        )
+        for agent, count in colocated.items():
+            position = listing.positions.get(agent)
+            if position is not None:
+                candidates[position] = candidates[position]._replace(colocated=count)
+    for worker, until_ms in plan.failed_on.get(unit[1:3], {}).items():
+        position = listing.positions.get(worker.agent)
+        if position is None or candidates[position].avoided:
+            continue
+        is_same = planner_state.workers[worker.agent].id == worker
+        if is_same and planner_state.now.ms < until_ms:
+            candidates[position] = candidates[position]._replace(
+                avoidance=Avoidance.FAILED_BEFORE
+            )
+    return candidates
+
+
 class CandidateMaker:
     """Builds the candidates of workers for units; what holds for all units, once."""
 
@@ -129,11 +148,6 @@
 
     def make(self, traits: UnitTraits, view: WorkerView, free: Resources) -> Candidate:
         """Return a worker as it looks to units with some traits."""
-        colocated = 0
-        if traits.own_step is not None:
-            colocated = sum(
-                run.task[:3] == traits.own_step for run in view.runs.values()
-            )
         planner_state, info = self.planner_state, view.info
         interference = self_interference = 0.0
         if planner_state.interference.known:
@@ -147,7 +161,7 @@
             info.labels,
             free,
             info.capacity,
-            colocated,
+            0,
             self._find_avoidance(traits, view),
             self._would_interfere(traits, view),
             view.id.born_ms < self.cutoffs_ms[info.service],
@@ -174,8 +188,6 @@
             return Avoidance.FAILING
         if traits.is_last_attempt and now_ms < view.suspect_until_ms:
             return Avoidance.LAST_ATTEMPT
-        if view.id in traits.failed_on:
-            return Avoidance.FAILED_BEFORE
         return None
 
     def _find_suspicion(self, traits: UnitTraits, view: WorkerView) -> Suspicion:
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -8,6 +8,7 @@
     Slots,
     UnitTraits,
     find_traits,
+    mark_own_step,
 )
 from yuccarelay.core.batch.entities import (
     STOP_STAGES,
@@ -100,14 +101,15 @@
         step = planner_state.plans[unit.job].job.steps[unit.step]
         own_reservation = planner_state.reserved.get(tuple(unit))
         traits = find_traits(planner_state, unit, queue, needs_speed=needs_speed)
-        candidates = self._find_listing(traits)
+        listing = self._find_listing(traits)
+        candidates = mark_own_step(planner_state, unit, listing)
         if own_reservation is not None:
             candidates = [
                 add_reservation(candidate, own_reservation) for candidate in candidates
             ]
         return self._admit_avoided(unit, queue, step, candidates)
 
-    def _find_listing(self, traits: UnitTraits) -> list[Candidate]:
+    def _find_listing(self, traits: UnitTraits) -> Listing:
         """Return the workers as they look to units with some traits."""
         listing = self.listings.get(traits)
         if listing is None:
@@ -124,7 +126,7 @@
                         traits, self.planner_state.workers[agent], self.free[agent]
                     )
             listing.changes_seen = len(self.changes)
-        return list(listing.candidates)
+        return listing
 
     def count_slots(self, service: str, need: Resources) -> int:
         """
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -233,6 +233,14 @@
         """Return the recorded state of a task."""
         return self.tasks.get(task[1:], TaskRecord())
 
+    def has_failed(self, tasks: tuple[TaskId, ...]) -> bool:
+        """Whether one of some tasks has failed or may have crashed its worker."""
+        for task in tasks:
+            record = self.tasks.get(task[1:])
+            if record is not None and (record.failures or record.crashes):
+                return True
+        return False
+
     def put(self, task: TaskId, record: TaskRecord) -> None:
         """Change the recorded state of a task."""
         self.tasks[task[1:]] = record
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -35,7 +35,12 @@
     resources_held,
 )
 from yuccarelay.core.batch.wait_report import report_unknown_queue, report_wait
-from yuccarelay.core.batch.waiting_units import WaitingUnit, list_units, list_waiting
+from yuccarelay.core.batch.waiting_units import (
+    UnitKinds,
+    WaitingUnit,
+    list_units,
+    list_waiting,
+)
 
 # A gang waits at most this long for a release, because a release may stop and go on.
 RELEASE_WAIT_MS = 6_000
@@ -76,9 +81,9 @@
         return
     waiting.sort(key=lambda one: (one.rank, one.unit.tasks[0]))
     snapshot = CapacitySnapshot(planner_state, entitled)
-    blocked = set()
+    kinds, blocked = UnitKinds(), set()
     for entry in waiting:
-        kind = find_unit_kind(entry)
+        kind = kinds.find(entry)
         # If one of several alike units cannot be placed, the others wait.
         if kind in blocked and tuple(entry.unit) not in planner_state.reserved:
             continue
@@ -91,23 +96,6 @@
     planner_state.pass_due_ms = now_ms + min(LONGEST_PAUSE_MS, int(pause_ms))
 
 
-def find_unit_kind(entry: WaitingUnit) -> tuple:
-    """
-    Return a key that is equal for units of a job which fit on the same workers.
-
-    The tasks of a step are alike, and so are steps that ask for the same, unless the
-    workers of a task depend on what has happened to its own step. Without this, a job
-    of thousands of equal steps would keep the planner busy until it loses its term.
-    """
-    plan, unit, step = entry.plan, entry.unit, entry.plan.job.steps[entry.unit.step]
-    has_history = unit[1:3] in plan.failed_on or any(
-        plan.task(task).failures or plan.task(task).crashes for task in unit.tasks
-    )
-    if has_history or step.per_worker or entry.queue.advice is not None:
-        return unit[:3]
-    return unit.job, step._replace(after=()), entry.spread
-
-
 def place_unit(
     planner_state: PlannerState, snapshot: CapacitySnapshot, entry: WaitingUnit
 ) -> bool:
--- a/yuccarelay/core/batch/waiting_units.py
+++ b/yuccarelay/core/batch/waiting_units.py
@@ -34,6 +34,40 @@
     needs_speed: bool = False
 
 
+class UnitKinds:
+    """Which waiting units of a job fit on the same workers."""
+
+    def __init__(self):
+        self.numbers: dict[tuple, int] = {}
+        # Kinds of steps without a history, with and without `spread`.
+        self.by_step: dict[tuple[str, int, bool], int] = {}
+
+    def find(self, entry: WaitingUnit) -> int:
+        """
+        Return a number that is equal for units of a job which fit on the same workers.
+
+        The tasks of a step are alike, and so are steps that ask for the same, unless
+        the workers of a task depend on what has happened to its own step. Without this,
+        a job of thousands of equal steps would keep the planner busy until it loses its
+        term.
+        """
+        plan, unit, step = entry.plan, entry.unit, entry.plan.job.steps[entry.unit.step]
+        has_history = (
+            plan.failed_on and unit[1:3] in plan.failed_on
+        ) or plan.has_failed(unit.tasks)
+        if has_history or step.per_worker or entry.queue.advice is not None:
+            return self._number(unit[:3])
+        key = (unit.job, unit.step, entry.spread)
+        kind = self.by_step.get(key)
+        if kind is None:
+            alike = (unit.job, step._replace(after=()), entry.spread)
+            kind = self.by_step[key] = self._number(alike)
+        return kind
+
+    def _number(self, alike: tuple) -> int:
+        return self.numbers.setdefault(alike, len(self.numbers))
+
+
 def list_waiting(
     planner_state: PlannerState,
     plan: JobPlan,
