Search for victims only where they could be enough

Cause: `EvictionSearch` went through the victims on every worker, also on those where all victims together free too little for one task, and also if the fleet could not hold the tasks once all victims had ended.

`group_victims` now also adds up what all victims on a worker free. A worker where that is too little is left out: whatever is chosen, it never holds the task. If what fits on the others is less than the unit, there is no search. A worker that has room is not searched for victims, a single victim is not tested for being superfluous, and what a victim frees on a single worker is not added up anew.

--- a/tests/test_batch_placement_work.py
+++ b/tests/test_batch_placement_work.py
@@ -9,12 +9,17 @@
 from yuccarelay.core.batch.unit_placement import (
     Avoidance,
     Candidate,
+    EvictionSearch,
     Suspicion,
+    Victim,
     can_take,
     candidate_order,
     could_hold,
+    group_victims,
     is_usable,
+    latest_end,
     place_tasks,
+    plan_eviction,
     resources_held,
 )
 
@@ -153,5 +158,80 @@
         self.assertGreater(placed, 100)
 
 
+class EvictionWorkTest(unittest.TestCase):
+    """
+    Guards against a planner that is busy with searches for victims that are too few.
+
+    Each urgent unit that waited on a full fleet cost several searches a pass.
+    """
+
+    def setUp(self):
+        self.searched = []
+        find_victims = EvictionSearch._find_victims
+
+        def find_and_count(search, agent):
+            self.searched.append(agent)
+            return find_victims(search, agent)
+
+        patch = mock.patch.object(EvictionSearch, '_find_victims', find_and_count)
+        self.addCleanup(patch.stop)
+        patch.start()
+
+    def make_victims(self, agents: int, accelerators: int) -> list[Victim]:
+        """Return one victim on each of the first workers."""
+        need = Resources(1_000, 1_000, accelerators)
+        return [
+            Victim((number,), ((f'w{number}', need),), float(number))
+            for number in range(agents)
+        ]
+
+    def test_victims_that_free_too_little_are_not_searched(self):
+        victims = group_victims(self.make_victims(WORKERS, 4))
+        for step in (
+            make_step(1, 5),
+            make_step(WORKERS + 1, 3, gang=True),
+            make_step(6, 3, gang=True, same_rack=True, per_worker=1, label='none'),
+        ):
+            self.assertIsNone(
+                plan_eviction(step, step.count, make_workers(0), victims, latest_end)
+            )
+        self.assertEqual(self.searched, [])
+
+    def test_only_workers_that_could_hold_a_task_are_searched(self):
+        victims = group_victims(self.make_victims(3, 8))
+        found = plan_eviction(make_step(2, 8), 2, make_workers(0), victims)
+        self.assertEqual(found.placement, ('w0', 'w1'))
+        # Each once at first, and again after a task was placed there.
+        self.assertEqual(sorted(self.searched), ['w0', 'w0', 'w1', 'w1', 'w2'])
+
+    def test_victims_are_found_whenever_all_of_them_are_enough(self):
+        draw, planned = random.Random(58), 0
+        for _ in range(400):
+            workers = make_workers(draw.randrange(3))[: draw.randrange(1, 8)]
+            victims = [
+                Victim(
+                    (number,),
+                    ((draw.choice(workers).agent, make_step(1, 1).need),),
+                    float(draw.randrange(5)),
+                )
+                for number in range(draw.randrange(20))
+            ]
+            step = make_step(draw.randrange(1, 6), draw.randrange(1, 5), gang=True)
+            emptied = [
+                worker._replace(
+                    free=worker.free._replace(
+                        accelerators=worker.free.accelerators
+                        + sum(victim.freed[0][0] == worker.agent for victim in victims)
+                    )
+                )
+                for worker in workers
+            ]
+            found = plan_eviction(step, step.count, workers, group_victims(victims))
+            is_enough = place_one_by_one(step, step.count, emptied) is not None
+            self.assertEqual(found is not None, is_enough)
+            planned += is_enough
+        self.assertGreater(planned, 100)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -318,8 +318,17 @@
     cost: float
 
 
-# The victims on each worker with the resources they free there, cheapest first.
-VictimsByAgent = Mapping[str, list[tuple[Victim, Resources]]]
+class VictimsByAgent(NamedTuple):
+    """
+    The victims on each worker with the resources they free there, cheapest first.
+
+    `totals` has what all victims on a worker free together.
+    """
+
+    listed: Mapping[str, list[tuple[Victim, Resources]]]
+    totals: Mapping[str, Resources]
+
+
 Combine = Callable[[Iterable[float]], float]
 
 
@@ -348,17 +357,29 @@
     that have failed their last run come last: they are empty and would cost nothing,
     but all that is lost for the others would be lost in vain.
     """
-    failing = {
-        candidate.agent
-        for candidate in candidates
-        if candidate.suspicion is Suspicion.FAILED
-    }
+    reachable = list_reachable(step, count, candidates, victims.totals)
+    if not reachable:
+        return None
+    groups = [reachable]
+    if needs_group(step):
+        agents = {candidate.agent for candidate in reachable}
+        groups = [
+            [candidate for candidate in members if candidate.agent in agents]
+            for members in group_candidates(step, count, candidates)
+        ]
     plans = [
         plan
-        for members in group_candidates(step, count, candidates)
+        for members in groups
         if (plan := EvictionSearch(step, members, victims, combine).plan(count))
         is not None
     ]
+    if len(plans) < 2:
+        return plans[0] if plans else None
+    failing = {
+        candidate.agent
+        for candidate in reachable
+        if candidate.suspicion is Suspicion.FAILED
+    }
     return min(
         plans,
         key=lambda plan: (
@@ -366,10 +387,34 @@
             plan.cost,
             plan.placement,
         ),
-        default=None,
     )
 
 
+def list_reachable(
+    step: Step,
+    count: int,
+    candidates: list[Candidate],
+    freed: Mapping[str, Resources],
+) -> list[Candidate]:
+    """
+    Return the workers that could hold a task once all victims have ended.
+
+    There are none if these could not hold all tasks together. It takes a sum for each
+    worker, and most units that wait on a full fleet need no search after it.
+    """
+    need, found, room = resources_held(step), [], 0
+    for candidate in candidates:
+        if candidate.avoided or not is_usable(step, candidate):
+            continue
+        free = candidate.free
+        if candidate.agent in freed:
+            free = free.plus(freed[candidate.agent])
+        if free.holds(need):
+            found.append(candidate)
+            room += count_fitting(step, free, candidate.colocated, count)
+    return found if room >= count else []
+
+
 def needs_group(step: Step) -> bool:
     """Whether it matters on which racks the tasks of a step run."""
     return bool(step.data_rack) or (step.gang and step.same_rack)
@@ -425,7 +470,7 @@
         }
         self.combine = combine
         self.chosen: dict[tuple, Victim] = {}
-        self.by_agent = victims
+        self.by_agent = victims.listed
 
     def plan(self, count: int) -> Eviction | None:
         """Place a number of tasks, or return None if they do not fit."""
@@ -472,10 +517,12 @@
                 continue
             options[agent] = found
             candidate = self.candidates[agent]
+            if self.free[agent] is not candidate.free:
+                candidate = candidate._replace(free=self.free[agent])
             ranks[agent] = (
                 candidate.suspicion is Suspicion.FAILED,
-                self.combine(victim.cost for victim in found),
-                candidate_order(candidate._replace(free=self.free[agent])),
+                self.combine([victim.cost for victim in found]),
+                candidate_order(candidate),
                 agent,
             )
 
@@ -485,15 +532,19 @@
         if limit and self.colocated[agent] >= limit:
             return None
         free = self.free[agent]
+        if free.holds(self.need):
+            return []
         found: list[tuple[Victim, Resources]] = []
         for victim, resources in self.by_agent.get(agent, ()):
-            if free.holds(self.need):
-                break
             if victim.key not in self.chosen:
                 found.append((victim, resources))
                 free = free.plus(resources)
-        if not free.holds(self.need):
+                if free.holds(self.need):
+                    break
+        else:
             return None
+        if len(found) == 1:
+            return [found[0][0]]
         # Leave out victims that are not needed after all, the most expensive first.
         for victim, resources in sorted(found, key=lambda item: -item[0].cost):
             if free.minus(resources).holds(self.need):
@@ -504,16 +555,22 @@
 
 def group_victims(victims: Iterable[Victim]) -> VictimsByAgent:
     """Return the victims on each worker, the cheapest first."""
-    by_agent: dict[str, list[tuple[Victim, Resources]]] = {}
+    listed: dict[str, list[tuple[Victim, Resources]]] = {}
+    totals: dict[str, Resources] = {}
     for victim in sorted(victims, key=lambda item: item.cost):
         for agent, resources in sum_freed(victim).items():
-            by_agent.setdefault(agent, []).append((victim, resources))
-    return by_agent
+            listed.setdefault(agent, []).append((victim, resources))
+            known = totals.get(agent)
+            totals[agent] = resources if known is None else known.plus(resources)
+    return VictimsByAgent(listed, totals)
 
 
-def sum_freed(victim: Victim) -> dict[str, Resources]:
+def sum_freed(victim: Victim) -> Mapping[str, Resources]:
     """Return the resources that a victim frees on each worker."""
+    if len(victim.freed) == 1:
+        return dict(victim.freed)
     by_agent: dict[str, Resources] = {}
     for agent, resources in victim.freed:
-        by_agent[agent] = by_agent.get(agent, Resources()).plus(resources)
+        known = by_agent.get(agent)
+        by_agent[agent] = resources if known is None else known.plus(resources)
     return by_agent
