Describe a worker once, not for each run in each tick

Cause: `WorkerView.machine` joined the labels of the worker to the name of its kind on each call: for each unit that waits and worker, and for each run in each tick. It is now kept until the labels, the rack or the failure domain change. These are compared instead of the whole description, because each report brings a new one.

The new test failed before: 3,688 descriptions of 8 workers in 3 s instead of 8.

--- a/tests/test_batch_worker_speeds.py
+++ b/tests/test_batch_worker_speeds.py
@@ -3,17 +3,22 @@
 import math
 import random
 import unittest
+from unittest import mock
 
 from tests.batch_fleet import (
     ORDINARY,
     URGENT,
     FakeWorker,
     Fleet,
+    make_fleet,
     make_job,
     make_step,
 )
 from tests.run_time_truth import STRAGGLER_FACTOR, STRAGGLER_SHARE
-from yuccarelay.core.batch.models import Resources, Step
+from yuccarelay.core.batch import entities
+from yuccarelay.core.batch.entities import WorkerView
+from yuccarelay.core.batch.models import Resources, Step, WorkerInfo
+from yuccarelay.core.batch.protocol import AgentAddress
 from yuccarelay.core.batch.run_times import GroupKey, Quantile, RunTimes
 from yuccarelay.core.batch.worker_speeds import (
     KINDS_LIMIT,
@@ -217,3 +222,31 @@
         for other in others:
             self.assertGreater(speeds.find(other), speeds.find(view.machine()) + 0.1)
         self.assertIn(ORDINARY.name, fleet.planner.planner_state.run_times.queues)
+
+
+class MachineTest(unittest.TestCase):
+    """Guards against a planner that is busy with the labels of its workers."""
+
+    def test_a_worker_is_described_once_however_often_it_is_considered(self):
+        # It was described anew for each unit that waited and each run in each tick.
+        with mock.patch.object(entities, 'Machine', wraps=Machine) as described:
+            fleet = make_fleet(8)
+            fleet.submit(make_job(make_step(100, 2)))
+            fleet.submit(make_job(make_step(20, 8)))
+            fleet.run(3_000)
+        self.assertLessEqual(described.call_count, 8)
+
+    def test_a_worker_with_other_labels_or_another_place_is_described_anew(self):
+        info = WorkerInfo('w', 1, 's', 'd0', Resources(), ('fast', 'r0', 'd0'), 'r0')
+        view = WorkerView('agent', AgentAddress('address'), 0)
+        self.assertEqual(view.machine(), Machine('agent'))
+        for changed, kind in (
+            (info, 'fast'),
+            (info._replace(rack='r1'), 'fast,r0'),
+            (info._replace(domain='d1'), 'fast,d0'),
+            (info._replace(labels=('slow', 'r0')), 'slow'),
+            (None, ''),
+            (info, 'fast'),
+        ):
+            view.info = changed
+            self.assertEqual(view.machine(), Machine('agent', kind))
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -328,6 +328,8 @@
     `poll` is the poll that has not been answered yet, and `changes` the agent's count
     in the last report. Until `unstable_until_ms` it gets work after other workers,
     because it has crashed and may do so again.
+    `known_machine` was made of `machine_source`, the labels and the place in a report.
+    It is asked for with each run in each tick and pass, and labels rarely change.
     """
 
     agent: str
@@ -366,6 +368,8 @@
     orphaned_runs: dict[tuple[str, int], int] = field(default_factory=dict)
     has_orphans: bool = False
     is_settled: bool = True
+    machine_source: tuple = ()
+    known_machine: Machine | None = None
 
     def used(self) -> Resources:
         """Return the resources held by all runs that may exist on the worker."""
@@ -390,11 +394,15 @@
 
     def machine(self) -> Machine:
         """Return the worker as its speed is known: its kind has no label of a place."""
-        if self.info is None:
+        info = self.info
+        if info is None:
             return Machine(self.agent)
-        place = (self.info.rack, self.info.domain)
-        kind = ','.join(label for label in self.info.labels if label not in place)
-        return Machine(self.agent, kind)
+        source = (info.labels, info.rack, info.domain)
+        if self.known_machine is None or self.machine_source != source:
+            kind = ','.join(label for label in info.labels if label not in source[1:])
+            self.known_machine = Machine(self.agent, kind)
+            self.machine_source = source
+        return self.known_machine
 
     def rack(self) -> str:
         """Return the rack of the worker, or an empty string if it is not known."""
