--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -78,6 +78,8 @@
             else:
                 self.open.setdefault(view.info.service, []).append(view)
                 self.free[view.agent] = view.info.capacity.minus(view.used())
+        # What no run holds, whether it is reserved or not.
+        self.unused = dict(self.free)
         for reservation in planner_state.reserved.values():
             self._subtract(reservation)
         self.ends: dict[Quantile, VictimsByAgent] = {}
@@ -189,6 +191,7 @@
         for agent in set(agents) & self.free.keys():
             view = self.planner_state.workers[agent]
             free = view.info.capacity.minus(view.used())
+            self.unused[agent] = free
             for reservation in (
                 *self.planner_state.reserved.values(),
                 *self.advance_reservations,
@@ -255,11 +258,9 @@
         plan = self.planner_state.plans[unit.job]
         if plan.runs:
             return False
-        step, workers = plan.job.steps[unit.step], self.planner_state.workers
+        step = plan.job.steps[unit.step]
         room = [
-            candidate._replace(
-                free=candidate.capacity.minus(workers[candidate.agent].used())
-            )
+            candidate._replace(free=self.unused[candidate.agent])
             for candidate in candidates
             if is_usable(step, candidate)
         ]
