Read an answer that arrived while the process was held up

What callers saw: an entry whose event loop was held up beyond the limit of a call to the store took a submission that the store had carried out for undecided (504), and a read for failed (503). Agents that had answered counted as silent.

Cause: the event loop runs a timer that is due before the task that waits for what has arrived, so the answer that lay in the socket was dropped and its connection closed.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client that keeps its connections open."""
 
 import asyncio
+import time
 import unittest
 from unittest import mock
 
@@ -214,6 +215,37 @@
         self.assertTrue(found.is_err())
 
 
+class HoldingServer(ScriptedServer):
+    """A server that holds up the client's event loop once it has sent its bytes."""
+
+    async def serve(self, reader, writer) -> None:
+        while head := await self._read_head(reader):
+            await reader.readexactly(len(b'{}'))
+            self.requests.append(head)
+            writer.write(self.script.pop(0))
+            time.sleep(2 * SHORT_LIMIT_S)
+
+
+class HeldUpTest(HttpClientCase):
+    """Guards against an answer that counts as lost while it waits to be read."""
+
+    async def call_holding(self, answer: bytes):
+        """Make a call, and return its result and what the server has received."""
+        with mock.patch(f'{__name__}.ScriptedServer', HoldingServer):
+            scripted, client = await self.open(answer)
+        return await self.call(client, SHORT_LIMIT_S), scripted.requests
+
+    async def test_an_answer_is_read_that_came_while_the_process_was_held_up(self):
+        found, requests = await self.call_holding(ANSWER)
+        self.assertEqual(found.unwrap().status, 200)
+        self.assertEqual(len(requests), 1)
+
+    async def test_a_server_that_is_silent_meanwhile_is_given_up(self):
+        found, _ = await self.call_holding(b'')
+        self.assertTrue(found.err_value.sent)
+        self.assertIn('time limit', found.err_value.reason)
+
+
 class FailureTest(HttpClientCase):
     """A failure is reported as not sent only where the server has seen nothing."""
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -48,6 +48,31 @@
         return asyncio.create_task(request)
 
 
+class HeldUpTest(SocketCase):
+    """Guards against a reply that counts as missing because the process was held up."""
+
+    async def request_held_up(self, reply):
+        """Return the result of a request; the event loop is held up as it is sent."""
+        self.listener.start(lambda request_id, data: reply(request_id, data))
+        await self.send_request(b'first')
+        pending = self.send_request(b'second', SHORT_MS)
+        await asyncio.sleep(0)
+        time.sleep(4 * SHORT_MS / 1_000)
+        return await pending
+
+    async def test_the_reply_to_a_request_that_was_held_up_is_read(self):
+        found = await self.request_held_up(self.listener.reply)
+        self.assertEqual(found.unwrap(), b'second')
+
+    async def test_a_peer_that_is_silent_meanwhile_is_given_up(self):
+        def reply(request_id, data):
+            if data == b'first':
+                self.listener.reply(request_id, data)
+
+        found = await self.request_held_up(reply)
+        self.assertEqual(found.err_value.reason, 'no reply by the deadline')
+
+
 class ListenerTest(SocketCase):
     """Guards against replies to the wrong request and contexts that are not freed."""
 
--- a/yuccarelay/adapters/http_client.py
+++ b/yuccarelay/adapters/http_client.py
@@ -14,6 +14,7 @@
 from result import Err, Ok, Result
 from tornado.iostream import StreamClosedError
 
+from yuccarelay.adapters.deadline import limit_wait
 from yuccarelay.adapters.http_connection import (
     HttpConnection,
     HttpRequest,
@@ -130,7 +131,8 @@
 
     The limit holds until the response begins, with additional time for a large body,
     and then between the parts of the response. If it held for the whole call, a large
-    one on a slow link would be given up and made again without end.
+    one on a slow link would be given up and made again without end. A response that
+    arrived while this process was held up is read, also if the limit is over by then.
     """
 
     def __init__(self, address: str):
@@ -195,7 +197,7 @@
         pool = self._open_pool()
         now = asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout_at(min(deadline, now + CONNECT_LIMIT_S)):
+            async with limit_wait(min(deadline, now + CONNECT_LIMIT_S)):
                 connection = await pool.acquire()
         except (TimeoutError, OSError) as error:
             refused = isinstance(find_cause(error), ConnectionRefusedError)
@@ -254,10 +256,10 @@
         loop = asyncio.get_running_loop()
         last_deadline = loop.time() + max(TRANSFER_LIMIT_S, silence_limit_s)
         try:
-            async with asyncio.timeout_at(first_deadline) as limit:
+            async with limit_wait(first_deadline) as limit:
 
                 def extend_limit() -> None:
-                    limit.reschedule(min(last_deadline, loop.time() + silence_limit_s))
+                    limit.set(min(last_deadline, loop.time() + silence_limit_s))
 
                 response = await connection.exchange(request, extend_limit)
             return Ok(response)
--- a/yuccarelay/adapters/nng.py
+++ b/yuccarelay/adapters/nng.py
@@ -8,6 +8,7 @@
 from pynng.nng import ffi, lib
 from result import Err, Ok, Result
 
+from yuccarelay.adapters.deadline import limit_wait
 from yuccarelay.ports.clock import Clock
 from yuccarelay.ports.transport import RequestCallback, TransportFailure
 
@@ -248,7 +249,7 @@
         """Send a request and return the reply that arrives by the deadline."""
         remaining_s = (deadline_ms - self.clock.now_ms()) / 1000
         try:
-            async with asyncio.timeout(remaining_s):
+            async with limit_wait(self.loop.time() + remaining_s):
                 # pynng does not free the message of a send that is cancelled,
                 # so nothing is sent before there is a connection.
                 await self.connected.wait()
