Keep a suspected task from holding up or stopping other work

What callers would have seen: work waited for 3.9 to 11.9 s beside room in a fleet that was mostly idle; a sound gang under a worker that goes down and up started again 12 s after it; an entitled task that crashes its workers had other work stopped for it without end (27,646 core-seconds in 180 s), and reserved room that it could not use; its siblings waited for it.

Cause: two crashes were taken for enough to isolate a task, and the pause and the wait for a worker of its own added up. Isolation was decided in the choice of a placement alone, so evictions and reservations went on.

Isolated work neither stops nor reserves anything, and does not block its siblings.

--- a/yuccarelay/core/batch/crashes.py
+++ b/yuccarelay/core/batch/crashes.py
@@ -10,7 +10,7 @@
 none of its runs has ended as failed. A run that is seen at work clears its task.
 """
 
-from yuccarelay.core.batch.capacity_snapshot import LONGEST_IDLE_MS, CapacitySnapshot
+from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
 from yuccarelay.core.batch.crash_attribution import (
     count_suspected,
     hold_crash,
@@ -36,11 +36,11 @@
 # In a fleet that is in use each crash of a worker costs more, so there the pause of a
 # task that is the likely cause grows further.
 ISOLATION_RETRY_LIMIT_MS = 16_000
-# After so many crashes in a row that are due to a task it runs alone on its workers.
-ISOLATION_CRASHES = 2
-# A worker that goes down and up by itself is stable again before a task has crashed it
-# so often. Such a task waits in an idle fleet as well.
-CERTAIN_CRASHES = 5
+# Workers that go down and up by turns have been lost under a task up to four times in a
+# row. After more crashes that are due to it a task runs alone on its workers.
+ISOLATION_CRASHES = 5
+# After twice as many a task is taken for the cause in an idle fleet as well.
+CERTAIN_CRASHES = 2 * ISOLATION_CRASHES
 # For so long an isolated task waits for workers without other runs; in a fleet of small
 # tasks there may never be one.
 ISOLATION_WAIT_MS = 10_000
@@ -96,10 +96,10 @@
 
 def must_pause(snapshot: CapacitySnapshot, entry: WaitingUnit) -> bool:
     """
-    Whether a unit that may crash its workers waits longer since the fleet is in use.
+    Whether a unit that may crash its workers waits longer than by its short pause.
 
-    In a fleet that is mostly idle users take work that waits for forgotten, so there it
-    waits only if it is certain to crash them.
+    In a fleet that is mostly idle accepted work must not wait for long, so there it
+    waits only after `CERTAIN_CRASHES`.
     """
     ends_ms = entry.plan.isolation_pauses_end_ms
     if not ends_ms:
@@ -120,16 +120,17 @@
     return max(plan.task(task).attributed_crashes for task in unit.tasks)
 
 
+def is_isolated(entry: WaitingUnit) -> bool:
+    """Whether a unit is the likely cause of crashes, so that others keep apart."""
+    return count_attributed(entry.plan, entry.unit) >= ISOLATION_CRASHES
+
+
 def must_run_alone(snapshot: CapacitySnapshot, entry: WaitingUnit) -> bool:
     """Whether a unit starts only on workers that run nothing else."""
-    plan, unit = entry.plan, entry.unit
-    if count_attributed(plan, unit) < ISOLATION_CRASHES:
-        return False
-    now_ms = snapshot.planner_state.now.ms
-    waited_ms = now_ms - plan.waits[unit.tasks[0][1:]].since_ms
-    if waited_ms >= ISOLATION_WAIT_MS:
+    if not is_isolated(entry) or not is_harmful(snapshot, entry):
         return False
-    return waited_ms < LONGEST_IDLE_MS or is_harmful(snapshot, entry)
+    since_ms = entry.plan.waits[entry.unit.tasks[0][1:]].since_ms
+    return snapshot.planner_state.now.ms < since_ms + ISOLATION_WAIT_MS
 
 
 def note_survival(planner_state: PlannerState, plan: JobPlan, run: Run) -> None:
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -8,6 +8,7 @@
 from yuccarelay.core.batch.crashes import (
     SETTLING_WAIT_MS,
     has_crashed_worker,
+    is_isolated,
     keep_off,
     list_settled,
     list_unshared,
@@ -102,7 +103,8 @@
     """
     Assign a unit, or evict other work for it if it may.
 
-    False means that the unit has to wait until other work ends by itself.
+    False means that the unit, and those like it, have to wait until other work ends by
+    itself.
     """
     key = tuple(entry.unit)
     candidates = list_usable(planner_state, snapshot, entry)
@@ -141,6 +143,11 @@
         return True
     if reservation is not None:
         return True
+    if is_isolated(entry):
+        # Nothing is stopped or reserved for work that is likely to crash its workers,
+        # and its siblings do not wait for it.
+        report_wait(planner_state, snapshot, entry)
+        return True
     urgent = entry.queue.priority == URGENT_PRIORITY
     may_displace = entry.entitled or (urgent and not entry.rank.late)
     if may_displace and evict_for(planner_state, snapshot, entry, candidates):
@@ -175,7 +182,11 @@
 def choose_placement(
     snapshot: CapacitySnapshot, entry: WaitingUnit, candidates: list[Candidate]
 ) -> Placement | None:
-    """Return the workers for a unit, or None; on probation it runs alone if it can."""
+    """
+    Return the workers for a unit, or None.
+
+    On probation it runs alone if it can, and isolated work only alone.
+    """
     step = entry.plan.job.steps[entry.unit.step]
     count = len(entry.unit.tasks)
     placement = None
--- a/yuccarelay/tasks/batch/planner.py
+++ b/yuccarelay/tasks/batch/planner.py
@@ -36,8 +36,7 @@
 
 TICK_S = 0.1
 LOAD_PERIOD_MS = 5_000
-# Small events are handled together for this time, because each change between threads
-# costs as much as one of them.
+# Small events are handled together for this time to save changes between the threads.
 BATCH_MS = 5
 # An agent's call to its worker takes up to 0.6 s, and the network delay between
 # regions is 60 ms.
@@ -49,10 +48,10 @@
     """
     Owns the planner: passes events to it and dispatches its effects.
 
-    The planner works in a thread of its own. It takes up to 0.6 s for an event when the
-    fleet is full, and callers, polls and the renewal of the term need several turns of
-    the event loop each. The thread has the planner and `waiting` to itself while the
-    task waits for it, and touches nothing else of the process.
+    The planner works in a thread of its own, because callers, polls and the renewal of
+    the term need several turns of the event loop each, and a pass would be in each of
+    them. While the task waits for the thread, that has the planner, `waiting` and the
+    load to itself.
     """
 
     def __init__(
