Compute the speed of a worker once between two observations

Cause: `WorkerSpeeds.find` computed the means of the worker and of its kind on each call. What was asked for is now kept until the next observation, or until the record of an earlier planner is taken over (`restore`, so that the record does not write past it). It is bounded as the workers are.

The new test of the work failed before: 2,400 means instead of 24.

--- a/tests/test_batch_worker_speeds.py
+++ b/tests/test_batch_worker_speeds.py
@@ -24,6 +24,7 @@
     KINDS_LIMIT,
     SPEED_LIMIT,
     WORKERS_LIMIT,
+    Evidence,
     Machine,
     WorkerSpeeds,
 )
@@ -129,6 +130,45 @@
         self.assertGreaterEqual(speeds.find(machine), -SPEED_LIMIT)
 
 
+class FindTest(unittest.TestCase):
+    """Guards against a planner that computes the same speeds with each unit."""
+
+    def setUp(self):
+        self.speeds = WorkerSpeeds()
+        for machine in MACHINES:
+            self.speeds.learn(machine, 0.0, 0.2, 0.3)
+
+    def test_a_speed_is_computed_once_between_two_observations(self):
+        with mock.patch.object(
+            Evidence, 'mean', autospec=True, side_effect=Evidence.mean
+        ) as computed:
+            for _ in range(100):
+                for machine in MACHINES:
+                    self.speeds.find_level(machine)
+        # The mean of the kind, and that of the worker.
+        self.assertLessEqual(computed.call_count, 2 * len(MACHINES))
+
+    def test_an_observation_changes_the_speeds_that_were_asked_for(self):
+        same_kind, other_kind = MACHINES[1], MACHINES[5]
+        before = self.speeds.find(same_kind), self.speeds.find(other_kind)
+        self.speeds.learn(MACHINES[0], 0.0, 0.9, 0.3)
+        self.assertLess(self.speeds.find(same_kind), before[0])
+        self.assertEqual(self.speeds.find(other_kind), before[1])
+
+    def test_a_record_of_an_earlier_planner_changes_them_too(self):
+        speeds = WorkerSpeeds()
+        self.assertEqual(speeds.find(MACHINES[0]), 0.0)
+        speeds.restore(self.speeds.workers, self.speeds.kinds)
+        self.assertEqual(speeds.find(MACHINES[0]), self.speeds.find(MACHINES[0]))
+        self.assertNotEqual(speeds.find(MACHINES[0]), 0.0)
+
+    def test_the_speeds_that_were_asked_for_are_bounded(self):
+        speeds = WorkerSpeeds()
+        for number in range(WORKERS_LIMIT + 50):
+            speeds.find(Machine(f'w{number}'))
+        self.assertLessEqual(len(speeds.found), WORKERS_LIMIT)
+
+
 class UseTest(unittest.TestCase):
     """Guards against ends that are expected too early on slow workers."""
 
--- a/yuccarelay/core/batch/run_time_record.py
+++ b/yuccarelay/core/batch/run_time_record.py
@@ -150,8 +150,10 @@
         run_times.queues[queue.name] = QueueTimes(groups, queue.is_learned)
         ratio = min(1_000 * high, max(1_000 * low, queue.ratio))
         run_times.durations.ratios[queue.name] = ratio / 1_000
-    run_times.speeds.workers.update(_load_speeds(record.workers, STORED_WORKERS))
-    run_times.speeds.kinds.update(_load_speeds(record.kinds, STORED_KINDS))
+    run_times.speeds.restore(
+        _load_speeds(record.workers, STORED_WORKERS),
+        _load_speeds(record.kinds, STORED_KINDS),
+    )
     run_times.has_changed = False
 
 
--- a/yuccarelay/core/batch/worker_speeds.py
+++ b/yuccarelay/core/batch/worker_speeds.py
@@ -63,9 +63,26 @@
         self.workers: dict[str, Evidence] = {}
         self.kinds: dict[str, Evidence] = {}
         self.all_runs = Evidence()
+        # Speeds that were asked for since the last observation; a pass asks for each
+        # worker with each unit.
+        self.found: dict[Machine, float] = {}
+
+    def restore(self, workers: dict[str, Evidence], kinds: dict[str, Evidence]) -> None:
+        """Take over what an earlier planner has learned."""
+        self.workers.update(workers)
+        self.kinds.update(kinds)
+        self.found.clear()
 
     def find(self, machine: Machine) -> float:
         """Return the logarithm of a worker's speed, 0 if nothing is known of it."""
+        found = self.found.get(machine)
+        if found is None:
+            if len(self.found) >= WORKERS_LIMIT:
+                self.found.clear()
+            found = self.found[machine] = self._compute(machine)
+        return found
+
+    def _compute(self, machine: Machine) -> float:
         kind = self.kinds.get(machine.kind)
         speed = kind.mean(0.0, KIND_SPREAD) if kind else 0.0
         worker = self.workers.get(machine.agent)
@@ -84,6 +101,7 @@
         `expected` is on a worker of normal speed, and `noise` the spread of run times
         around it.
         """
+        self.found.clear()
         speed = max(-RESIDUAL_LIMIT, min(RESIDUAL_LIMIT, expected - ran))
         weight = 1 / max(LEAST_NOISE, noise) ** 2
         self.all_runs = self.all_runs.add(speed, weight, MEAN_FORGETTING)
