Let the pause after a pass begin at its end

Each pass is meant to be followed by a pause of its own length, so that the process also answers callers.

The planner's task now tells the planner when it was done with an event. After a pass the next one is not due before as much time again has passed, at most 100 ms as before. The pause by size still holds where it is longer. In virtual time, where a pass takes none, nothing changes.

--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -63,7 +63,7 @@
 )
 from yuccarelay.core.batch.reports import ReportReader
 from yuccarelay.core.batch.run_time_record import load_record
-from yuccarelay.core.batch.scheduling import assign_units
+from yuccarelay.core.batch.scheduling import LONGEST_PAUSE_MS, assign_units
 from yuccarelay.core.batch.silence import SilentAgents
 
 # Ended runs whose records are not saved yet are listed again by each poll; the pause
@@ -95,6 +95,8 @@
             learns_interference=learns_interference,
         )
         self.reports = ReportReader(self.planner_state)
+        # Whether the last event made a pass.
+        self.has_passed = False
 
     @property
     def term(self) -> int:
@@ -104,6 +106,7 @@
     def step(self, event: Event, now: Moment) -> list[Effect]:
         """Handle an event and return the effects to carry out."""
         self.planner_state.now = now
+        self.has_passed = False
         if not self.planner_state.term and not isinstance(event, Elected | Configured):
             return []
         match event:
@@ -146,9 +149,24 @@
             and now.ms >= self.planner_state.pass_due_ms
         ):
             self.planner_state.dirty = False
+            self.has_passed = True
             assign_units(self.planner_state)
         return self.planner_state.take_effects()
 
+    def end_step(self, now_ms: int) -> None:
+        """
+        Note when the planner was done with the last event.
+
+        A pass of some time is followed by a pause as long as it, from its end. The
+        pause that is known before, from the size of the pass, counts from its begin, so
+        it is over when a pass takes longer than was expected.
+        """
+        if self.has_passed:
+            took_ms = now_ms - self.planner_state.now.ms
+            due_ms = now_ms + min(LONGEST_PAUSE_MS, took_ms)
+            due_ms = max(self.planner_state.pass_due_ms, due_ms)
+            self.planner_state.pass_due_ms = due_ms
+
     def _restore_state(self, event: Elected) -> None:
         """Rebuild the state from the store; workers are polled before they get work."""
         self.planner_state.reset()
--- a/yuccarelay/tasks/batch/planner.py
+++ b/yuccarelay/tasks/batch/planner.py
@@ -141,6 +141,7 @@
             self.has_tick = False
         try:
             effects = self.planner.step(event, now)
+            self.planner.end_step(self.clock.now_ms())
         except Exception as error:
             fields = describe_failure(error, {'event': name, 'term': term})
             self.planner.step(Deposed('failed'), now)
