Start a job with nothing running beside room for it twice over on any fleet

Reservations were lent to other work only while under half of the accelerators were in use. The rule on lost work names no resource: a service with most accelerators and few cores in use may count as idle.

After 2 s such a job may now start one unit on what is reserved in advance, if there is room for it twice over, counting all that no run holds. That ends its wait under each reading of the rule. Its further units, and work that fits only once, still wait, so a reservation keeps its purpose.

test_a_job_with_nothing_running_starts_beside_room_for_it_twice_over failed before: 0 of 2 tasks at work after 3 s, with many and with few cores in use.

test_they_are_withheld_while_most_of_the_fleet_is_in_use was wrong: it asked that a task of four accelerators waits beside a free worker of eight for 3 s, which the rule forbids. It is replaced by two that fit only once, and by a job that has a task at work.

--- a/tests/progress.py
+++ b/tests/progress.py
@@ -37,12 +37,13 @@
 )
 
 # The users' limits: a job may have nothing running for 3 s, and a task that lasts may
-# be away for 6 s, while there is capacity for it twice over.
+# be away for 6 s, while there is capacity for it twice over; in a calm on any fleet.
 IDLE_LIMIT_MS = 3_000
 AWAY_LIMIT_MS = 6_000
 COPIES = 2
 IN_USE_LIMIT = 0.5
-# Work that fits only once may wait for better workers, but not to the end of the calm.
+# Work that fits only once may wait for better workers, but not to the end of the calm,
+# while most of the fleet is idle.
 END_LIMIT_MS = 6_000
 # A run that was assigned to a worker that became silent must not be started elsewhere
 # before its lease has expired, which is up to `LONGEST_HOLD_MS` after the last poll.
@@ -127,12 +128,12 @@
                     for unit in settled:
                         yield 'away', AWAY_LIMIT_MS, waiting.job, str(unit[0])
                 continue
-            if not is_half_free or any(t.job == waiting.job.id for t in running):
+            if any(t.job == waiting.job.id for t in running):
                 continue
             name = str(settled[0][0])
             if fits_twice:
                 yield 'idle', IDLE_LIMIT_MS, waiting.job, name
-            if fits_twice or does_fit(self.fleet, waiting, len(settled[0]), 1):
+            if is_half_free and does_fit(self.fleet, waiting, len(settled[0]), 1):
                 yield 'end', END_LIMIT_MS, waiting.job, name
 
     def _is_settled(self, unit: tuple[TaskId, ...]) -> bool:
--- a/tests/test_batch_progress.py
+++ b/tests/test_batch_progress.py
@@ -100,15 +100,24 @@
         fleet.submit(make_job(first, make_step(1, 1, after=(0,))))
         self.assertEqual(watch(fleet), [])
 
-    def test_work_without_capacity_twice_over_or_half_is_not_reported(self):
+    def test_work_without_capacity_twice_over_is_not_reported(self):
         fleet = make_fleet(4, run_ms=LONG_MS)
         fleet.submit(make_job(make_step(3, 8)))
         fleet.run(500)
         fleet.planner.planner_state.pass_due_ms = FOREVER_MS
-        fleet.submit(make_job(make_step(1, 1)))
+        fleet.submit(make_job(make_step(1, 8)))
         fleet.submit(make_job(make_step(2, 8, gang=True)))
         self.assertEqual(watch(fleet), [])
 
+    def test_work_beside_capacity_twice_over_is_reported_in_a_fleet_in_use(self):
+        fleet = make_fleet(4, run_ms=LONG_MS)
+        fleet.submit(make_job(make_step(3, 8)))
+        fleet.run(500)
+        fleet.planner.planner_state.pass_due_ms = FOREVER_MS
+        job = fleet.submit(make_job(make_step(1, 1)))
+        found = [(violation.rule, violation.job) for violation in watch(fleet)]
+        self.assertEqual(found, [('idle', job.id)])
+
     def test_work_whose_label_no_free_worker_has_is_not_reported(self):
         fleet = make_fleet(4, per_rack=2, run_ms=LONG_MS)
         fleet.submit(make_job(make_step(1, 1, label='r9')))
--- a/tests/test_batch_waits.py
+++ b/tests/test_batch_waits.py
@@ -18,7 +18,7 @@
     make_step,
 )
 from yuccarelay.core.batch.agent import WorkerGuard
-from yuccarelay.core.batch.models import Job, Queue
+from yuccarelay.core.batch.models import Job, Queue, Resources, Step
 from yuccarelay.core.batch.supervision import ENDED_RETENTION_MS
 
 LONG_MS = 600_000
@@ -153,18 +153,49 @@
         self.assertEqual(count_runs(fleet, job), 2)
 
     def test_they_are_withheld_while_most_of_the_fleet_is_in_use(self):
+        for step in (make_step(2, 4, gang=True), make_step(2, 8)):
+            with self.subTest(accelerators=step.need.accelerators):
+                fleet = make_fleet(6, run_ms=6_000)
+                blocker = make_step(5, 8, estimated_ms=6_000)
+                fleet.submit(make_job(blocker))
+                fleet.run(500)
+                whole = make_step(2, 8, gang=True, estimated_ms=6_000)
+                gang = fleet.submit(make_job(whole, queue=ORDINARY))
+                job = fleet.submit(make_job(step, queue=DEFERRABLE))
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(count_runs(fleet, job), 0)
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(count_runs(fleet, gang), 2)
+
+    def test_they_are_withheld_from_further_tasks_of_a_job_at_work(self):
         fleet = make_fleet(6, run_ms=6_000)
-        blocker = make_step(5, 8, estimated_ms=6_000)
-        fleet.submit(make_job(blocker))
+        fleet.submit(make_job(make_step(4, 8, estimated_ms=6_000)))
+        job = fleet.submit(make_job(make_step(6, 4), queue=DEFERRABLE))
         fleet.run(500)
-        step = make_step(2, 8, gang=True, estimated_ms=6_000)
-        gang = fleet.submit(make_job(step, queue=ORDINARY))
-        job = fleet.submit(make_job(make_step(2, 4), queue=DEFERRABLE))
+        whole = make_step(2, 8, gang=True, estimated_ms=6_000)
+        gang = fleet.submit(make_job(whole, queue=ORDINARY))
+        worker = find_worker(fleet, job)
+        for task in list(worker.runs):
+            worker.end(task, 'done')
         fleet.run(IDLE_LIMIT_MS)
-        self.assertEqual(count_runs(fleet, job), 0)
+        self.assertEqual(count_runs(fleet, job), 2)
         fleet.run(IDLE_LIMIT_MS)
         self.assertEqual(count_runs(fleet, gang), 2)
 
+    def test_a_job_with_nothing_running_starts_beside_room_for_it_twice_over(self):
+        for cores in (1, 16):
+            with self.subTest(cores=cores):
+                fleet = make_fleet(6, run_ms=30_000)
+                need = Resources(cores * 8_000, 1_000, 8)
+                fleet.submit(make_job(Step(5, need, estimated_ms=30_000)))
+                fleet.run(500)
+                gang = make_step(2, 8, gang=True, estimated_ms=30_000)
+                fleet.submit(make_job(gang, queue=ORDINARY))
+                step = make_step(2, 2, gang=True, estimated_ms=30_000)
+                job = fleet.submit(make_job(step, queue=DEFERRABLE))
+                fleet.run(IDLE_LIMIT_MS)
+                self.assertEqual(count_runs(fleet, job), 2)
+
     def test_a_gang_that_has_waited_for_long_keeps_no_job_idle_beside_room(self):
         fleet = make_fleet(6, run_ms=60_000)
         fleet.submit(make_job(make_step(6, per_worker=1, estimated_ms=60_000)))
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -221,8 +221,8 @@
         An advance reservation keeps a full fleet from being filled with small tasks. In
         one that is mostly idle it would keep work waiting beside free resources. What a
         unit that has waited for `BACKFILL_LIMIT_MS` has reserved is kept from work that
-        would delay it, unless its job has nothing running beside room for it twice
-        over. A long-running task may be away for 6 s on any fleet.
+        would delay it. On any fleet, a job may have nothing running for 3 s beside room
+        for it twice over, and a long-running task may be away for 6 s.
         """
         now_ms = self.planner_state.now.ms
         plan = self.planner_state.plans[unit.job]
@@ -231,11 +231,11 @@
         is_long_running = step.is_long_running
         if not self.advance_reservations or now_ms < wait.since_ms + LONGEST_IDLE_MS:
             return []
-        if not is_long_running and not self.is_idle(queue.service):
-            return []
         is_idle_beside_room = is_long_running or self._is_idle_beside_room(
             unit, candidates
         )
+        if not is_idle_beside_room and not self.is_idle(queue.service):
+            return []
         end_ms = now_ms + self.planner_state.run_times.total_ms(
             queue.name, step, Quantile.HIGH
         )
