Parse the name of a task once, and predict ends only where they are used

Cause: each report names all runs of a worker, and the names were parsed anew with each. Each tick predicted the duration of each run twice: for the log of slow runs, and for the search for slow workers, which leaves out runs of less than 1.5 s afterwards.

The names that were parsed last are kept, up to 16,384. Runs that the search for slow workers leaves out are not predicted for it, nor long-running ones for the log that leaves these out.

--- a/tests/test_batch_placement_work.py
+++ b/tests/test_batch_placement_work.py
@@ -1,11 +1,14 @@
-"""Tests of how much work the choice of workers and of victims takes."""
+"""Tests of how much work passes, ticks and reports take."""
 
 import random
 import unittest
 from unittest import mock
 
-from yuccarelay.core.batch import unit_placement
+from tests import batch_fleet
+from yuccarelay.core.batch import models, unit_placement
 from yuccarelay.core.batch.models import Resources, Step
+from yuccarelay.core.batch.planner_state import PlannerState
+from yuccarelay.core.batch.slow_workers import MIN_RUN_MS
 from yuccarelay.core.batch.unit_placement import (
     Avoidance,
     Candidate,
@@ -233,5 +236,31 @@
         self.assertGreater(planned, 100)
 
 
+class ReportWorkTest(unittest.TestCase):
+    """Guards against a planner that is busy with reports in which nothing changes."""
+
+    def setUp(self):
+        self.fleet = batch_fleet.make_fleet(4, run_ms=60_000)
+
+    def test_the_name_of_a_task_is_parsed_once_however_often_it_is_reported(self):
+        with mock.patch.object(
+            models, 'TASK_NUMBER', wraps=models.TASK_NUMBER
+        ) as pattern:
+            self.fleet.submit(batch_fleet.make_job(batch_fleet.make_step(32)))
+            self.fleet.run(3_000)
+        # The occurrence, the step and the index.
+        self.assertEqual(pattern.fullmatch.call_count, 3 * 32)
+
+    def test_a_tick_predicts_the_end_of_a_new_run_only_once(self):
+        self.fleet.submit(batch_fleet.make_job(batch_fleet.make_step(32)))
+        self.fleet.run(200)
+        with mock.patch.object(
+            PlannerState, 'estimate_ms', autospec=True, return_value=60_000.0
+        ) as estimated:
+            self.fleet.run(MIN_RUN_MS - 500)
+        ticks = (MIN_RUN_MS - 500) // batch_fleet.TICK_MS
+        self.assertLessEqual(estimated.call_count, 32 * ticks)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/models.py
+++ b/yuccarelay/core/batch/models.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import functools
 import re
 from typing import NamedTuple
 
@@ -130,8 +131,11 @@
 
 
 TASK_NUMBER = re.compile(r'[0-9]{1,9}')
+# Each report names all runs of a worker. It is more than a large fleet runs at a time.
+PARSED_LIMIT = 16_384
 
 
+@functools.lru_cache(maxsize=PARSED_LIMIT)
 def parse_task_id(text: str) -> TaskId | None:
     """Return the task id in a text, or None if it is malformed."""
     parts = text.split('.')
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -12,7 +12,11 @@
 from yuccarelay.core.batch.protocol import Pace
 from yuccarelay.core.batch.run_time_record import WRITE_PERIOD_MS, make_record
 from yuccarelay.core.batch.silence import SILENCE_MS
-from yuccarelay.core.batch.slow_workers import Progress, find_slow_workers
+from yuccarelay.core.batch.slow_workers import (
+    MIN_RUN_MS,
+    Progress,
+    find_slow_workers,
+)
 from yuccarelay.core.batch.wait_report import report_unsettled_run
 
 # A worker that was found slow gets no new work for this time.
@@ -156,10 +160,11 @@
 
 def log_slow_run(planner_state: PlannerState, plan: JobPlan, run: Run) -> None:
     """Log a run that takes a multiple of its estimate, and each doubling of that."""
-    step = plan.step(run.task)
+    if plan.step(run.task).is_long_running:
+        return
     estimate_ms = planner_state.estimate_ms(run)
     multiple = int((planner_state.now.ms - run.started_ms) / max(1.0, estimate_ms))
-    if step.is_long_running or multiple < max(SLOW_MULTIPLE, 2 * run.slow_multiple):
+    if multiple < max(SLOW_MULTIPLE, 2 * run.slow_multiple):
         return
     run.slow_multiple = multiple
     planner_state.note(
@@ -229,7 +234,9 @@
         )
         for view in planner_state.workers.values()
         for run in view.runs.values()
-        if run.stage is RunStage.RUNNING and planner_state.will_end(run)
+        if run.stage is RunStage.RUNNING
+        and planner_state.now.ms >= run.started_ms + MIN_RUN_MS
+        and planner_state.will_end(run)
     )
     for agent in found:
         view = planner_state.workers[agent]
