Show no repeatable job as failed for the loss of its workers

Starts that followed preemptions and retries counted as well, so one lost worker after 19 preemptions was enough.

Evidence: test_a_job_without_a_failed_attempt_is_not_shown_as_failed failed before ("Failed('the agent does not answer')"). Now the job starts again, after 20 starts only 60 s later each time, so that a job that takes its workers down takes few with it.

--- a/tests/test_attempt_tracking.py
+++ b/tests/test_attempt_tracking.py
@@ -3,7 +3,11 @@
 import unittest
 
 from tests.fleet import ENTRIES, SERVICE, make_simulation
-from yuccarelay.core.attempt_tracking import RESTART_DELAY_MS
+from yuccarelay.core.attempt_tracking import (
+    FREQUENT_RESTART_DELAY_MS,
+    FREQUENT_STARTS,
+    RESTART_DELAY_MS,
+)
 from yuccarelay.core.models import Completed, Failed
 from yuccarelay.core.retry import BUDGET_WINDOW_MS
 from yuccarelay.core.timing import SETTLE_MS, SUSPECT_MS
@@ -27,6 +31,25 @@
         simulation.run(SUSPECT_MS + SETTLE_MS + RESTART_DELAY_MS + 2 * RUN_MS + 10_000)
         self.assertEqual({type(job.outcome) for job in jobs.values()}, {Completed})
 
+    def test_a_job_without_a_failed_attempt_is_not_shown_as_failed(self):
+        simulation = make_simulation()
+        simulation.submit(ENTRIES[0], 'alder', 'again', run_ms=RUN_MS)
+        simulation.run(2_000)
+        state = simulation.processes[ENTRIES[0]].core.state
+        (job,) = state.jobs.values()
+        # Its workers were lost, or it was preempted, as often before.
+        state.update(job.job_id, starts=FREQUENT_STARTS)
+        worker = simulation.workers[job.members[0].worker_id]
+        simulation.kill(worker.address)
+        settled_ms = SUSPECT_MS + SETTLE_MS
+        simulation.run(settled_ms + RESTART_DELAY_MS + 10_000)
+        (job,) = state.jobs.values()
+        self.assertIsNone(job.outcome)
+        simulation.run(FREQUENT_RESTART_DELAY_MS + 2 * RUN_MS)
+        (job,) = state.jobs.values()
+        self.assertEqual(job.failures, 0)
+        self.assertIsInstance(job.outcome, Completed)
+
 
 class DrainedWorkTest(unittest.TestCase):
     """Guards against work that is stopped at a drain deadline and then runs twice."""
--- a/yuccarelay/core/attempt_tracking.py
+++ b/yuccarelay/core/attempt_tracking.py
@@ -42,8 +42,10 @@
 RESTART_DELAY_MS = LEASE_MS + START_WINDOW_MS + RENEW_INTERVAL_MS + 2 * TICK_MS
 # A running attempt is settled when its leader has not announced it for this long.
 ANNOUNCEMENT_TIMEOUT_MS = 10_000
-# A job whose workers are lost this often is probably the cause of their loss.
-MAX_STARTS = 20
+# A job whose workers are lost this often may be the cause of their loss. It starts
+# again rarely, so that it takes few others with it.
+FREQUENT_STARTS = 20
+FREQUENT_RESTART_DELAY_MS = 60_000
 # The deadline for the next announcement is moved only when it lags by this much.
 ANNOUNCEMENT_SLACK_MS = 2_000
 # Jobs run for hours. If they were charged only at their ends, an organisation that
@@ -208,14 +210,14 @@
             self.recorder.decide(job.job_id, Unknown(reason), now_ms)
         elif job.cancelling:
             self.recorder.decide(job.job_id, CancelledAfterStart(reason), now_ms)
-        elif job.starts >= MAX_STARTS:
-            self.recorder.decide(job.job_id, Failed(reason), now_ms)
         else:
             # The loss of an instance is not a failure of the job. The retry budget
             # does not apply, because with it the work of a lost failure domain would
             # take hours to start elsewhere.
             self.state.outbox.count('restarts')
-            self.requeue(job, now_ms, RESTART_DELAY_MS)
+            is_frequent = job.starts >= FREQUENT_STARTS
+            delay_ms = FREQUENT_RESTART_DELAY_MS if is_frequent else RESTART_DELAY_MS
+            self.requeue(job, now_ms, delay_ms)
 
     def requeue(self, job: Job, now_ms: int, delay_ms: int) -> None:
         """Queue a job for another attempt, or end it when it is cancelled."""
