Ask first whether all that ends in time is enough for an urgent unit

`is_eviction_worthwhile` now adds up what ends by the deadline on each worker first. If the unit would not fit with all of it, no search finds an end in time, and the answer is the same as before. Grouping the victims builds no mapping for those on a single worker, which most are.

--- a/tests/test_batch_placement_work.py
+++ b/tests/test_batch_placement_work.py
@@ -2,10 +2,12 @@
 
 import random
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 from tests import batch_fleet
 from yuccarelay.core.batch import models, unit_placement
+from yuccarelay.core.batch.eviction import LONGEST_STOP_MS, is_eviction_worthwhile
 from yuccarelay.core.batch.models import Resources, Step
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.slow_workers import MIN_RUN_MS
@@ -207,6 +209,34 @@
         # Each once at first, and again after a task was placed there.
         self.assertEqual(sorted(self.searched), ['w0', 'w0', 'w1', 'w1', 'w2'])
 
+    def is_worthwhile(self, accelerators: int, start_by_ms: int) -> bool:
+        """Whether an eviction is for a task while runs end at 5,000 to 5,056 ms."""
+        ends = group_victims(
+            victim._replace(cost=victim.cost + 5_000)
+            for victim in self.make_victims(WORKERS, accelerators)
+        )
+        step = make_step(1, 8)
+        snapshot = SimpleNamespace(
+            list_expected_ends=lambda quantile: ends,
+            planner_state=SimpleNamespace(now=SimpleNamespace(ms=1_000)),
+        )
+        entry = SimpleNamespace(
+            plan=SimpleNamespace(job=SimpleNamespace(steps=(step,))),
+            unit=SimpleNamespace(step=0),
+            rank=SimpleNamespace(start_by_ms=start_by_ms),
+        )
+        return is_eviction_worthwhile(snapshot, entry, make_workers(0), 1)
+
+    def test_nothing_is_searched_if_too_little_ends_in_time(self):
+        self.assertTrue(self.is_worthwhile(8, 4_999))
+        self.assertTrue(self.is_worthwhile(7, 9_000))
+        self.assertEqual(self.searched, [])
+
+    def test_work_waits_for_what_ends_in_time(self):
+        # It would be stopped for nothing.
+        self.assertFalse(self.is_worthwhile(8, 5_000))
+        self.assertGreater(5_000, 1_000 + LONGEST_STOP_MS)
+
     def test_victims_are_found_whenever_all_of_them_are_enough(self):
         draw, planned = random.Random(58), 0
         for _ in range(400):
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -22,8 +22,10 @@
     Victim,
     group_victims,
     latest_end,
+    list_reachable,
     plan_eviction,
     resources_held,
+    sum_freed_by,
 )
 from yuccarelay.core.batch.waiting_units import WaitingUnit, is_held, list_units
 
@@ -209,10 +211,15 @@
     """Whether a step meets its objective by an eviction but not by waiting."""
     step = entry.plan.job.steps[entry.unit.step]
     ends = snapshot.list_expected_ends(Quantile.MEDIAN)
-    soonest = plan_eviction(step, count, candidates, ends, latest_end)
     # Waiting that long is no slower than a stop.
     stopped_by_ms = snapshot.planner_state.now.ms + LONGEST_STOP_MS
-    return soonest is None or soonest.cost > max(entry.rank.start_by_ms, stopped_by_ms)
+    deadline_ms = max(entry.rank.start_by_ms, stopped_by_ms)
+    freed = sum_freed_by(ends, deadline_ms)
+    if not list_reachable(step, count, candidates, freed):
+        # All that ends in time is too little, on whichever workers.
+        return True
+    soonest = plan_eviction(step, count, candidates, ends, latest_end)
+    return soonest is None or soonest.cost > deadline_ms
 
 
 def reserve_freed(
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -558,17 +558,31 @@
     listed: dict[str, list[tuple[Victim, Resources]]] = {}
     totals: dict[str, Resources] = {}
     for victim in sorted(victims, key=lambda item: item.cost):
-        for agent, resources in sum_freed(victim).items():
+        freed = victim.freed
+        if len(freed) > 1:
+            freed = sum_freed(victim).items()
+        for agent, resources in freed:
             listed.setdefault(agent, []).append((victim, resources))
             known = totals.get(agent)
             totals[agent] = resources if known is None else known.plus(resources)
     return VictimsByAgent(listed, totals)
 
 
+def sum_freed_by(victims: VictimsByAgent, cost: float) -> Mapping[str, Resources]:
+    """Return what the victims of at most some cost free together on each worker."""
+    totals: dict[str, Resources] = {}
+    for agent, listed in victims.listed.items():
+        total = Resources()
+        for victim, resources in listed:
+            if victim.cost > cost:
+                break
+            total = total.plus(resources)
+        totals[agent] = total
+    return totals
+
+
 def sum_freed(victim: Victim) -> Mapping[str, Resources]:
     """Return the resources that a victim frees on each worker."""
-    if len(victim.freed) == 1:
-        return dict(victim.freed)
     by_agent: dict[str, Resources] = {}
     for agent, resources in victim.freed:
         known = by_agent.get(agent)
