Move the search for victims to a module of its own

The search for the work that has to end before a unit fits is now `victim_search`, which uses the choice of workers and is not used by it.

--- a/tests/test_batch_placement_work.py
+++ b/tests/test_batch_placement_work.py
@@ -14,19 +14,21 @@
 from yuccarelay.core.batch.unit_placement import (
     Avoidance,
     Candidate,
-    EvictionSearch,
     Suspicion,
-    Victim,
     can_take,
     candidate_order,
     could_hold,
-    group_victims,
     is_usable,
-    latest_end,
     place_tasks,
-    plan_eviction,
     resources_held,
 )
+from yuccarelay.core.batch.victim_search import (
+    EvictionSearch,
+    Victim,
+    group_victims,
+    latest_end,
+    plan_eviction,
+)
 
 WORKER_CAPACITY = Resources(128_000, 262_144, 8)
 WORKERS = 57
--- a/tests/test_batch_unit_placement.py
+++ b/tests/test_batch_unit_placement.py
@@ -7,10 +7,12 @@
     Avoidance,
     Candidate,
     Suspicion,
+    place_tasks,
+)
+from yuccarelay.core.batch.victim_search import (
     Victim,
     group_victims,
     latest_end,
-    place_tasks,
     plan_eviction,
 )
 
--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -23,14 +23,16 @@
     Avoidance,
     Candidate,
     Suspicion,
-    Victim,
-    VictimsByAgent,
     could_hold,
     fill_candidates,
-    group_victims,
     is_usable,
     resources_held,
 )
+from yuccarelay.core.batch.victim_search import (
+    Victim,
+    VictimsByAgent,
+    group_victims,
+)
 
 # A unit that cannot be placed otherwise waits this long before it uses workers that it
 # avoids or resources that are reserved in advance for others. Accepted work may be idle
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -18,13 +18,15 @@
 from yuccarelay.core.batch.run_times import Quantile
 from yuccarelay.core.batch.unit_placement import (
     Candidate,
+    resources_held,
+)
+from yuccarelay.core.batch.victim_search import (
     Eviction,
     Victim,
     group_victims,
     latest_end,
     list_reachable,
     plan_eviction,
-    resources_held,
     sum_freed_by,
 )
 from yuccarelay.core.batch.waiting_units import WaitingUnit, is_held, list_units
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -30,11 +30,13 @@
     Candidate,
     Placement,
     candidate_order,
-    latest_end,
     place_tasks,
-    plan_eviction,
     resources_held,
 )
+from yuccarelay.core.batch.victim_search import (
+    latest_end,
+    plan_eviction,
+)
 from yuccarelay.core.batch.wait_report import report_unknown_queue, report_wait
 from yuccarelay.core.batch.waiting_units import (
     UnitKinds,
