Tell a worker that goes down and up from a task that crashes it

Cause: a run had to be seen at work 1 s after its start to clear its task, and polls came up to 2 s after it. A worker that goes down and up is up for 0.8 s and more, so each of its turns counted against the task. A task that crashes its worker does so at once.

Crashes count as before otherwise, so a task that crashes its workers is given up after its attempts. Together with the order of workers sound work seldom starts on such a worker at all.

--- a/yuccarelay/core/batch/crash_attribution.py
+++ b/yuccarelay/core/batch/crash_attribution.py
@@ -4,8 +4,7 @@
 Workers also crash by themselves, and a loss of power takes several of them. So a crash
 is decided only some time after it was noticed: other losses that are noticed meanwhile
 show that the task is not to blame. What is not decided is lost when the planner
-changes, and then the crash counts nothing. Even so a worker that goes down and up by
-itself looks like the fault of what it runs, so a crash is never counted as an attempt.
+changes, and then the crash counts nothing.
 """
 
 from yuccarelay.core.batch.entities import (
@@ -15,12 +14,14 @@
     WorkerLoss,
     WorkerView,
 )
-from yuccarelay.core.batch.models import TaskId, TaskStage
+from yuccarelay.core.batch.models import JobState, TaskId, TaskStage
 from yuccarelay.core.batch.planner_state import PlannerState
 
 # Workers that lose power together are down for up to 0.4 s more than each other, and an
 # idle one is polled every 1.5 s, so their losses are noticed within this time.
 LOSS_WINDOW_MS = 2_500
+# A single crash is never enough, whatever the queue allows.
+LEAST_CRASHES = 2
 # A crash is noticed when the worker is back, some seconds after the start. Work that
 # was assigned earlier had survived its start, even if another planner saw it.
 START_WINDOW_MS = 10_000
@@ -72,7 +73,7 @@
 
 
 def decide_crashes(planner_state: PlannerState) -> None:
-    """Attribute the crashes that no other loss explains."""
+    """Attribute the crashes that no other loss explains, and end jobs at the limit."""
     now_ms = planner_state.now.ms
     due = [one for one in planner_state.pending_crashes if now_ms >= one.decide_at_ms]
     if not due:
@@ -89,7 +90,6 @@
             continue
         if has_other_cause(planner_state, crash):
             planner_state.note('crash_not_attributed', task=crash.task, run=crash.run)
-            plan.isolation_pauses_end_ms.pop(crash.task[1:], None)
             continue
         attribute_crash(planner_state, plan, crash)
 
@@ -118,11 +118,12 @@
 def attribute_crash(
     planner_state: PlannerState, plan: JobPlan, crash: PendingCrash
 ) -> None:
-    """Count a crash against its task."""
+    """Count a crash against its task; at the limit its job is given up."""
     record = plan.task(crash.task)
     record = record._replace(crashes=record.crashes + 1)
     plan.put(crash.task, record)
     planner_state.changed.add(plan.job.id)
+    limit = find_crashes_limit(planner_state, plan, crash.task)
     planner_state.note(
         'task_crashes_workers',
         task=crash.task,
@@ -130,10 +131,36 @@
         agent=crash.agent,
         queue=plan.job.queue,
         crashes=record.attributed_crashes,
+        limit=limit,
     )
+    if limit is not None and record.attributed_crashes >= limit:
+        planner_state.end_job(plan, JobState.FAILED)
 
 
-def count_suspected(planner_state: PlannerState, plan: JobPlan, task: TaskId) -> int:
-    """Return how many crashes in a row are due to a task or not decided yet."""
-    pending = sum(one.task == task for one in planner_state.pending_crashes)
-    return plan.task(task).attributed_crashes + pending
+def find_crashes_limit(
+    planner_state: PlannerState, plan: JobPlan, task: TaskId
+) -> int | None:
+    """Return how many crashes end a job, None for any number."""
+    queue = planner_state.find_queue(plan)
+    if queue is None or plan.step(task).is_long_running:
+        return None
+    return max(LEAST_CRASHES, queue.max_attempts)
+
+
+def list_pending(planner_state: PlannerState, task: TaskId) -> list[PendingCrash]:
+    """Return the crashes of a task that are not decided yet."""
+    return [one for one in planner_state.pending_crashes if one.task == task]
+
+
+def find_undecided_ms(planner_state: PlannerState, plan: JobPlan, task: TaskId) -> int:
+    """
+    Return until when a task must not start, because its job may be given up.
+
+    It is 0 unless the crashes that are not decided yet would reach the limit.
+    """
+    pending = list_pending(planner_state, task)
+    limit = find_crashes_limit(planner_state, plan, task)
+    crashes = plan.task(task).attributed_crashes + len(pending)
+    if limit is None or not pending or crashes < limit:
+        return 0
+    return max(one.decide_at_ms for one in pending)
--- a/yuccarelay/core/batch/entities.py
+++ b/yuccarelay/core/batch/entities.py
@@ -192,8 +192,7 @@
     `waits` has the units that may start, by the first of their tasks. The next log line
     about a step that waits is due at `wait_log_due_ms`.
     `crashes_in_a_row` counts the workers that have crashed under a task, attributed to
-    it or not; such a task does not start again before `held_until_ms`, and in a fleet
-    that is in use not before `isolation_pauses_end_ms`.
+    it or not; such a task does not start again before `held_until_ms`.
     """
 
     job: Job
@@ -219,9 +218,6 @@
     displaced_core_s: float = 0
     crashes_in_a_row: dict[tuple[int, int, int], int] = field(default_factory=dict)
     held_until_ms: dict[tuple[int, int, int], int] = field(default_factory=dict)
-    isolation_pauses_end_ms: dict[tuple[int, int, int], int] = field(
-        default_factory=dict
-    )
     advice: dict[tuple[int, int], StepAdvice] = field(default_factory=dict)
 
     @property
--- a/yuccarelay/core/batch/models.py
+++ b/yuccarelay/core/batch/models.py
@@ -177,7 +177,7 @@
     `assigned_at_ms` is the time of day of its latest assignment, from which a new
     planner computes how much work a stop would lose. `crashes` is 0 until a worker has
     crashed right after it had started the task, and then one more than the crashes in
-    a row that are attributed to the task.
+    a row that are attributed to the task; older versions give a task up at 2.
     `failed_run` and `crashed_run` are the last runs that were counted as a failure and
     as a crash, so that the next planner does not count them again.
     """
--- a/yuccarelay/core/batch/planner.py
+++ b/yuccarelay/core/batch/planner.py
@@ -443,6 +443,9 @@
                     plan.begun = True
                     plan.version += 1
                     self.planner_state.changed.add(plan.job.id)
+                if plan.task(run.task).crashes:
+                    # The poll under way may last until the worker goes down again.
+                    poll(self.planner_state, view)
             case Declined(reason):
                 self.planner_state.note(
                     'start_declined',
--- a/yuccarelay/core/batch/polling.py
+++ b/yuccarelay/core/batch/polling.py
@@ -13,8 +13,8 @@
 # until then. A stop takes up to 0.9 s.
 SETTLE_WAIT_MS = 100
 # While a run may crash its worker, other work avoids that worker, so that it should be
-# known soon that the run has survived its start.
-PROBATION_WAIT_MS = 500
+# known soon that the run has survived its start; and the worker may soon go down again.
+PROBATION_WAIT_MS = 100
 # For an idle worker the agent answers from heartbeats, without calling the worker.
 IDLE_WAIT_MS = 1_500
 
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -8,12 +8,9 @@
 from yuccarelay.core.batch.crashes import (
     SETTLING_WAIT_MS,
     has_crashed_worker,
-    is_isolated,
     keep_off,
     list_settled,
     list_unshared,
-    must_pause,
-    must_run_alone,
     must_settle,
     note_new_neighbours,
     reserve_settling,
@@ -90,8 +87,6 @@
         # If one of several alike units cannot be placed, the others wait.
         if kind in blocked and tuple(entry.unit) not in planner_state.reserved:
             continue
-        if must_pause(snapshot, entry):
-            continue
         if not place_unit(planner_state, snapshot, entry):
             blocked.add(kind)
     steps = len({entry.unit[:3] for entry in waiting})
@@ -105,8 +100,7 @@
     """
     Assign a unit, or evict other work for it if it may.
 
-    False means that the unit, and those like it, have to wait until other work ends by
-    itself.
+    False means that the unit has to wait until other work ends by itself.
     """
     key = tuple(entry.unit)
     candidates = list_usable(planner_state, snapshot, entry)
@@ -128,28 +122,23 @@
         candidates = list_settled(planner_state, entry.unit, candidates)
     placement = None
     if reservation is not None or has_room(snapshot, entry):
-        placement = choose_placement(snapshot, entry, candidates)
+        placement = choose_placement(planner_state, entry, candidates)
     if placement is None and reservation is None:
         backfill = snapshot.list_backfill(entry.unit, entry.queue, candidates)
         if backfill:
-            placement = choose_placement(snapshot, entry, backfill)
+            placement = choose_placement(planner_state, entry, backfill)
     if waits_for_release(planner_state, entry, candidates, placement):
         report_wait(planner_state, snapshot, entry)
         return False
     if placement is not None:
         planner_state.reserved.pop(key, None)
         planner_state.assign(entry.plan, entry.unit, placement)
-        note_separation(snapshot, entry, candidates, placement)
+        note_separation(planner_state, entry, candidates, placement)
         note_new_neighbours(planner_state, entry.unit)
         snapshot.refresh((*placement, *(reservation.placement if reservation else ())))
         return True
     if reservation is not None:
         return True
-    if is_isolated(entry):
-        # Nothing is stopped or reserved for work that is likely to crash its workers,
-        # and its siblings do not wait for it.
-        report_wait(planner_state, snapshot, entry)
-        return True
     urgent = entry.queue.priority == URGENT_PRIORITY
     may_displace = entry.entitled or (urgent and not entry.rank.late)
     if may_displace and evict_for(planner_state, snapshot, entry, candidates):
@@ -182,26 +171,20 @@
 
 
 def choose_placement(
-    snapshot: CapacitySnapshot, entry: WaitingUnit, candidates: list[Candidate]
+    planner_state: PlannerState, entry: WaitingUnit, candidates: list[Candidate]
 ) -> Placement | None:
-    """
-    Return the workers for a unit, or None.
-
-    On probation it runs alone if it can, and isolated work only alone.
-    """
+    """Return the workers for a unit, or None; on probation it runs alone if it can."""
     step = entry.plan.job.steps[entry.unit.step]
     count = len(entry.unit.tasks)
     placement = None
     if has_crashed_worker(entry.plan, entry.unit):
-        unshared = list_unshared(snapshot.planner_state, entry.unit, candidates)
+        unshared = list_unshared(planner_state, entry.unit, candidates)
         placement = place_tasks(step, count, unshared, entry.spread)
-        if must_run_alone(snapshot, entry):
-            return placement
     return placement or place_tasks(step, count, candidates, entry.spread)
 
 
 def note_separation(
-    snapshot: CapacitySnapshot,
+    planner_state: PlannerState,
     entry: WaitingUnit,
     candidates: list[Candidate],
     placement: Placement,
@@ -214,7 +197,7 @@
     ):
         return
     plain = choose_placement(
-        snapshot,
+        planner_state,
         entry,
         [
             candidate._replace(interference=0, self_interference=0)
@@ -224,7 +207,7 @@
     if plain is None or sorted(plain) == sorted(placement):
         return
     step = entry.plan.job.steps[entry.unit.step]
-    snapshot.planner_state.note(
+    planner_state.note(
         'interference_avoided',
         job=entry.unit.job,
         step=entry.unit.step,
@@ -248,7 +231,7 @@
     has_waited = planner_state.now.ms >= wait.since_ms + SETTLING_WAIT_MS
     if not has_waited or not must_settle(planner_state, entry.unit):
         return False
-    placement = choose_placement(snapshot, entry, candidates)
+    placement = choose_placement(planner_state, entry, candidates)
     if placement is None:
         return False
     reserve_settling(planner_state, entry.unit, placement)
