Log what a planner had read when it stops or places work

room_reclaimed and run_assigned have `unread`, room_reclaimed `made_late`, reservation_lost `fits_elsewhere`. No decision changes.

--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -350,6 +350,27 @@
         self.assertEqual([note['closed'] for note in lost], [self.lost])
 
 
+class MadeLateTest(unittest.TestCase):
+    """Guards against a log that hides which victims miss their objectives."""
+
+    def reclaim(self, queue, after_ms: int) -> dict:
+        """Return the log line of a stop of work that has run for some time."""
+        fleet = make_fleet(1, run_ms=10_000)
+        step = make_step(8, estimated_ms=10_000, gang=True)
+        fleet.submit(make_job(step, queue=queue, organisation='nobody'))
+        fleet.run(after_ms)
+        fleet.submit(make_job(make_step(1, 8), queue=URGENT))
+        fleet.run(50)
+        (note,) = list_notes(fleet, 'room_reclaimed')
+        return note
+
+    def test_a_gang_without_time_for_another_run_is_made_late(self):
+        self.assertEqual(self.reclaim(URGENT, 6_000)['made_late'], 1)
+
+    def test_one_with_time_for_another_run_is_not(self):
+        self.assertEqual(self.reclaim(DEFERRABLE, 6_000)['made_late'], 0)
+
+
 class DeclineTest(unittest.TestCase):
     """Guards against urgent work that waits, and no line that says why."""
 
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -5,7 +5,6 @@
 from yuccarelay.core.batch.capacity_snapshot import CapacitySnapshot
 from yuccarelay.core.batch.draining import likely_end_ms
 from yuccarelay.core.batch.entities import (
-    STOP_STAGES,
     JobPlan,
     Reservation,
     Run,
@@ -16,6 +15,7 @@
 from yuccarelay.core.batch.models import count_cores
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.run_times import Quantile
+from yuccarelay.core.batch.stop_costs import is_made_late, weigh_loss
 from yuccarelay.core.batch.unit_placement import (
     Candidate,
     resources_held,
@@ -53,14 +53,8 @@
 ENDING_MS = STOP_MS + RESTART_MS
 # Runs that are being stopped are listed as ended by then.
 FREED_RESERVATION_MS = LONGEST_STOP_MS + 1_000
-# Weight of lost work by the priority of its queue: preemption costs the callers of
-# urgent and ordinary work more than those of deferrable work.
-VICTIM_WEIGHTS = {0: 3.0, 1: 1.5}
 # A long-running task is available once its worker lists it with this percentage.
 AVAILABLE_PERCENT = 100
-# Added weight of lost work for each earlier run of a task, so that other work is
-# preempted first.
-REPEAT_WEIGHT = 0.5
 
 
 class Decline(enum.Enum):
@@ -139,6 +133,8 @@
         tasks=count,
         victims=len(eviction.victims),
         waste_core_s=round(waste, 1),
+        made_late=count_made_late(planner_state, eviction),
+        unread=planner_state.count_unread(),
         workers=','.join(eviction.placement),
     )
     touched = set(eviction.placement)
@@ -188,6 +184,12 @@
     ]
 
 
+def count_made_late(planner_state: PlannerState, eviction: Eviction) -> int:
+    """Return how many victims would meet their objectives if they were left."""
+    victims = [list_victim_runs(planner_state, key) for key in eviction.victims]
+    return sum(is_made_late(planner_state, runs, RESTART_MS) for runs in victims)
+
+
 def reserve(
     planner_state: PlannerState,
     units: list[Unit],
@@ -295,29 +297,6 @@
     return victims
 
 
-def weigh_loss(
-    planner_state: PlannerState, runs: list[Run], restart_ms: int = 0
-) -> float:
-    """
-    Return the weighted work that is lost by stopping a task or a gang, in core-seconds.
-
-    With `restart_ms` each task that is stopped counts that much more. Without it a gang
-    that has just started again costs nothing, and is stopped again and again.
-    """
-    queue = planner_state.find_queue(planner_state.plans[runs[0].task.job])
-    earlier_runs = max(run.number for run in runs) - 1
-    weight = VICTIM_WEIGHTS.get(queue.priority, 1.0) * (
-        1 + REPEAT_WEIGHT * earlier_runs
-    )
-    restart_core_s = sum(
-        count_cores(run.need) * restart_ms / 1000
-        for run in runs
-        if run.stage not in STOP_STAGES
-    )
-    unsaved_core_s = sum(lost_core_s(planner_state, run) for run in runs)
-    return weight * (unsaved_core_s + restart_core_s)
-
-
 def is_ending(planner_state: PlannerState, runs: list[Run]) -> bool:
     """
     Whether a task or all members of a gang are expected to end very soon.
@@ -352,10 +331,3 @@
         if run.task[1:3] == key[1:3]
     )
     return max(0, step.max_unavailable - (step.count - available))
-
-
-def lost_core_s(planner_state: PlannerState, run: Run) -> float:
-    """Return the work that is lost by stopping a run, in core-seconds."""
-    if run.stage in STOP_STAGES or run.stage is RunStage.RECORDING:
-        return 0.0
-    return planner_state.unsaved_core_s(run)
--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -153,6 +153,10 @@
         self.queues.configure(configuration)
         self.dirty = True
 
+    def count_unread(self) -> int:
+        """Return how many workers have no list that was read lately."""
+        return sum(not view.read_ms for view in self.workers.values())
+
     def find_queue(self, plan: JobPlan) -> Queue | None:
         """Return the queue of a job, or None if it is not known in any way."""
         return self.queues.find(plan.job, self.now.ms - plan.accepted_ms)
@@ -349,6 +353,7 @@
                 self.now.ms >= view.proven_until_ms or not self.starts_tasks(view)
                 for view in views
             ),
+            unread=self.count_unread(),
             image=step.image,
             submitted_ms=step.estimated_ms,
             estimate_ms=int(
--- a/yuccarelay/core/batch/ranking.py
+++ b/yuccarelay/core/batch/ranking.py
@@ -63,10 +63,8 @@
 
     `chains_ms` are the remaining chains of the job's steps.
     """
-    chain, remaining = chains_ms[0], chains_ms[step]
-    objective = queue.slack_factor * chain + queue.objective_ms
-    start_by = due_ms + objective - remaining
-    useful_start_by = due_ms + LATE_FACTOR * objective - remaining
+    start_by = find_start_by_ms(queue, step, due_ms, chains_ms)
+    useful_start_by = find_start_by_ms(queue, step, due_ms, chains_ms, LATE_FACTOR)
     if now_ms <= start_by:
         return Rank(not entitled, False, queue.priority, False, start_by)
     if now_ms <= useful_start_by:
@@ -74,6 +72,18 @@
     return Rank(not entitled, True, 0, True, due_ms)
 
 
+def find_start_by_ms(
+    queue: Queue,
+    step: int,
+    due_ms: int,
+    chains_ms: list[float],
+    multiple: int = 1,
+) -> float:
+    """Return when a step starts if its job takes a multiple of its objective."""
+    objective = queue.slack_factor * chains_ms[0] + queue.objective_ms
+    return due_ms + multiple * objective - chains_ms[step]
+
+
 def is_tight(rank: Rank, remaining_ms: float, now_ms: int) -> bool:
     """
     Whether a unit's start may be put off by less than what remains of its job takes.
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -106,7 +106,7 @@
     candidates = list_usable(planner_state, snapshot, entry)
     reservation = planner_state.reserved.get(key)
     if reservation is not None and not is_reservation_usable(reservation, candidates):
-        note_reservation_lost(planner_state, entry, reservation, candidates)
+        note_reservation_lost(snapshot, entry, reservation, candidates)
         del planner_state.reserved[key]
         snapshot.refresh(reservation.placement)
         candidates = list_usable(planner_state, snapshot, entry)
@@ -272,13 +272,13 @@
 
 
 def note_reservation_lost(
-    planner_state: PlannerState,
+    snapshot: CapacitySnapshot,
     entry: WaitingUnit,
     reservation: Reservation,
     candidates: list[Candidate],
 ) -> None:
     """Log that a unit loses its reserved workers, and which of them takes no work."""
-    planner_state.note(
+    snapshot.planner_state.note(
         'reservation_lost',
         job=entry.unit.job,
         step=entry.unit.step,
@@ -286,6 +286,7 @@
         index=entry.unit.tasks[0].index,
         tasks=len(entry.unit.tasks),
         workers=len(set(reservation.placement)),
+        fits_elsewhere=has_room(snapshot, entry),
         closed=','.join(list_closed(reservation, candidates)),
     )
 
--- a/yuccarelay/core/batch/supervision.py
+++ b/yuccarelay/core/batch/supervision.py
@@ -145,7 +145,7 @@
         longest_wait_ms=planner_state.now.ms
         - min(waits_since_ms, default=planner_state.now.ms),
         workers=len(workers),
-        silent_workers=sum(not view.read_ms for view in workers),
+        silent_workers=planner_state.count_unread(),
         unsaved_records=sum(
             plan.saved < plan.version for plan in planner_state.plans.values()
         ),
--- a/yuccarelay/core/batch/waiting_units.py
+++ b/yuccarelay/core/batch/waiting_units.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from yuccarelay.core.batch.entities import JobPlan, Unit, Wait
+from yuccarelay.core.batch.entities import JobPlan, Moment, Unit, Wait
 from yuccarelay.core.batch.models import Queue, Step, TaskStage
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.ranking import (
@@ -79,12 +79,9 @@
     now = planner_state.now
     chains_ms = remaining_chains_ms(plan.job, planner_state.run_times)
     for occurrence in range(plan.occurrences()):
-        due_wall_ms = plan.due_wall_ms(occurrence)
-        if due_wall_ms > now.wall_ms:
+        if plan.due_wall_ms(occurrence) > now.wall_ms:
             break
-        due_ms = plan.accepted_ms
-        if due_wall_ms:
-            due_ms = now.ms - (now.wall_ms - due_wall_ms)
+        due_ms = find_due_ms(plan, occurrence, now)
         for number, step in enumerate(plan.job.steps):
             if not all(plan.is_step_done(occurrence, s) for s in step.after):
                 continue
@@ -111,6 +108,12 @@
     return found
 
 
+def find_due_ms(plan: JobPlan, occurrence: int, now: Moment) -> int:
+    """Return when an occurrence was due on the planner's clock, or its job accepted."""
+    due_wall_ms = plan.due_wall_ms(occurrence)
+    return now.ms - (now.wall_ms - due_wall_ms) if due_wall_ms else plan.accepted_ms
+
+
 def is_held(plan: JobPlan, unit: Unit, now_ms: int) -> bool:
     """Whether a task of a unit waits because it may have crashed its worker."""
     if not plan.held_until_ms:
