Stop no work before the workers have answered a new planner

Callers of jobs that run on the first workers to answer a new planner lost their runs, although most of the fleet was idle.

Cause: a worker that has not been read yet counts as one that is not there. So right after an election there is no room, and work within its guarantee takes what it needs from whatever was read first.

Evidence: three of the six new tests fail on (work is reclaimed beside idle workers that answer 250 ms later, twice, and the cheapest work is not the one that is stopped).

A planner now stops nothing while a worker may still answer its first poll. A worker that refuses connections, is known to have been silent before, or is overdue (SILENCE_MS, 0.6 s after the election) is not waited for, so one that never answers holds up guaranteed work by 0.6 s at most; three tests show it. Work that fits on the workers that were read starts at once, as before.

--- a/tests/batch_fleet.py
+++ b/tests/batch_fleet.py
@@ -138,6 +138,10 @@
     run_ms: int = 1_000
     how: str = 'done'
     silent: bool = False
+    # Its agent refuses connections, which is known at once.
+    refuses: bool = False
+    # Its answers take so much longer than others.
+    answer_ms: int = 0
     lose_starts: int = 0
     # Starts are carried out, but their answers do not arrive.
     lose_answers: bool = False
@@ -262,7 +266,7 @@
 
     def order(self, order, now_ms: int):
         """Carry out an order as the agent and the worker would; return the answer."""
-        if self.silent:
+        if self.silent or self.refuses:
             return Unanswered('silent')
         old = self.guard.check_term(order.term)
         if old is not None:
@@ -556,8 +560,11 @@
             case ('order', agent, order, sent_ms):
                 if isinstance(order, Look):
                     self.waits.append(order.wait_ms)
-                answer = self.workers[agent].order(order, self.now_ms)
-                wait_ms = 1_200 if isinstance(answer, Unanswered) else NETWORK_DELAY_MS
+                worker = self.workers[agent]
+                answer = worker.order(order, self.now_ms)
+                wait_ms = NETWORK_DELAY_MS + worker.answer_ms
+                if isinstance(answer, Unanswered) and not worker.refuses:
+                    wait_ms = 1_200
                 nothing_ended = isinstance(answer, Report) and not answer.ended
                 if isinstance(order, Look) and nothing_ended and order.wait_ms:
                     wait_ms = 50
--- /dev/null
+++ b/tests/test_batch_new_planner.py
@@ -0,0 +1,135 @@
+"""Tests of the decisions of a planner that has not heard all workers yet."""
+
+import unittest
+
+from tests.batch_fleet import (
+    DEFERRABLE,
+    TICK_MS,
+    URGENT,
+    WALL_START_MS,
+    FakeWorker,
+    Fleet,
+    make_job,
+    make_step,
+)
+from yuccarelay.core.batch.known_queues import make_terms
+from yuccarelay.core.batch.models import Job
+from yuccarelay.core.batch.silence import SILENCE_MS
+
+LONG_MS = 60_000
+# The other workers answer a new planner this much later than the first ones.
+LATER_MS = 250
+# A stop, the poll that lists its end, and a start.
+RECLAIM_MS = 500
+
+
+def list_notes(fleet: Fleet, name: str) -> list[dict]:
+    """Return the fields of all log lines of an event."""
+    return [fields for event, fields in fleet.notes if event == name]
+
+
+def store(fleet: Fleet, job: Job) -> Job:
+    """Store a job that no planner has seen yet, as if it was accepted just now."""
+    job = job._replace(accepted_at_ms=WALL_START_MS + fleet.now_ms)
+    fleet.jobs[job.id] = job
+    fleet.job_terms[job.id] = make_terms(URGENT)
+    return job
+
+
+class FirstAnswersTest(unittest.TestCase):
+    """
+    Guards against work that is stopped on the first workers that a planner hears.
+
+    On silverthread-tw-grown a planner stopped 25,999 core-seconds of work for an urgent
+    gang when it had read 3 of 75 workers; 33 of them ran nothing.
+    """
+
+    def make_fleet(self, idle: int) -> Fleet:
+        """Return two full workers, and others that answer later."""
+        workers = [FakeWorker(f'w{number}', 'r0', run_ms=LONG_MS) for number in (0, 1)]
+        fleet = Fleet(*workers).run(200)
+        self.running = fleet.submit(make_job(make_step(2, 8), queue=DEFERRABLE))
+        fleet.run(2_000)
+        for number in range(2, 2 + idle):
+            worker = FakeWorker(f'w{number}', 'r0', run_ms=LONG_MS)
+            worker.answer_ms = LATER_MS
+            fleet.workers[f'agent-{worker.name}'] = worker
+        return fleet
+
+    def elect(self, fleet: Fleet) -> Job:
+        """Elect a planner while a guaranteed gang waits that needs two workers."""
+        gang = store(fleet, make_job(make_step(2, 8, gang=True), queue=URGENT))
+        fleet.replace_planner()
+        return gang
+
+    def test_guaranteed_work_starts_on_idle_workers_that_answer_later(self):
+        fleet = self.make_fleet(idle=2)
+        gang = self.elect(fleet)
+        fleet.run(1_000)
+        self.assertEqual(list_notes(fleet, 'room_reclaimed'), [])
+        self.assertEqual(len(fleet.starts(self.running)), 2)
+        self.assertEqual(len(fleet.starts(gang)), 2)
+
+    def test_it_starts_as_soon_as_enough_of_them_have_answered(self):
+        fleet = self.make_fleet(idle=3)
+        fleet.workers['agent-w4'].silent = True
+        elected_ms = fleet.now_ms
+        gang = self.elect(fleet)
+        fleet.run(1_000)
+        self.assertEqual(list_notes(fleet, 'room_reclaimed'), [])
+        self.assertEqual(len(fleet.starts(gang)), 2)
+        self.assertLess(fleet.starts(gang)[-1][0], elected_ms + SILENCE_MS)
+
+    def test_a_worker_that_never_answers_holds_up_nothing_for_long(self):
+        fleet = self.make_fleet(idle=1)
+        fleet.workers['agent-w2'].silent = True
+        elected_ms = fleet.now_ms
+        gang = self.elect(fleet)
+        fleet.run(2_000)
+        limit_ms = elected_ms + SILENCE_MS + TICK_MS + RECLAIM_MS
+        self.assertEqual(len(fleet.starts(gang)), 2)
+        self.assertLess(fleet.starts(gang)[-1][0], limit_ms)
+
+    def test_an_agent_that_refuses_connections_is_not_waited_for(self):
+        fleet = self.make_fleet(idle=1)
+        fleet.workers['agent-w2'].refuses = True
+        fleet.workers['agent-w2'].answer_ms = 0
+        elected_ms = fleet.now_ms
+        gang = self.elect(fleet)
+        fleet.run(1_000)
+        self.assertEqual(len(fleet.starts(gang)), 2)
+        self.assertLess(fleet.starts(gang)[-1][0], elected_ms + RECLAIM_MS)
+
+    def test_a_worker_that_the_last_planner_did_not_hear_is_not_waited_for(self):
+        fleet = self.make_fleet(idle=0)
+        third = FakeWorker('w2', 'r0', run_ms=LONG_MS)
+        fleet.workers['agent-w2'] = third
+        fleet.replace_planner()
+        fleet.run(200)
+        fleet.submit(make_job(make_step(1, 8), queue=DEFERRABLE))
+        fleet.run(1_000)
+        third.silent = True
+        fleet.run(4_000)
+        elected_ms = fleet.now_ms
+        gang = self.elect(fleet)
+        fleet.run(1_000)
+        self.assertEqual(len(fleet.starts(gang)), 2)
+        self.assertLess(fleet.starts(gang)[-1][0], elected_ms + RECLAIM_MS)
+
+    def test_the_cheapest_work_is_stopped_although_it_is_heard_of_later(self):
+        fleet = self.make_fleet(idle=2)
+        fleet.replace_planner()
+        fleet.run(4_000)
+        fresh = fleet.submit(make_job(make_step(2, 8), queue=DEFERRABLE))
+        fleet.run(1_000)
+        self.elect(fleet)
+        fleet.run(1_000)
+        reclaimed = list_notes(fleet, 'room_reclaimed')
+        self.assertEqual(len(reclaimed), 1)
+        self.assertEqual(len(fleet.starts(self.running)), 2)
+        stopped = list_notes(fleet, 'run_stopping')
+        self.assertEqual({note['task'].job for note in stopped}, {fresh.id})
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -14,6 +14,7 @@
 from yuccarelay.core.batch.guarantees import URGENT_PRIORITY
 from yuccarelay.core.batch.models import count_cores
 from yuccarelay.core.batch.planner_state import PlannerState
+from yuccarelay.core.batch.polling import awaits_first_answers
 from yuccarelay.core.batch.run_times import Quantile
 from yuccarelay.core.batch.stop_costs import is_made_late, weigh_loss
 from yuccarelay.core.batch.unit_placement import (
@@ -61,12 +62,14 @@
     """
     Why no work is stopped for an urgent unit.
 
-    LATE: its job cannot meet its objective any more, and it is outside its guarantee.
-    TOO_LATE: likewise, once the stops have ended. WAITING_IS_ENOUGH: enough other work
-    ends by itself in time. NOT_ENOUGH: all work that may be stopped is too little.
-    TOO_COSTLY: the lost work exceeds the limit.
+    UNREAD: not all workers have answered a new planner yet. LATE: its job cannot meet
+    its objective any more, and it is outside its guarantee. TOO_LATE: likewise, once
+    the stops have ended. WAITING_IS_ENOUGH: enough other work ends by itself in time.
+    NOT_ENOUGH: all work that may be stopped is too little. TOO_COSTLY: the lost work
+    exceeds the limit.
     """
 
+    UNREAD = 'unread'
     LATE = 'late'
     TOO_LATE = 'too_late'
     WAITING_IS_ENOUGH = 'waiting_is_enough'
@@ -84,11 +87,15 @@
     Stop work of lower rank so that urgent work fits; false if it got no reservation.
 
     Resources are freed for all waiting units of the step at once, because a job is of
-    no use in part. Work within its guarantee always gets its resources. Other urgent
-    work gets them if it can then meet its objective, would not meet it by waiting,
-    and the lost work is within the limit. What other stops free is reserved instead if
-    it is enough.
+    no use in part. A new planner stops nothing before the workers have answered it: the
+    first of them may be full while most are idle. Work within its guarantee always gets
+    its resources. Other urgent work gets them if it can then meet its objective, would
+    not meet it by waiting, and the lost work is within the limit. What other stops free
+    is reserved instead if it is enough.
     """
+    if awaits_first_answers(planner_state):
+        note_declined(planner_state, entry, Decline.UNREAD)
+        return False
     step = entry.plan.job.steps[entry.unit.step]
     units = [
         unit
--- a/yuccarelay/core/batch/polling.py
+++ b/yuccarelay/core/batch/polling.py
@@ -3,6 +3,7 @@
 from yuccarelay.core.batch.entities import RunStage, WorkerView
 from yuccarelay.core.batch.planner_state import STOP_RETRY_MS, PlannerState
 from yuccarelay.core.batch.protocol import Look
+from yuccarelay.core.batch.silence import SILENCE_MS
 
 # A poll waits on the worker for a run to end, at most this long (platform limit).
 POLL_WAIT_MS = 2_000
@@ -65,6 +66,21 @@
     planner_state.order(view, order)
 
 
+def awaits_first_answers(planner_state: PlannerState) -> bool:
+    """
+    Whether workers may still answer the first poll of a new planner.
+
+    What is free on them is not known before. One that is overdue, refuses connections
+    or was silent to the planner before is not waited for, so the wait is bounded.
+    """
+    if planner_state.now.ms >= planner_state.elected_ms + SILENCE_MS:
+        return False
+    return any(
+        not view.read_ms and not view.is_silent and view.agent_address.address
+        for view in planner_state.workers.values()
+    )
+
+
 def is_service_known(planner_state: PlannerState, view: WorkerView) -> bool:
     """Whether the configuration, once there is one, has a worker's service."""
     if view.info is None or planner_state.configuration is None:
