Keep work on its rack until the workers there have answered

Right after a change of the planner, a task whose data is on a rack, or a gang that should stay on one, started elsewhere, and took up to three times as long there, since no worker of its rack had answered the new planner yet.

Cause: work without a rack that could hold it, even if empty, goes anywhere, and a rack that was not heard looked like one without workers.

A unit that is bound to a rack now waits while workers may still answer the first poll of the planner, unless it may be spread.

--- a/tests/test_batch_new_planner.py
+++ b/tests/test_batch_new_planner.py
@@ -131,5 +131,61 @@
         self.assertEqual({note['task'].job for note in stopped}, {fresh.id})
 
 
+class UnheardRackTest(unittest.TestCase):
+    """
+    Guards against tasks that leave their rack because it was not heard yet.
+
+    A rack without a worker that was read looked like one that no worker stands in. Work
+    without a suitable rack goes anywhere, and takes up to three times as long there.
+    """
+
+    def make_fleet(self) -> Fleet:
+        """Return a rack of two workers, and one of three that answer later."""
+        workers = [
+            FakeWorker(f'w{number}', f'r{number // 2}', answer_ms=0)
+            for number in range(2)
+        ]
+        workers += [
+            FakeWorker(f'w{number}', 'r1', answer_ms=LATER_MS) for number in (2, 3, 4)
+        ]
+        return Fleet(*workers).run(1_000)
+
+    def list_racks(self, fleet: Fleet, job: Job) -> set[str]:
+        """Return the racks on which a job has started."""
+        return {
+            worker.rack
+            for worker in fleet.workers.values()
+            if any(task.startswith(job.id) for _, task, _ in worker.starts)
+        }
+
+    def test_a_task_starts_on_the_rack_of_its_data(self):
+        fleet = self.make_fleet()
+        job = store(fleet, make_job(make_step(data_rack='r1'), queue=URGENT))
+        fleet.replace_planner()
+        fleet.run(1_000)
+        self.assertEqual(self.list_racks(fleet, job), {'r1'})
+
+    def test_a_gang_starts_on_a_rack_that_could_hold_it(self):
+        fleet = self.make_fleet()
+        step = make_step(3, 5, gang=True, same_rack=True)
+        job = store(fleet, make_job(step, queue=URGENT))
+        fleet.workers['agent-w2'].answer_ms = 0
+        fleet.replace_planner()
+        fleet.run(1_000)
+        self.assertEqual(self.list_racks(fleet, job), {'r1'})
+
+    def test_a_rack_that_never_answers_is_not_waited_for_without_an_end(self):
+        fleet = self.make_fleet()
+        for number in (2, 3, 4):
+            fleet.workers[f'agent-w{number}'].silent = True
+        elected_ms = fleet.now_ms
+        job = store(fleet, make_job(make_step(data_rack='r1'), queue=URGENT))
+        fleet.replace_planner()
+        fleet.run(2_000)
+        self.assertEqual(self.list_racks(fleet, job), {'r0'})
+        started_ms = fleet.starts(job)[0][0]
+        self.assertLess(started_ms, elected_ms + SILENCE_MS + 2 * TICK_MS)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -22,11 +22,14 @@
 from yuccarelay.core.batch.last_attempts import withhold_unproven
 from yuccarelay.core.batch.neighbours import find_kind
 from yuccarelay.core.batch.planner_state import PlannerState
+from yuccarelay.core.batch.polling import awaits_first_answers
 from yuccarelay.core.batch.run_times import Quantile
 from yuccarelay.core.batch.unit_placement import (
     Candidate,
     Placement,
     candidate_order,
+    group_suitable,
+    needs_group,
     place_tasks,
     resources_held,
 )
@@ -173,9 +176,21 @@
 def choose_placement(
     planner_state: PlannerState, entry: WaitingUnit, candidates: list[Candidate]
 ) -> Placement | None:
-    """Return the workers for a unit, or None; on probation it runs alone if it can."""
+    """
+    Return the workers for a unit, or None; on probation it runs alone if it can.
+
+    While a new planner has not heard all workers, a unit that belongs on one rack does
+    not go elsewhere, because that rack may be among the workers that are not heard.
+    """
     step = entry.plan.job.steps[entry.unit.step]
     count = len(entry.unit.tasks)
+    if (
+        needs_group(step)
+        and not entry.spread
+        and awaits_first_answers(planner_state)
+        and group_suitable(step, count, candidates) is None
+    ):
+        return None
     placement = None
     if has_crashed_worker(entry.plan, entry.unit):
         unshared = list_unshared(planner_state, entry.unit, candidates)
--- a/yuccarelay/core/batch/unit_placement.py
+++ b/yuccarelay/core/batch/unit_placement.py
@@ -306,6 +306,22 @@
     step: Step, count: int, candidates: list[Candidate]
 ) -> list[list[Candidate]]:
     """Return the groups of workers; the tasks go to one of the groups."""
+    groups = group_suitable(step, count, candidates)
+    if groups is not None:
+        return groups
+    return [
+        [
+            candidate
+            for candidate in candidates
+            if is_usable(step, candidate) and not candidate.avoided
+        ]
+    ]
+
+
+def group_suitable(
+    step: Step, count: int, candidates: list[Candidate]
+) -> list[list[Candidate]] | None:
+    """Return the workers of each suitable rack; None if none could hold the tasks."""
     usable = [candidate for candidate in candidates if is_usable(step, candidate)]
     healthy = [candidate for candidate in usable if not candidate.avoided]
     if step.data_rack and any(candidate.rack == step.data_rack for candidate in usable):
@@ -321,7 +337,7 @@
         ]
         if feasible:
             return feasible
-    return [healthy]
+    return None
 
 
 def could_hold_beside(step: Step, count: int, members: list[Candidate]) -> bool:
