Start reserved work elsewhere once it fits there

Idle workers were there 0.2 s after the stops were ordered.

Cause: a unit with reserved workers is placed on these only, until all are free, one of them takes no work any more, or the reservation expires.

A reserved unit that does not fit on its workers yet is now placed on any others, with what it has reserved, and what was being freed for it is then free for the rest.

--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -350,6 +350,41 @@
         self.assertEqual([note['closed'] for note in lost], [self.lost])
 
 
+class RoomElsewhereTest(unittest.TestCase):
+    """
+    Guards against work that waits for reserved workers beside others with room.
+
+    On silverthread-tw-grown a gang of 7 waited for 1.2 s, and was late by that, because
+    one of its reserved workers did not answer the stops; idle ones were there.
+    """
+
+    def setUp(self):
+        self.fleet = make_fleet(4, run_ms=LONG_MS)
+        self.cancelled = self.fleet.submit(make_job(make_step(2, 8), queue=DEFERRABLE))
+        self.fleet.run(2_000)
+        self.fleet.submit(make_job(make_step(2, 8), queue=DEFERRABLE))
+        self.fleet.run(500)
+        self.submitted_ms = self.fleet.now_ms
+        step = make_step(2, 8, gang=True, estimated_ms=5_000)
+        self.gang = self.fleet.submit(make_job(step, queue=URGENT))
+        (reservation,) = self.fleet.planner.planner_state.reserved.values()
+        self.reserved = reservation.placement
+        self.fleet.workers[self.reserved[0]].lose_stops = 9
+
+    def test_it_starts_on_workers_that_become_free_meanwhile(self):
+        self.fleet.run(100)
+        self.fleet.cancel(self.cancelled)
+        self.fleet.run(900)
+        starts = self.fleet.starts(self.gang)
+        self.assertEqual(len(starts), 2)
+        self.assertLess(starts[-1][0], self.submitted_ms + 700)
+
+    def test_what_was_reserved_is_free_for_others_then(self):
+        self.fleet.cancel(self.cancelled)
+        self.fleet.run(900)
+        self.assertEqual(self.fleet.planner.planner_state.reserved, {})
+
+
 class MadeLateTest(unittest.TestCase):
     """Guards against a log that hides which victims miss their objectives."""
 
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -7,10 +7,8 @@
 )
 from yuccarelay.core.batch.crashes import (
     SETTLING_WAIT_MS,
-    has_crashed_worker,
     keep_off,
     list_settled,
-    list_unshared,
     must_settle,
     note_new_neighbours,
     reserve_settling,
@@ -20,17 +18,18 @@
 from yuccarelay.core.batch.eviction import Decline, evict_for, note_declined
 from yuccarelay.core.batch.guarantees import URGENT_PRIORITY, find_entitled
 from yuccarelay.core.batch.last_attempts import withhold_unproven
-from yuccarelay.core.batch.neighbours import find_kind
+from yuccarelay.core.batch.placement_choice import (
+    choose_placement,
+    choose_reserved,
+    has_room,
+    note_separation,
+)
 from yuccarelay.core.batch.planner_state import PlannerState
-from yuccarelay.core.batch.polling import awaits_first_answers
 from yuccarelay.core.batch.run_times import Quantile
 from yuccarelay.core.batch.unit_placement import (
     Candidate,
     Placement,
     candidate_order,
-    group_suitable,
-    needs_group,
-    place_tasks,
     resources_held,
 )
 from yuccarelay.core.batch.victim_search import (
@@ -114,17 +113,13 @@
         snapshot.refresh(reservation.placement)
         candidates = list_usable(planner_state, snapshot, entry)
         reservation = None
-    if reservation is not None:
-        candidates = [
-            candidate
-            for candidate in candidates
-            if candidate.agent in reservation.placement
-        ]
     open_candidates = candidates
     if must_settle(planner_state, entry.unit):
         candidates = list_settled(planner_state, entry.unit, candidates)
     placement = None
-    if reservation is not None or has_room(snapshot, entry):
+    if reservation is not None:
+        placement = choose_reserved(planner_state, entry, candidates, reservation)
+    elif has_room(snapshot, entry):
         placement = choose_placement(planner_state, entry, candidates)
     if placement is None and reservation is None:
         backfill = snapshot.list_backfill(entry.unit, entry.queue, candidates)
@@ -162,79 +157,6 @@
     return False
 
 
-def has_room(snapshot: CapacitySnapshot, entry: WaitingUnit) -> bool:
-    """
-    Whether as many tasks as a unit has would fit if it took any worker.
-
-    On a full fleet this saves the search for each unit that waits.
-    """
-    need = resources_held(entry.plan.job.steps[entry.unit.step])
-    slots = snapshot.count_slots(entry.queue.service, need)
-    return slots >= len(entry.unit.tasks)
-
-
-def choose_placement(
-    planner_state: PlannerState, entry: WaitingUnit, candidates: list[Candidate]
-) -> Placement | None:
-    """
-    Return the workers for a unit, or None; on probation it runs alone if it can.
-
-    While a new planner has not heard all workers, a unit that belongs on one rack does
-    not go elsewhere, because that rack may be among the workers that are not heard.
-    """
-    step = entry.plan.job.steps[entry.unit.step]
-    count = len(entry.unit.tasks)
-    if (
-        needs_group(step)
-        and not entry.spread
-        and awaits_first_answers(planner_state)
-        and group_suitable(step, count, candidates) is None
-    ):
-        return None
-    placement = None
-    if has_crashed_worker(entry.plan, entry.unit):
-        unshared = list_unshared(planner_state, entry.unit, candidates)
-        placement = place_tasks(step, count, unshared, entry.spread)
-    return placement or place_tasks(step, count, candidates, entry.spread)
-
-
-def note_separation(
-    planner_state: PlannerState,
-    entry: WaitingUnit,
-    candidates: list[Candidate],
-    placement: Placement,
-) -> None:
-    """Log a placement that known interference has decided."""
-    costs = {candidate.agent: candidate.interference for candidate in candidates}
-    if not any(
-        candidate.interference or candidate.self_interference
-        for candidate in candidates
-    ):
-        return
-    plain = choose_placement(
-        planner_state,
-        entry,
-        [
-            candidate._replace(interference=0, self_interference=0)
-            for candidate in candidates
-        ],
-    )
-    if plain is None or sorted(plain) == sorted(placement):
-        return
-    step = entry.plan.job.steps[entry.unit.step]
-    planner_state.note(
-        'interference_avoided',
-        job=entry.unit.job,
-        step=entry.unit.step,
-        index=entry.unit.tasks[0].index,
-        kind=find_kind(entry.plan, step),
-        workers=','.join(placement),
-        instead_of=','.join(plain),
-        cost=round(sum(costs[agent] for agent in placement), 1),
-        avoided_cost=round(sum(costs[agent] for agent in plain), 1),
-    )
-
-
 def reserve_unsettled(
     planner_state: PlannerState,
     snapshot: CapacitySnapshot,
