Stop a gang at once when one of its members is lost

A planner that is elected after a loss of power stops gangs that no longer exist, and work that runs could be stopped in their place.

Cause: a run that was never listed by its worker's last incarnation is stopped on the next one before it is released, and only the release broke its gang. Until then, for the time of a stop and a poll, the other members counted as running work, with its price, and went on.

The gang is broken with the loss of the member. Nothing else can come of it: the member has to start again, and with it the whole gang.

--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -385,6 +385,45 @@
         self.assertEqual(self.fleet.planner.planner_state.reserved, {})
 
 
+class LostGangTest(unittest.TestCase):
+    """
+    Guards against a gang that counts as running once one of its members is lost.
+
+    On silverthread-tw-grown, after all workers had lost power, a planner stopped a gang
+    of 10 that no longer existed, at a price of 23,398 core-seconds, because only the
+    member whose worker had answered was known to be lost.
+    """
+
+    def setUp(self):
+        self.fleet = make_fleet(3, run_ms=LONG_MS)
+        self.gang = self.fleet.submit(
+            make_job(make_step(2, 8, gang=True), queue=DEFERRABLE)
+        )
+        self.fleet.run(8_000)
+        self.other = self.fleet.submit(make_job(make_step(1, 8), queue=DEFERRABLE))
+        self.fleet.run(3_000)
+        worker = find_worker(self.fleet, self.gang)
+        worker.crash(self.fleet.now_ms)
+        worker.lose_stops = 9
+        self.fleet.replace_planner()
+        self.fleet.run(50)
+
+    def test_the_other_members_are_stopped_at_once(self):
+        runs = [
+            run.task
+            for worker in self.fleet.workers.values()
+            for run in worker.runs.values()
+        ]
+        self.assertEqual([task.split('.')[0] for task in runs], [self.other.id])
+
+    def test_guaranteed_work_takes_what_it_leaves(self):
+        self.fleet.submit(make_job(make_step(1, 8), queue=URGENT))
+        self.fleet.run(500)
+        self.assertEqual(len(self.fleet.starts(self.other)), 1)
+        stopped = {note['task'].job for note in list_notes(self.fleet, 'run_stopping')}
+        self.assertEqual(stopped, {self.gang.id})
+
+
 class MadeLateTest(unittest.TestCase):
     """Guards against a log that hides which victims miss their objectives."""
 
--- a/yuccarelay/core/batch/reports.py
+++ b/yuccarelay/core/batch/reports.py
@@ -193,6 +193,8 @@
                 planner_state.send_stop(run)
             else:
                 planner_state.stop_run(run, 'worker_ended')
+                plan = planner_state.plans[run.task.job]
+                planner_state.break_gang(plan, run.task, 'worker_ended')
 
     def _note_loss(self, view: WorkerView, run: Run) -> None:
         """Log a run whose worker has ended, and how long it was seen at work."""
