Wait longer for first answers while many agents are starting

After a kill of all processes or a loss of power, work was stopped although most of the fleet was idle.

Cause: agents that are starting refuse connections, so a new planner took them for lost, and SILENCE_MS is shorter than their start.

While over a quarter of the workers have not answered, no work is stopped, for 1.5 s at most.

--- a/yuccarelay/core/batch/polling.py
+++ b/yuccarelay/core/batch/polling.py
@@ -18,6 +18,11 @@
 PROBATION_WAIT_MS = 100
 # For an idle worker the agent answers from heartbeats, without calling the worker.
 IDLE_WAIT_MS = 1_500
+# Agents that start at the same time, after a loss of power or a restart of all
+# processes, answer within this time after the election of a planner.
+FLEET_START_MS = 1_500
+# A larger share of unread workers is not explained by single machines that are lost.
+STARTING_SHARE = 0.25
 
 
 def poll(planner_state: PlannerState, view: WorkerView) -> None:
@@ -71,14 +76,23 @@
     Whether workers may still answer the first poll of a new planner.
 
     What is free on them is not known before. One that is overdue, refuses connections
-    or was silent to the planner before is not waited for, so the wait is bounded.
+    or was silent to the planner before is not waited for. While many have not answered,
+    as after a loss of power, their agents are probably starting. Both waits are
+    bounded, so workers that never answer do not hold up guaranteed work for long.
     """
-    if planner_state.now.ms >= planner_state.elected_ms + SILENCE_MS:
+    waited_ms = planner_state.now.ms - planner_state.elected_ms
+    if waited_ms >= FLEET_START_MS:
         return False
-    return any(
-        not view.read_ms and not view.is_silent and view.agent_address.address
+    expected = [
+        view
         for view in planner_state.workers.values()
-    )
+        if view.agent_address.address
+        and view.agent not in planner_state.silent_agents.known.expiry_ms
+    ]
+    unread = [view for view in expected if not view.read_ms]
+    if len(unread) > STARTING_SHARE * len(expected):
+        return True
+    return waited_ms < SILENCE_MS and any(not view.is_silent for view in unread)
 
 
 def is_service_known(planner_state: PlannerState, view: WorkerView) -> bool:
