Count what a gang loses by being late among the costs of stopping it

Work within its guarantee made gangs late that would have been in time, where other work could have been stopped.

Cause: a victim costs the work that is lost, weighted by the priority of its queue. A late job earns a fifth to a third of its worth, and that counted for nothing.

Evidence: LateVictimTest fails on the commit before: an urgent gang after 3 of 4 s is stopped in place of deferrable work that has run for longer but misses nothing.

For work within its guarantee, a gang or the only task of a step costs more if it is made late. Single tasks of wide steps are left out: the first that is stopped makes their job late, the others cost nothing more.

--- a/tests/test_batch_preemption.py
+++ b/tests/test_batch_preemption.py
@@ -6,6 +6,7 @@
     DEFERRABLE,
     TICK_MS,
     URGENT,
+    WALL_START_MS,
     FakeWorker,
     Fleet,
     make_fleet,
@@ -424,6 +425,37 @@
         self.assertEqual(stopped, {self.gang.id})
 
 
+class LateVictimTest(unittest.TestCase):
+    """
+    Guards against guaranteed work that makes a job late for a little work less.
+
+    On silverthread-tw-grown an urgent gang that would have been in time was stopped
+    after more than half of its work, and was late by that.
+    """
+
+    def test_work_that_misses_nothing_is_stopped_first(self):
+        fleet = make_fleet(2, run_ms=LONG_MS)
+        other = fleet.submit(
+            make_job(make_step(1, 8, estimated_ms=LONG_MS), queue=DEFERRABLE)
+        )
+        fleet.run(12_000)
+        for worker in fleet.workers.values():
+            worker.run_ms = 4_000
+        step = make_step(1, 8, estimated_ms=4_000)
+        accepted_ms = WALL_START_MS + fleet.now_ms
+        urgent = fleet.submit(
+            make_job(
+                step, queue=URGENT, organisation='nobody', accepted_at_ms=accepted_ms
+            )
+        )
+        fleet.run(3_000)
+        fleet.submit(make_job(make_step(1, 8), queue=URGENT))
+        fleet.run(200)
+        stopped = {note['task'].job for note in list_notes(fleet, 'run_stopping')}
+        self.assertEqual(stopped, {other.id})
+        self.assertEqual(len(fleet.starts(urgent)), 1)
+
+
 class MadeLateTest(unittest.TestCase):
     """Guards against a log that hides which victims miss their objectives."""
 
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -16,7 +16,11 @@
 from yuccarelay.core.batch.planner_state import PlannerState
 from yuccarelay.core.batch.polling import awaits_first_answers
 from yuccarelay.core.batch.run_times import Quantile
-from yuccarelay.core.batch.stop_costs import is_made_late, weigh_loss
+from yuccarelay.core.batch.stop_costs import (
+    find_late_cost,
+    is_made_late,
+    weigh_loss,
+)
 from yuccarelay.core.batch.unit_placement import (
     Candidate,
     resources_held,
@@ -271,7 +275,13 @@
 def list_victims(
     planner_state: PlannerState, entitled: set[str], entry: WaitingUnit
 ) -> list[Victim]:
-    """Return the work that may be stopped for a unit; gangs are stopped whole."""
+    """
+    Return the work that may be stopped for a unit; gangs are stopped whole.
+
+    Work within its guarantee may stop whatever it likes, so for it a whole step that
+    would miss its objective by the stop costs more. Single tasks of a wide step are
+    left out, because the first of them that is stopped makes their job late.
+    """
     victims = []
     evictable: dict[tuple, int] = {}
     for plan in planner_state.plans.values():
@@ -298,8 +308,15 @@
                     continue
             if not entry.entitled and is_ending(planner_state, runs):
                 continue
+            is_whole = step.gang or step.count == 1
             freed = tuple((run.worker.agent, run.need) for run in runs)
             cost = weigh_loss(planner_state, runs, RESTART_MS)
+            if (
+                entry.entitled
+                and is_whole
+                and is_made_late(planner_state, runs, RESTART_MS)
+            ):
+                cost += find_late_cost(queue.priority)
             victims.append(Victim(key, freed, cost))
     return victims
 
--- a/yuccarelay/core/batch/stop_costs.py
+++ b/yuccarelay/core/batch/stop_costs.py
@@ -14,6 +14,15 @@
 # Added weight of lost work for each earlier run of a task, so that other work is
 # preempted first.
 REPEAT_WEIGHT = 0.5
+# What a caller loses by a job that misses its objective, by the priority of its queue,
+# in core-seconds of lost work. A late job is worth a fifth to a third of one in time.
+LATE_COSTS_CORE_S = {0: 1_800, 1: 1_200}
+DEFERRABLE_LATE_COST_CORE_S = 400
+
+
+def find_late_cost(priority: int) -> float:
+    """Return what a job of a queue loses if it is late, in core-seconds."""
+    return LATE_COSTS_CORE_S.get(priority, DEFERRABLE_LATE_COST_CORE_S)
 
 
 def weigh_loss(
