Ask once per pass whether workers may still answer

The question looks at all workers, and it was asked for each waiting unit in the first 1.5 s of a planner.

--- a/yuccarelay/core/batch/capacity_snapshot.py
+++ b/yuccarelay/core/batch/capacity_snapshot.py
@@ -18,6 +18,7 @@
 )
 from yuccarelay.core.batch.models import Queue, Resources, Step
 from yuccarelay.core.batch.planner_state import PlannerState
+from yuccarelay.core.batch.polling import awaits_first_answers
 from yuccarelay.core.batch.run_times import Quantile
 from yuccarelay.core.batch.unit_placement import (
     Avoidance,
@@ -95,6 +96,8 @@
             )
             for service in self.open
         }
+        # Whether a new planner has not heard all workers yet.
+        self.awaits_answers = awaits_first_answers(planner_state)
         self.maker = CandidateMaker(planner_state, cutoffs_ms)
 
     def list_candidates(
--- a/yuccarelay/core/batch/eviction.py
+++ b/yuccarelay/core/batch/eviction.py
@@ -14,7 +14,6 @@
 from yuccarelay.core.batch.guarantees import URGENT_PRIORITY
 from yuccarelay.core.batch.models import count_cores
 from yuccarelay.core.batch.planner_state import PlannerState
-from yuccarelay.core.batch.polling import awaits_first_answers
 from yuccarelay.core.batch.run_times import Quantile
 from yuccarelay.core.batch.stop_costs import (
     find_late_cost,
@@ -97,7 +96,7 @@
     not meet it by waiting, and the lost work is within the limit. What other stops free
     is reserved instead if it is enough.
     """
-    if awaits_first_answers(planner_state):
+    if snapshot.awaits_answers:
         note_declined(planner_state, entry, Decline.UNREAD)
         return False
     step = entry.plan.job.steps[entry.unit.step]
--- a/yuccarelay/core/batch/placement_choice.py
+++ b/yuccarelay/core/batch/placement_choice.py
@@ -4,8 +4,6 @@
 from yuccarelay.core.batch.crashes import has_crashed_worker, list_unshared
 from yuccarelay.core.batch.entities import Reservation
 from yuccarelay.core.batch.neighbours import find_kind
-from yuccarelay.core.batch.planner_state import PlannerState
-from yuccarelay.core.batch.polling import awaits_first_answers
 from yuccarelay.core.batch.unit_placement import (
     Candidate,
     Placement,
@@ -29,7 +27,7 @@
 
 
 def choose_placement(
-    planner_state: PlannerState, entry: WaitingUnit, candidates: list[Candidate]
+    snapshot: CapacitySnapshot, entry: WaitingUnit, candidates: list[Candidate]
 ) -> Placement | None:
     """
     Return the workers for a unit, or None; on probation it runs alone if it can.
@@ -42,19 +40,19 @@
     if (
         needs_group(step)
         and not entry.spread
-        and awaits_first_answers(planner_state)
+        and snapshot.awaits_answers
         and group_suitable(step, count, candidates) is None
     ):
         return None
     placement = None
     if has_crashed_worker(entry.plan, entry.unit):
-        unshared = list_unshared(planner_state, entry.unit, candidates)
+        unshared = list_unshared(snapshot.planner_state, entry.unit, candidates)
         placement = place_tasks(step, count, unshared, entry.spread)
     return placement or place_tasks(step, count, candidates, entry.spread)
 
 
 def choose_reserved(
-    planner_state: PlannerState,
+    snapshot: CapacitySnapshot,
     entry: WaitingUnit,
     candidates: list[Candidate],
     reservation: Reservation,
@@ -70,13 +68,13 @@
         for candidate in candidates
         if candidate.agent in reservation.placement
     ]
-    return choose_placement(planner_state, entry, reserved) or choose_placement(
-        planner_state, entry, candidates
+    return choose_placement(snapshot, entry, reserved) or choose_placement(
+        snapshot, entry, candidates
     )
 
 
 def note_separation(
-    planner_state: PlannerState,
+    snapshot: CapacitySnapshot,
     entry: WaitingUnit,
     candidates: list[Candidate],
     placement: Placement,
@@ -89,7 +87,7 @@
     ):
         return
     plain = choose_placement(
-        planner_state,
+        snapshot,
         entry,
         [
             candidate._replace(interference=0, self_interference=0)
@@ -99,7 +97,7 @@
     if plain is None or sorted(plain) == sorted(placement):
         return
     step = entry.plan.job.steps[entry.unit.step]
-    planner_state.note(
+    snapshot.planner_state.note(
         'interference_avoided',
         job=entry.unit.job,
         step=entry.unit.step,
--- a/yuccarelay/core/batch/scheduling.py
+++ b/yuccarelay/core/batch/scheduling.py
@@ -118,20 +118,20 @@
         candidates = list_settled(planner_state, entry.unit, candidates)
     placement = None
     if reservation is not None:
-        placement = choose_reserved(planner_state, entry, candidates, reservation)
+        placement = choose_reserved(snapshot, entry, candidates, reservation)
     elif has_room(snapshot, entry):
-        placement = choose_placement(planner_state, entry, candidates)
+        placement = choose_placement(snapshot, entry, candidates)
     if placement is None and reservation is None:
         backfill = snapshot.list_backfill(entry.unit, entry.queue, candidates)
         if backfill:
-            placement = choose_placement(planner_state, entry, backfill)
+            placement = choose_placement(snapshot, entry, backfill)
     if waits_for_release(planner_state, entry, candidates, placement):
         report_wait(planner_state, snapshot, entry)
         return False
     if placement is not None:
         planner_state.reserved.pop(key, None)
         planner_state.assign(entry.plan, entry.unit, placement)
-        note_separation(planner_state, entry, candidates, placement)
+        note_separation(snapshot, entry, candidates, placement)
         note_new_neighbours(planner_state, entry.unit)
         snapshot.refresh((*placement, *(reservation.placement if reservation else ())))
         return True
@@ -168,7 +168,7 @@
     has_waited = planner_state.now.ms >= wait.since_ms + SETTLING_WAIT_MS
     if not has_waited or not must_settle(planner_state, entry.unit):
         return False
-    placement = choose_placement(planner_state, entry, candidates)
+    placement = choose_placement(snapshot, entry, candidates)
     if placement is None:
         return False
     reserve_settling(planner_state, entry.unit, placement)
