--- a/yuccarelay/core/batch/planner_state.py
+++ b/yuccarelay/core/batch/planner_state.py
@@ -154,7 +154,7 @@
         self.dirty = True
 
     def count_unread(self) -> int:
-        """Return how many workers have no list that was read lately."""
+        """Return how many workers have not been read since they were last lost."""
         return sum(not view.read_ms for view in self.workers.values())
 
     def find_queue(self, plan: JobPlan) -> Queue | None:
--- a/yuccarelay/core/batch/polling.py
+++ b/yuccarelay/core/batch/polling.py
@@ -18,8 +18,8 @@
 PROBATION_WAIT_MS = 100
 # For an idle worker the agent answers from heartbeats, without calling the worker.
 IDLE_WAIT_MS = 1_500
-# Agents that start at the same time, after a loss of power or a restart of all
-# processes, answer within this time after the election of a planner.
+# Nearly all agents that start at the same time, after a loss of power or a restart of
+# all processes, answer within this time after the election of a planner.
 FLEET_START_MS = 1_500
 # A larger share of unread workers is not explained by single machines that are lost.
 STARTING_SHARE = 0.25
--- a/yuccarelay/core/batch/ranking.py
+++ b/yuccarelay/core/batch/ranking.py
@@ -79,7 +79,7 @@
     chains_ms: list[float],
     multiple: int = 1,
 ) -> float:
-    """Return when a step starts if its job takes a multiple of its objective."""
+    """Return the latest start of a step that meets a multiple of the objective."""
     objective = queue.slack_factor * chains_ms[0] + queue.objective_ms
     return due_ms + multiple * objective - chains_ms[step]
 
