Spread no gang over racks before the workers have answered

Cause: a late unit may be spread over racks at once, and that was left in place when units that belong on a rack began to wait for first answers.

--- a/tests/test_batch_new_planner.py
+++ b/tests/test_batch_new_planner.py
@@ -228,6 +228,18 @@
         fleet.run(1_000)
         self.assertEqual(self.list_racks(fleet, job), {'r1'})
 
+    def test_a_late_gang_waits_for_a_rack_as_well(self):
+        # Spread over two racks, an urgent gang took three times as long on a drawn day.
+        fleet = self.make_fleet()
+        fleet.run(60_000)
+        step = make_step(3, 5, gang=True, same_rack=True)
+        job = make_job(step, queue=URGENT)
+        fleet.jobs[job.id] = job
+        fleet.job_terms[job.id] = make_terms(URGENT)
+        fleet.replace_planner()
+        fleet.run(1_000)
+        self.assertEqual(self.list_racks(fleet, job), {'r1'})
+
     def test_a_rack_that_never_answers_is_not_waited_for_without_an_end(self):
         fleet = self.make_fleet()
         for number in (2, 3, 4):
--- a/yuccarelay/core/batch/placement_choice.py
+++ b/yuccarelay/core/batch/placement_choice.py
@@ -33,22 +33,23 @@
     Return the workers for a unit, or None; on probation it runs alone if it can.
 
     While a new planner has not heard all workers, a unit that belongs on one rack does
-    not go elsewhere, because that rack may be among the workers that are not heard.
+    not go elsewhere, not even if it is late, because that rack may be among the workers
+    that are not heard.
     """
     step = entry.plan.job.steps[entry.unit.step]
     count = len(entry.unit.tasks)
     if (
         needs_group(step)
-        and not entry.spread
         and snapshot.awaits_answers
         and group_suitable(step, count, candidates) is None
     ):
         return None
+    spread = entry.spread and not snapshot.awaits_answers
     placement = None
     if has_crashed_worker(entry.plan, entry.unit):
         unshared = list_unshared(snapshot.planner_state, entry.unit, candidates)
-        placement = place_tasks(step, count, unshared, entry.spread)
-    return placement or place_tasks(step, count, candidates, entry.spread)
+        placement = place_tasks(step, count, unshared, spread)
+    return placement or place_tasks(step, count, candidates, spread)
 
 
 def choose_reserved(
