--- a/tests/test_batch_new_planner.py
+++ b/tests/test_batch_new_planner.py
@@ -37,6 +37,13 @@
     return job
 
 
+def elect(fleet: Fleet) -> Job:
+    """Elect a planner while a guaranteed gang waits that needs two workers."""
+    gang = store(fleet, make_job(make_step(2, 8, gang=True), queue=URGENT))
+    fleet.replace_planner()
+    return gang
+
+
 class FirstAnswersTest(unittest.TestCase):
     """
     Guards against work that is stopped on the first workers that a planner hears.
@@ -63,15 +70,9 @@
             fleet.workers[f'agent-{worker.name}'] = worker
         return fleet
 
-    def elect(self, fleet: Fleet) -> Job:
-        """Elect a planner while a guaranteed gang waits that needs two workers."""
-        gang = store(fleet, make_job(make_step(2, 8, gang=True), queue=URGENT))
-        fleet.replace_planner()
-        return gang
-
     def test_guaranteed_work_starts_on_idle_workers_that_answer_later(self):
         fleet = self.make_fleet(idle=2)
-        gang = self.elect(fleet)
+        gang = elect(fleet)
         fleet.run(1_000)
         self.assertEqual(list_notes(fleet, 'room_reclaimed'), [])
         self.assertEqual(len(fleet.starts(self.running)), self.FULL)
@@ -81,7 +82,7 @@
         fleet = self.make_fleet(idle=3)
         fleet.workers['agent-w6'].silent = True
         elected_ms = fleet.now_ms
-        gang = self.elect(fleet)
+        gang = elect(fleet)
         fleet.run(1_000)
         self.assertEqual(list_notes(fleet, 'room_reclaimed'), [])
         self.assertEqual(len(fleet.starts(gang)), 2)
@@ -91,7 +92,7 @@
         fleet = self.make_fleet(idle=1)
         fleet.workers['agent-w4'].silent = True
         elected_ms = fleet.now_ms
-        gang = self.elect(fleet)
+        gang = elect(fleet)
         fleet.run(2_000)
         limit_ms = elected_ms + SILENCE_MS + TICK_MS + RECLAIM_MS
         self.assertEqual(len(fleet.starts(gang)), 2)
@@ -102,7 +103,7 @@
         fleet.workers['agent-w4'].refuses = True
         fleet.workers['agent-w4'].answer_ms = 0
         elected_ms = fleet.now_ms
-        gang = self.elect(fleet)
+        gang = elect(fleet)
         fleet.run(1_000)
         self.assertEqual(len(fleet.starts(gang)), 2)
         self.assertLess(fleet.starts(gang)[-1][0], elected_ms + RECLAIM_MS)
@@ -118,7 +119,7 @@
         last.silent = True
         fleet.run(4_000)
         elected_ms = fleet.now_ms
-        gang = self.elect(fleet)
+        gang = elect(fleet)
         fleet.run(1_000)
         self.assertEqual(len(fleet.starts(gang)), 2)
         self.assertLess(fleet.starts(gang)[-1][0], elected_ms + RECLAIM_MS)
@@ -129,7 +130,7 @@
         fleet.run(4_000)
         fresh = fleet.submit(make_job(make_step(2, 8), queue=DEFERRABLE))
         fleet.run(1_000)
-        self.elect(fleet)
+        elect(fleet)
         fleet.run(1_000)
         reclaimed = list_notes(fleet, 'room_reclaimed')
         self.assertEqual(len(reclaimed), 1)
@@ -161,15 +162,9 @@
             worker.refuses = not worker.runs
         return fleet
 
-    def elect(self, fleet: Fleet) -> Job:
-        """Elect a planner while a guaranteed gang waits that needs two workers."""
-        gang = store(fleet, make_job(make_step(2, 8, gang=True), queue=URGENT))
-        fleet.replace_planner()
-        return gang
-
     def test_guaranteed_work_starts_on_idle_workers_whose_agents_start_later(self):
         fleet = self.make_fleet()
-        gang = self.elect(fleet)
+        gang = elect(fleet)
         fleet.run(self.START_MS)
         for worker in fleet.workers.values():
             worker.refuses = False
@@ -181,7 +176,7 @@
     def test_a_fleet_that_stays_away_holds_up_guaranteed_work_for_a_bounded_time(self):
         fleet = self.make_fleet()
         elected_ms = fleet.now_ms
-        gang = self.elect(fleet)
+        gang = elect(fleet)
         fleet.run(3_000)
         limit_ms = elected_ms + FLEET_START_MS + TICK_MS + RECLAIM_MS
         self.assertEqual(len(fleet.starts(gang)), 2)
